--- /dev/null
+++ b/dispatch/brokers.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/placement"
+)
+
+// brokers holds the pools that this instance hands out.
+type brokers struct {
+	d     *Dispatcher
+	mu    sync.RWMutex
+	pools map[string]*brokerPool
+}
+
+// brokerPool is one placement.Broker: a shard with its own lock.
+type brokerPool struct {
+	id     string
+	mu     sync.Mutex
+	broker *placement.Broker
+	homes  map[fate.Incarnation]bool // those that hold places
+	hurry  bool                      // homes were told that work waits
+}
+
+func (b *brokers) init(d *Dispatcher) {
+	b.d = d
+	b.pools = map[string]*brokerPool{}
+}
+
+// pool returns the broker of a pool, and makes it on first use. Whoever asks
+// believes this instance to be the broker; should two instances both be, that
+// costs refusals at upstreams and no more.
+func (b *brokers) pool(id string) *brokerPool {
+	b.mu.RLock()
+	p := b.pools[id]
+	b.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.pools[id] == nil {
+		p = &brokerPool{id: id, broker: placement.NewBroker(b.d.cfg.Broker), homes: map[fate.Incarnation]bool{}}
+		p.broker.SetUpstreams(b.upstreamsOf(b.d.view.Load(), id), nowMs())
+		b.pools[id] = p
+	}
+	return b.pools[id]
+}
+
+// upstreamsOf returns the upstreams of a pool, those seen leaving marked.
+func (b *brokers) upstreamsOf(v *View, id string) []placement.Upstream {
+	p := v.pools[id]
+	if p == nil {
+		return nil
+	}
+	list := append([]placement.Upstream(nil), p.Upstreams...)
+	for i := range list {
+		list[i].Leaving = list[i].Leaving || b.d.upstreams.isLeaving(list[i].ID)
+	}
+	return list
+}
+
+// rebind takes a new view: pools of other brokers are let go.
+func (b *brokers) rebind(v *View) {
+	b.mu.Lock()
+	var mine []*brokerPool
+	for id, p := range b.pools {
+		if pv := v.pools[id]; pv == nil || pv.broker != b.d.cfg.Self {
+			delete(b.pools, id)
+			continue
+		}
+		mine = append(mine, p)
+	}
+	b.mu.Unlock()
+	for _, p := range mine {
+		list := b.upstreamsOf(v, p.id)
+		b.run(p, func(k *placement.Broker) []placement.Grant { return k.SetUpstreams(list, nowMs()) })
+	}
+}
+
+// run gives a broker one input and sends what it grants.
+func (b *brokers) run(p *brokerPool, input func(*placement.Broker) []placement.Grant) {
+	p.mu.Lock()
+	grants := input(p.broker)
+	hasten, hurry := p.pressure()
+	p.mu.Unlock()
+	for i := range grants {
+		b.send(p, &grants[i], hurry)
+	}
+	for _, home := range hasten {
+		b.deliver(home, &inner.SlotGrant{Hurry: true, Ticket: p.id})
+	}
+}
+
+// pressure returns the homes to be told that work waits, each time that it
+// begins to. The lock is held.
+func (p *brokerPool) pressure() (hasten []fate.Incarnation, hurry bool) {
+	hurry = p.broker.Queued() > 0
+	if hurry && !p.hurry {
+		for home := range p.homes {
+			hasten = append(hasten, home)
+		}
+		clear(p.homes)
+	}
+	p.hurry = hurry
+	return hasten, hurry
+}
+
+func (b *brokers) send(p *brokerPool, g *placement.Grant, hurry bool) {
+	home := fate.Incarnation(g.Home)
+	p.mu.Lock()
+	p.homes[home] = true
+	p.mu.Unlock()
+	m := &inner.SlotGrant{Ticket: g.Ticket, Refused: string(g.Refused), RetryAfterMs: uint32(g.RetryAfterMs), Hurry: hurry}
+	for _, place := range g.Places {
+		m.Places = append(m.Places, &inner.Place{Upstream: place.Upstream, Count: uint32(place.Count)})
+	}
+	b.deliver(home, m)
+}
+
+// deliver sends a grant to a home, which may be this instance.
+func (b *brokers) deliver(home fate.Incarnation, m *inner.SlotGrant) {
+	if home == b.d.cfg.Self {
+		b.d.slots.granted(m)
+		return
+	}
+	if err := b.d.peers.Send(home, &inner.Frame{Body: &inner.Frame_SlotGrant{SlotGrant: m}}); err != nil {
+		b.d.cfg.Metrics.Waste("slot_grant")
+	}
+}
+
+func (b *brokers) request(home fate.Incarnation, m *inner.SlotRequest) {
+	held := make([]placement.Place, 0, len(m.GetHeld()))
+	for _, h := range m.GetHeld() {
+		held = append(held, placement.Place{Upstream: h.GetUpstream(), Count: int(h.GetCount())})
+	}
+	b.run(b.pool(m.GetPool()), func(k *placement.Broker) []placement.Grant {
+		k.Hold(string(home), held)
+		return k.Request(placement.Request{
+			Home: string(home), Ticket: m.GetTicket(), Count: int(m.GetCount()),
+			Needs: toNeeds(m.GetNeeds()), RunMs: float64(m.GetRunMs()), Service: m.GetService(), DeadlineMs: m.GetDeadlineMs(),
+		}, nowMs())
+	})
+}
+
+func (b *brokers) release(home fate.Incarnation, m *inner.SlotRelease) {
+	usages := make([]placement.Usage, 0, len(m.GetUsages()))
+	for _, u := range m.GetUsages() {
+		usages = append(usages, placement.Usage{
+			Upstream: u.GetUpstream(), Needs: toNeeds(u.GetNeeds()), Service: u.GetService(), Count: int(u.GetCount()),
+			RunMs: float64(u.GetRunUs()) / 1000, Failed: int(u.GetFailed()), HoldMs: int64(u.GetHoldMs()),
+		})
+	}
+	b.run(b.pool(m.GetPool()), func(k *placement.Broker) []placement.Grant { return k.Release(string(home), usages, nowMs()) })
+}
+
+func (b *brokers) withdraw(home fate.Incarnation, m *inner.SlotWithdraw) {
+	b.run(b.pool(m.GetPool()), func(k *placement.Broker) []placement.Grant {
+		k.Withdraw(string(home), m.GetTickets())
+		return nil
+	})
+}
+
+func (b *brokers) homeGone(home fate.Incarnation) {
+	for _, p := range b.all() {
+		b.run(p, func(k *placement.Broker) []placement.Grant { return k.HomeGone(string(home), nowMs()) })
+	}
+}
+
+func (b *brokers) tick(now time.Time) {
+	for _, p := range b.all() {
+		b.run(p, func(k *placement.Broker) []placement.Grant { return k.Tick(millis(now)) })
+	}
+}
+
+func (b *brokers) all() []*brokerPool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	list := make([]*brokerPool, 0, len(b.pools))
+	for _, p := range b.pools {
+		list = append(list, p)
+	}
+	return list
+}
+
+func (b *brokers) load() (free, queued int) {
+	for _, p := range b.all() {
+		p.mu.Lock()
+		free += p.broker.Free()
+		queued += p.broker.Queued()
+		p.mu.Unlock()
+	}
+	return free, queued
+}
+
+func toNeeds(m *inner.Needs) placement.Needs {
+	return placement.Needs{CPU: m.GetCpu(), MemoryMB: m.GetMemoryMb(), Accelerators: m.GetAccelerators()}
+}
+
+func fromNeeds(n placement.Needs) *inner.Needs {
+	return &inner.Needs{Cpu: n.CPU, MemoryMb: n.MemoryMB, Accelerators: n.Accelerators}
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,184 @@
+// Package dispatch runs the decisions of fate and placement: it carries the
+// permits to witnesses, the requests for places to brokers, the starts to
+// upstreams, and the answers to whoever waits for them.
+//
+// State is in shards, each under its own lock: one per permit log, one per log
+// witnessed, one per pool brokered. No lock is held over I/O.
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/metrics"
+	"github.com/sedgehatch/sedgehatch/placement"
+	"github.com/sedgehatch/sedgehatch/tracing"
+	"github.com/sedgehatch/sedgehatch/upstream"
+)
+
+// Peers carries frames to other instances; inner.Mesh does.
+type Peers interface {
+	Send(peer fate.Incarnation, f *inner.Frame) error
+	Begin(peer fate.Incarnation, f *inner.Frame) (*inner.Pending, error)
+	Call(ctx context.Context, peer fate.Incarnation, f *inner.Frame) (*inner.Frame, error)
+}
+
+// Config is what a Dispatcher needs to know. Zero values get the defaults.
+type Config struct {
+	Self   fate.Incarnation
+	Zone   string
+	Rack   string
+	Shards int // logs that take sessions side by side, per scope
+	// Keep bounds the answers that are kept, per log.
+	Keep fate.Retention
+	// LogLife is how long a log takes sessions before the next one does.
+	LogLife time.Duration
+	// Lease is how long an upstream may run a task without a renewal.
+	Lease time.Duration
+	// LostAfter is how long an upstream may be silent about a lease before its
+	// task's outcome is unknown.
+	LostAfter time.Duration
+	// WitnessTimeout is how long a witness, or a home asked by its witness, may
+	// be silent before it is taken for lost.
+	WitnessTimeout time.Duration
+	// LazyAppend is how long results may wait for the next append.
+	LazyAppend time.Duration
+	// ReleaseDelay is how long free places may wait for company on their way
+	// back to a broker where nobody waits for them.
+	ReleaseDelay time.Duration
+	Broker       placement.BrokerConfig
+	DialUpstream upstream.Dial
+	Metrics      *metrics.Set
+	Tracer       *tracing.Tracer
+	Log          *slog.Logger
+}
+
+// Defaults of Config.
+const (
+	DefaultShards         = 4
+	DefaultLogLife        = 10 * time.Minute
+	DefaultLease          = 10 * time.Second
+	DefaultLostAfter      = 5 * time.Second
+	DefaultWitnessTimeout = 1500 * time.Millisecond
+	DefaultLazyAppend     = 20 * time.Millisecond
+	DefaultReleaseDelay   = 40 * time.Millisecond
+)
+
+// DefaultKeep is the retention of one log.
+var DefaultKeep = fate.Retention{Bytes: 8 << 20, Count: 20000, AgeMs: (10 * time.Minute).Milliseconds()}
+
+func (c *Config) fill() {
+	or := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	or(&c.LogLife, DefaultLogLife)
+	or(&c.Lease, DefaultLease)
+	or(&c.LostAfter, DefaultLostAfter)
+	or(&c.WitnessTimeout, DefaultWitnessTimeout)
+	or(&c.LazyAppend, DefaultLazyAppend)
+	or(&c.ReleaseDelay, DefaultReleaseDelay)
+	if c.Shards == 0 {
+		c.Shards = DefaultShards
+	}
+	if c.Keep == (fate.Retention{}) {
+		c.Keep = DefaultKeep
+	}
+	if c.Broker == (placement.BrokerConfig{}) {
+		c.Broker = placement.DefaultBroker
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	if c.Tracer == nil {
+		c.Tracer = tracing.Off()
+	}
+}
+
+// Dispatcher is one instance's share of the fleet's work: home, witness and
+// broker at once.
+type Dispatcher struct {
+	cfg       Config
+	peers     Peers
+	view      atomic.Pointer[View]
+	upstreams upstreams
+	homes     homes
+	witnesses witnesses
+	slots     slots
+	brokers   brokers
+	leaving   atomic.Bool
+
+	stop    context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// New returns a dispatcher that knows nobody yet; Run makes it work.
+func New(cfg Config, peers Peers) *Dispatcher {
+	cfg.fill()
+	d := &Dispatcher{cfg: cfg, peers: peers}
+	d.stop, d.cancel = context.WithCancel(context.Background())
+	d.view.Store(&View{})
+	d.upstreams.init(d)
+	d.homes.init(d)
+	d.witnesses.init(d)
+	d.slots.init(d)
+	d.brokers.init(d)
+	return d
+}
+
+// tickEvery is how often time passes for brokers and answers.
+const tickEvery = 50 * time.Millisecond
+
+// Run lets time pass until Close.
+func (d *Dispatcher) Run() {
+	d.running.Go(func() {
+		ticker := time.NewTicker(tickEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-d.stop.Done():
+				return
+			case now := <-ticker.C:
+				d.tick(now)
+			}
+		}
+	})
+}
+
+func (d *Dispatcher) tick(now time.Time) {
+	d.brokers.tick(now)
+	d.homes.tick(now)
+	d.witnesses.tick(now)
+}
+
+// Close ends everything at once. What is in flight is left to the witnesses.
+func (d *Dispatcher) Close() {
+	d.cancel()
+	d.homes.close()
+	d.slots.close()
+	d.upstreams.close()
+	d.running.Wait()
+}
+
+// Active returns the number of submissions that this instance is home to and
+// that have no fate yet.
+func (d *Dispatcher) Active() int { return d.homes.active() }
+
+// Load returns the free slots and the queued tasks of the pools that this
+// instance brokers.
+func (d *Dispatcher) Load() (free, queued int) { return d.brokers.load() }
+
+// Drain makes the instance take no new sessions and jobs. Those that it has go
+// on; Active tells when none is left.
+func (d *Dispatcher) Drain() { d.leaving.Store(true) }
+
+func millis(t time.Time) int64 { return t.UnixMilli() }
+
+func nowMs() int64 { return millis(time.Now()) }
--- /dev/null
+++ b/dispatch/slots.go
@@ -0,0 +1,515 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/placement"
+)
+
+// slots is this instance's side of the brokers: the tickets that wait for
+// places, the places in use, and those on their way back.
+type slots struct {
+	d       *Dispatcher
+	mu      sync.Mutex
+	number  uint64
+	tickets map[string]*ticket
+	held    map[string]int // places in use, by upstream
+	returns map[string]*returning
+	load    map[string]poolLoad
+	closed  bool
+}
+
+// ticket is a request for places that is not filled yet.
+type ticket struct {
+	id       string
+	pool     string
+	log      *homeLog
+	key      fate.Key
+	tasks    []int // that wait
+	needs    placement.Needs
+	runMs    uint32
+	service  string
+	deadline int64
+	tried    map[string]bool // pools that refused
+}
+
+// returning is what goes back to the broker of one pool with the next release.
+type returning struct {
+	usages []placement.Usage
+	timer  *time.Timer
+	hurry  bool // work waits there: nothing is held back
+}
+
+// poolLoad is what was last heard of a pool.
+type poolLoad struct {
+	free   int
+	queued int
+}
+
+func (s *slots) init(d *Dispatcher) {
+	s.d = d
+	s.tickets = map[string]*ticket{}
+	s.held = map[string]int{}
+	s.returns = map[string]*returning{}
+	s.load = map[string]poolLoad{}
+}
+
+func (s *slots) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, r := range s.returns {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+	}
+}
+
+// request asks for places for tasks of one job.
+func (s *slots) request(l *homeLog, key fate.Key, job *fate.Job, tasks []int) {
+	for _, alike := range groupByNeeds(job, tasks) {
+		first := &job.Tasks[alike[0]]
+		s.spread(&ticket{
+			log: l, key: key, tasks: alike, needs: needsOf(first), runMs: first.RunMs,
+			service: job.Service, deadline: job.DeadlineMs, tried: map[string]bool{},
+		})
+	}
+}
+
+// groupByNeeds splits tasks into groups that need the same.
+func groupByNeeds(job *fate.Job, tasks []int) [][]int {
+	var order []placement.Needs
+	groups := map[placement.Needs][]int{}
+	for _, i := range tasks {
+		n := needsOf(&job.Tasks[i])
+		if groups[n] == nil {
+			order = append(order, n)
+		}
+		groups[n] = append(groups[n], i)
+	}
+	list := make([][]int, len(order))
+	for i, n := range order {
+		list[i] = groups[n]
+	}
+	return list
+}
+
+// spread sends the tasks of t to the pools that can take them.
+func (s *slots) spread(t *ticket) {
+	view := s.d.view.Load()
+	s.mu.Lock()
+	shares := s.shares(view, t)
+	parts := make([]*ticket, 0, len(shares))
+	rest := t.tasks
+	for _, share := range shares {
+		part := *t
+		part.pool = share.pool
+		part.tasks, rest = rest[:share.count:share.count], rest[share.count:]
+		s.number++
+		part.id = strconv.FormatUint(s.number, 36)
+		parts = append(parts, &part)
+	}
+	s.mu.Unlock()
+	if len(parts) == 0 {
+		t.log.giveUp(t.key, fate.ReasonOverloaded, noPoolRetryMs)
+		return
+	}
+	for _, part := range parts {
+		s.open(view, part)
+	}
+}
+
+// noPoolRetryMs is when to come back where every pool refused or none is known.
+const noPoolRetryMs = 1000
+
+type share struct {
+	pool  string
+	count int
+}
+
+// shares splits the tasks of t over the pools that have not refused it: first
+// what is free, this zone's before others', then all the rest to the one with
+// the shortest queue. The lock is held.
+func (s *slots) shares(v *View, t *ticket) []share {
+	pools := s.candidates(v, t)
+	if len(pools) == 0 {
+		return nil
+	}
+	var list []share
+	missing := len(t.tasks)
+	for _, p := range pools {
+		n := min(missing, s.free(p))
+		if n > 0 {
+			list = append(list, share{p.ID, n})
+			s.expect(p.ID, n)
+			missing -= n
+		}
+	}
+	if missing == 0 {
+		return list
+	}
+	least := slices.MinFunc(pools, func(a, b *poolView) int { return cmp.Compare(s.crowd(a), s.crowd(b)) })
+	s.expect(least.ID, missing)
+	for i := range list {
+		if list[i].pool == least.ID {
+			list[i].count += missing
+			return list
+		}
+	}
+	return append(list, share{least.ID, missing})
+}
+
+func (s *slots) candidates(v *View, t *ticket) []*poolView {
+	var pools []*poolView
+	for _, id := range v.order {
+		p := v.pools[id]
+		if p.broker != "" && !t.tried[id] && placement.CanEver(p.Upstreams, t.needs) {
+			pools = append(pools, p)
+		}
+	}
+	slices.SortStableFunc(pools, func(a, b *poolView) int {
+		if near := cmp.Compare(s.away(a), s.away(b)); near != 0 {
+			return near
+		}
+		return cmp.Compare(s.free(b), s.free(a))
+	})
+	return pools
+}
+
+// away is 0 for a pool of this zone, and 1 for others.
+func (s *slots) away(p *poolView) int {
+	if p.Zone == s.d.cfg.Zone {
+		return 0
+	}
+	return 1
+}
+
+func (s *slots) free(p *poolView) int {
+	if load, heard := s.load[p.ID]; heard {
+		return load.free
+	}
+	return p.slots
+}
+
+func (s *slots) crowd(p *poolView) float64 {
+	return float64(s.load[p.ID].queued) / float64(max(p.slots, 1))
+}
+
+// expect counts what was sent to a pool until it is heard of again.
+func (s *slots) expect(pool string, n int) {
+	load, heard := s.load[pool]
+	if !heard {
+		return
+	}
+	load.queued += max(n-load.free, 0)
+	load.free = max(load.free-n, 0)
+	s.load[pool] = load
+}
+
+// open sends a ticket to its broker, with what is to be given back there.
+func (s *slots) open(v *View, t *ticket) {
+	if !t.log.noteTicket(t.key, t.id) {
+		return
+	}
+	s.mu.Lock()
+	s.tickets[t.id] = t
+	s.mu.Unlock()
+	s.flush(t.pool)
+	s.ask(v, t, nil)
+}
+
+func (s *slots) ask(v *View, t *ticket, held []*inner.Place) {
+	p := v.pools[t.pool]
+	if p == nil {
+		return
+	}
+	s.mu.Lock()
+	count := len(t.tasks)
+	s.mu.Unlock()
+	m := &inner.SlotRequest{
+		Ticket: t.id, Pool: t.pool, Count: uint32(count), Needs: fromNeeds(t.needs), RunMs: t.runMs,
+		Service: t.service, DeadlineMs: t.deadline, Held: held,
+	}
+	if p.broker == s.d.cfg.Self {
+		s.d.brokers.request(s.d.cfg.Self, m)
+		return
+	}
+	err := s.d.peers.Send(p.broker, &inner.Frame{Body: &inner.Frame_SlotRequest{SlotRequest: m}})
+	if err != nil {
+		s.refused(t, noPoolRetryMs)
+	}
+}
+
+// granted takes places from a broker.
+func (s *slots) granted(m *inner.SlotGrant) {
+	s.mu.Lock()
+	t := s.tickets[m.GetTicket()]
+	if m.GetHurry() {
+		s.hasten(t, m)
+	}
+	list, spare := s.assign(t, m.GetPlaces())
+	if t != nil && (len(t.tasks) == 0 || m.GetRefused() != "") {
+		delete(s.tickets, t.id)
+	}
+	s.mu.Unlock()
+	for _, upstream := range spare {
+		s.giveBack(placement.Usage{Upstream: upstream, Count: 1})
+	}
+	if t == nil {
+		return
+	}
+	if len(list) > 0 {
+		for _, a := range t.log.place(t.key, list) {
+			s.giveBack(placement.Usage{Upstream: a.upstream, Needs: t.needs, Count: 1})
+		}
+	}
+	if m.GetRefused() != "" {
+		s.refused(t, m.GetRetryAfterMs())
+	}
+}
+
+// assign gives the places to tasks of t. The lock is held.
+func (s *slots) assign(t *ticket, places []*inner.Place) (list []assignment, spare []string) {
+	for _, p := range places {
+		for range p.GetCount() {
+			s.held[p.GetUpstream()]++
+			if t == nil || len(t.tasks) == 0 {
+				spare = append(spare, p.GetUpstream())
+				continue
+			}
+			list = append(list, assignment{t.tasks[0], p.GetUpstream()})
+			t.tasks = t.tasks[1:]
+		}
+	}
+	return list, spare
+}
+
+// hasten makes places go back at once while work waits. The lock is held.
+func (s *slots) hasten(t *ticket, m *inner.SlotGrant) {
+	pool := m.GetTicket()
+	if t != nil {
+		pool = t.pool
+	}
+	r := s.returnsOf(pool)
+	r.hurry = true
+	if len(r.usages) > 0 {
+		s.schedule(pool, r)
+	}
+}
+
+// refused looks for places elsewhere, or gives the job up.
+func (s *slots) refused(t *ticket, retryAfterMs uint32) {
+	s.mu.Lock()
+	delete(s.tickets, t.id)
+	again := *t
+	s.mu.Unlock()
+	again.tried[t.pool] = true
+	if len(s.candidates(s.d.view.Load(), &again)) == 0 {
+		t.log.giveUp(t.key, fate.ReasonOverloaded, retryAfterMs)
+		return
+	}
+	s.spread(&again)
+}
+
+// giveBack returns places that are free again, together with others.
+func (s *slots) giveBack(u placement.Usage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[u.Upstream] -= u.Count
+	if s.held[u.Upstream] <= 0 {
+		delete(s.held, u.Upstream)
+	}
+	pool, known := s.d.view.Load().poolOf[u.Upstream]
+	if !known || s.closed {
+		return
+	}
+	r := s.returnsOf(pool)
+	r.add(u)
+	s.schedule(pool, r)
+}
+
+func (s *slots) returnsOf(pool string) *returning {
+	r := s.returns[pool]
+	if r == nil {
+		r = &returning{}
+		s.returns[pool] = r
+	}
+	return r
+}
+
+// add joins usages that are alike.
+func (r *returning) add(u placement.Usage) {
+	for i := range r.usages {
+		o := &r.usages[i]
+		if o.Upstream == u.Upstream && o.Needs == u.Needs && o.Service == u.Service && o.HoldMs == u.HoldMs {
+			o.Count += u.Count
+			o.RunMs += u.RunMs
+			o.Failed += u.Failed
+			return
+		}
+	}
+	r.usages = append(r.usages, u)
+}
+
+// hurryDelay is how long places wait for company where work waits for them.
+const hurryDelay = time.Millisecond
+
+// schedule makes the places of a pool go back before long. The lock is held.
+func (s *slots) schedule(pool string, r *returning) {
+	delay := s.d.cfg.ReleaseDelay
+	if r.hurry || s.d.view.Load().brokers(pool, s.d.cfg.Self) {
+		delay = hurryDelay
+	}
+	if r.timer != nil && !r.hurry {
+		return
+	}
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	r.timer = time.AfterFunc(delay, func() { s.flush(pool) })
+}
+
+// flush sends what is to be given back to the broker of a pool.
+func (s *slots) flush(pool string) {
+	s.mu.Lock()
+	r := s.returns[pool]
+	if r == nil || len(r.usages) == 0 || s.closed {
+		s.mu.Unlock()
+		return
+	}
+	delete(s.returns, pool)
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	s.mu.Unlock()
+	s.release(pool, r.usages)
+}
+
+func (s *slots) release(pool string, usages []placement.Usage) {
+	p := s.d.view.Load().pools[pool]
+	if p == nil || p.broker == "" {
+		return
+	}
+	m := &inner.SlotRelease{Pool: pool}
+	for _, u := range usages {
+		m.Usages = append(m.Usages, &inner.Usage{
+			Upstream: u.Upstream, Needs: fromNeeds(u.Needs), Service: u.Service, Count: uint32(u.Count),
+			RunUs: uint32(u.RunMs * 1000), Failed: uint32(u.Failed), HoldMs: uint32(u.HoldMs),
+		})
+	}
+	if p.broker == s.d.cfg.Self {
+		s.d.brokers.release(s.d.cfg.Self, m)
+		return
+	}
+	_ = s.d.peers.Send(p.broker, &inner.Frame{Body: &inner.Frame_SlotRelease{SlotRelease: m}})
+}
+
+// withdraw takes back what waits of tickets, one message for each broker.
+func (s *slots) withdraw(ids []string) {
+	byPool := map[string][]string{}
+	s.mu.Lock()
+	for _, id := range ids {
+		if t := s.tickets[id]; t != nil {
+			delete(s.tickets, id)
+			byPool[t.pool] = append(byPool[t.pool], id)
+		}
+	}
+	s.mu.Unlock()
+	for pool, tickets := range byPool {
+		s.sendWithdraw(&inner.SlotWithdraw{Pool: pool, Tickets: tickets})
+	}
+}
+
+func (s *slots) sendWithdraw(m *inner.SlotWithdraw) {
+	p := s.d.view.Load().pools[m.GetPool()]
+	if p == nil {
+		return
+	}
+	if p.broker == s.d.cfg.Self {
+		s.d.brokers.withdraw(s.d.cfg.Self, m)
+		return
+	}
+	s.d.cfg.Metrics.Waste("slot_withdraw")
+	_ = s.d.peers.Send(p.broker, &inner.Frame{Body: &inner.Frame_SlotWithdraw{SlotWithdraw: m}})
+}
+
+// rebind takes a new view: what waits at a pool whose broker changed is asked
+// for again at the new one, which learns there what is held.
+func (s *slots) rebind(before, now *View) {
+	for _, id := range now.order {
+		old := before.pools[id]
+		if old != nil && old.broker == now.pools[id].broker {
+			continue
+		}
+		if held := s.heldAt(now, id); len(held) > 0 && old != nil {
+			s.ask(now, &ticket{pool: id}, held)
+		}
+		for _, t := range s.waitingAt(id) {
+			s.ask(now, t, nil)
+		}
+	}
+	for _, t := range s.homeless(now) {
+		s.refused(t, noPoolRetryMs)
+	}
+}
+
+func (s *slots) waitingAt(pool string) []*ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*ticket
+	for _, t := range s.tickets {
+		if t.pool == pool {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// homeless returns the tickets whose pool is gone.
+func (s *slots) homeless(v *View) []*ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*ticket
+	for _, t := range s.tickets {
+		if v.pools[t.pool] == nil {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+func (s *slots) heldAt(v *View, pool string) []*inner.Place {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*inner.Place
+	for upstream, n := range s.held {
+		if v.poolOf[upstream] == pool {
+			list = append(list, &inner.Place{Upstream: upstream, Count: uint32(n)})
+		}
+	}
+	return list
+}
+
+// SetLoad takes what a broker last said of its pools.
+func (d *Dispatcher) SetLoad(broker fate.Incarnation, free, queued int) {
+	v := d.view.Load()
+	d.slots.mu.Lock()
+	defer d.slots.mu.Unlock()
+	var pools []*poolView
+	slotsSum := 0
+	for _, id := range v.order {
+		if p := v.pools[id]; p.broker == broker {
+			pools = append(pools, p)
+			slotsSum += p.slots
+		}
+	}
+	for _, p := range pools {
+		d.slots.load[p.ID] = poolLoad{free * p.slots / max(slotsSum, 1), queued * p.slots / max(slotsSum, 1)}
+	}
+}
--- /dev/null
+++ b/dispatch/starter.go
@@ -0,0 +1,263 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/api"
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/placement"
+	"github.com/sedgehatch/sedgehatch/upstream"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.opentelemetry.io/otel/attribute"
+)
+
+// How long a place is left alone after its upstream did not take a task.
+const (
+	holdBusy        = 50 * time.Millisecond
+	holdUnreachable = 200 * time.Millisecond
+)
+
+// lookupWait is how long one lookup waits for the end of a task.
+const lookupWait = time.Second
+
+// patience is how long a start waits for its answer on its connection beyond
+// the declared run time, before the lease is looked up instead.
+const patience = 30 * time.Second
+
+// start sends a permitted task to its upstream and sees it to its end.
+func (l *homeLog) start(o order) {
+	task := &o.job.Tasks[o.Lease.Task]
+	span := l.d.cfg.Tracer.Start(o.trace, "upstream", attribute.String("upstream", o.Upstream))
+	defer span.End()
+	began := time.Now()
+	reply, err := l.send(o, task, span.Parent())
+	usage := placement.Usage{Upstream: o.Upstream, Needs: needsOf(task), Service: o.job.Service, Count: 1}
+	switch {
+	case failure.Is(err, failure.Unreachable):
+		l.d.cfg.Metrics.Waste("start")
+		usage.Failed = 1
+		usage.HoldMs = holdUnreachable.Milliseconds()
+		l.notStarted(o, usage)
+	case err != nil || reply.Refusal == api.RefusedDuplicate:
+		l.settle(o, usage)
+	case reply.State == api.LeaseRefused:
+		l.d.cfg.Metrics.Waste("start")
+		l.d.cfg.Metrics.Waste("refusal")
+		l.rejected(o, usage, reply.Refusal)
+	default:
+		usage.RunMs = float64(time.Since(began).Microseconds()) / 1000
+		l.ended(o, usage, outcomeOf(reply.State, reply.Body))
+	}
+}
+
+func (l *homeLog) send(o order, task *fate.Task, trace string) (upstream.Reply, error) {
+	client := l.d.upstreams.get(o.Upstream)
+	if client == nil {
+		return upstream.Reply{}, failure.Unreachable.New("upstream %s is not known", o.Upstream)
+	}
+	if l.d.upstreams.isLeaving(o.Upstream) {
+		return upstream.Reply{State: api.LeaseRefused, Refusal: api.RefusedLeaving}, nil
+	}
+	l.d.cfg.Metrics.Sent("start")
+	length := l.d.cfg.Lease + time.Duration(task.RunMs)*time.Millisecond
+	lease := o.Lease.String()
+	renewal := l.d.renewing(client, lease, length)
+	defer renewal.stop()
+	reply, err := client.Start(&upstream.Start{
+		Lease: lease, LeaseMs: length.Milliseconds(),
+		Service: o.job.Service, Task: task, Trace: trace,
+		Patience: patience + time.Duration(task.RunMs)*time.Millisecond,
+	})
+	if err == nil {
+		l.d.cfg.Metrics.Sent("result")
+	}
+	return reply, err
+}
+
+// renewal renews a lease until it is stopped.
+type renewal struct {
+	timer *time.Timer
+	over  atomic.Bool
+}
+
+// renewing renews a lease each time that two thirds of it are over.
+func (d *Dispatcher) renewing(client *upstream.Client, lease string, length time.Duration) *renewal {
+	r := &renewal{}
+	every := length * 2 / 3
+	r.timer = time.AfterFunc(every, func() {
+		if r.over.Load() {
+			return
+		}
+		d.cfg.Metrics.Sent("renew")
+		_, _ = client.Renew(lease, length.Milliseconds())
+		r.timer.Reset(every)
+	})
+	return r
+}
+
+func (r *renewal) stop() {
+	r.over.Store(true)
+	r.timer.Stop()
+}
+
+// outcomeOf turns the end of a lease into the outcome of its task.
+func outcomeOf(state api.LeaseState, body []byte) fate.Outcome {
+	switch {
+	case state != api.LeaseFinished:
+		return fate.Outcome{State: fate.TaskFailed, Error: string(body)}
+	case !json.Valid(body):
+		return fate.Outcome{State: fate.TaskFailed, Error: "the upstream's result is not JSON"}
+	default:
+		return fate.Outcome{State: fate.TaskFinished, Result: body}
+	}
+}
+
+// ended takes the outcome of a task and gives its place back. The place goes
+// first, so that the next task need not wait for what the outcome sets off.
+func (l *homeLog) ended(o order, u placement.Usage, outcome fate.Outcome) {
+	if outcome.State == fate.TaskFailed {
+		u.Failed = 1
+	}
+	l.d.slots.giveBack(u)
+	if !l.finish(o.Lease, outcome) {
+		l.d.cfg.Metrics.Waste("result")
+	}
+}
+
+// notStarted takes a proof that the task did not start.
+func (l *homeLog) notStarted(o order, u placement.Usage) {
+	l.d.slots.giveBack(u)
+	l.refused(o.Lease)
+}
+
+func (l *homeLog) rejected(o order, u placement.Usage, why api.Refusal) {
+	switch why {
+	case api.RefusedBadRequest, api.RefusedUnfit:
+		outcome := fate.Outcome{State: fate.TaskFailed, Error: "the upstream refused the task: " + string(why)}
+		l.d.slots.giveBack(u)
+		l.finish(o.Lease, outcome)
+		return
+	case api.RefusedLeaving:
+		l.d.UpstreamLeaving(o.Upstream)
+	default:
+		u.HoldMs = holdBusy.Milliseconds()
+	}
+	l.notStarted(o, u)
+}
+
+// settle finds out what became of a start whose answer was lost. It asks until
+// the upstream knows, or has barred the lease, or was silent for too long.
+func (l *homeLog) settle(o order, u placement.Usage) {
+	inquiry := l.d.inquire(o.Lease.String(), o.Upstream, func() bool { return l.awaits(o.Lease) })
+	switch inquiry.verdict {
+	case leaseBarred:
+		u.HoldMs = holdBusy.Milliseconds()
+		l.notStarted(o, u)
+	case leaseOver:
+		l.ended(o, u, inquiry.outcome)
+	case leaseSilent:
+		event.UpstreamLost.Log(l.d.cfg.Log, slog.String("upstream", o.Upstream), slog.String("lease", o.Lease.String()))
+		u.HoldMs = holdUnreachable.Milliseconds()
+		l.ended(o, u, fate.Outcome{State: fate.TaskUnknown, Error: "the upstream was lost"})
+	case leaseUnwanted:
+		u.HoldMs = holdBusy.Milliseconds()
+		l.d.slots.giveBack(u)
+	}
+}
+
+// awaits reports whether the outcome of a lease still matters.
+func (l *homeLog) awaits(lease fate.Lease) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.home.Awaits(lease)
+}
+
+type leaseVerdict int
+
+const (
+	leaseOver     leaseVerdict = iota // it ran; the outcome is known
+	leaseBarred                       // it never started and never will
+	leaseSilent                       // the upstream does not say
+	leaseUnwanted                     // nobody wants to know any more
+)
+
+type inquiry struct {
+	verdict leaseVerdict
+	outcome fate.Outcome
+}
+
+// inquire asks an upstream after a lease until that is over, barred, no longer
+// wanted, or the upstream was silent for LostAfter. A lease that was never
+// seen is barred first, so that a late start cannot follow the answer.
+func (d *Dispatcher) inquire(lease, upstreamID string, wanted func() bool) inquiry {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 20 * time.Millisecond
+	pause.MaxInterval = 500 * time.Millisecond
+	heard := time.Now()
+	for wanted() {
+		info, err := d.ask(lease, upstreamID)
+		if err == nil {
+			heard = time.Now()
+			pause.Reset()
+			if done, known := concluded(&info); known {
+				return done
+			}
+			continue
+		}
+		if time.Since(heard) > d.cfg.LostAfter {
+			return inquiry{verdict: leaseSilent}
+		}
+		select {
+		case <-time.After(pause.NextBackOff()):
+		case <-d.stop.Done():
+			return inquiry{verdict: leaseUnwanted}
+		}
+	}
+	return inquiry{verdict: leaseUnwanted}
+}
+
+func (d *Dispatcher) ask(lease, upstreamID string) (api.LeaseInfo, error) {
+	client := d.upstreams.get(upstreamID)
+	if client == nil {
+		return api.LeaseInfo{}, failure.Unreachable.New("upstream %s is not known", upstreamID)
+	}
+	d.cfg.Metrics.Sent("lookup")
+	d.cfg.Metrics.Waste("lookup")
+	info, err := client.Lookup(lease, lookupWait)
+	if err != nil || info.State != api.LeaseNeverSeen {
+		return info, err
+	}
+	d.cfg.Metrics.Sent("stop")
+	d.cfg.Metrics.Waste("stop")
+	return client.Stop(lease)
+}
+
+func concluded(info *api.LeaseInfo) (inquiry, bool) {
+	switch info.State {
+	case api.LeaseFinished:
+		return inquiry{leaseOver, outcomeOf(info.State, info.Result)}, true
+	case api.LeaseFailed, api.LeaseStopped:
+		return inquiry{leaseOver, outcomeOf(info.State, []byte(info.Error))}, true
+	case api.LeaseBarred:
+		return inquiry{verdict: leaseBarred}, true
+	default:
+		return inquiry{}, false
+	}
+}
+
+// stopTask stops a task whose job has its fate already.
+func (l *homeLog) stopTask(s fate.Start) {
+	client := l.d.upstreams.get(s.Upstream)
+	if client == nil {
+		return
+	}
+	l.d.cfg.Metrics.Sent("stop")
+	l.d.cfg.Metrics.Waste("stop")
+	_, _ = client.Stop(s.Lease.String())
+}
--- /dev/null
+++ b/dispatch/view.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/placement"
+	"github.com/sedgehatch/sedgehatch/upstream"
+
+	"log/slog"
+)
+
+// Member is an entry that is alive and not leaving.
+type Member struct {
+	placement.Entry
+	Incarnation fate.Incarnation
+}
+
+// UpstreamSpec is an upstream and how it is reached.
+type UpstreamSpec struct {
+	placement.Upstream
+	Address     string
+	Connections int
+}
+
+// View is what an instance knows of the fleet at one moment. It is never
+// changed; a new one takes its place.
+type View struct {
+	Members   []Member // this instance among them, unless it is leaving
+	Upstreams []UpstreamSpec
+	// Staffed holds the zones that have entries of their own, alive or not. The
+	// upstreams of such a zone are not used while none of its entries is heard:
+	// the zone is cut off.
+	Staffed map[string]bool
+
+	entries []placement.Entry
+	pools   map[string]*poolView
+	order   []string          // the ids of pools
+	poolOf  map[string]string // by upstream
+	fits    []placement.Upstream
+}
+
+// poolView is a pool and its broker; broker is "" while there is none.
+type poolView struct {
+	placement.Pool
+	broker fate.Incarnation
+	slots  int
+}
+
+func (v *View) index() {
+	incarnations := map[string]fate.Incarnation{}
+	for _, m := range v.Members {
+		v.entries = append(v.entries, m.Entry)
+		incarnations[m.Instance] = m.Incarnation
+	}
+	for _, u := range v.Upstreams {
+		v.fits = append(v.fits, u.Upstream)
+	}
+	v.pools = map[string]*poolView{}
+	v.poolOf = map[string]string{}
+	for _, p := range placement.Pools(v.fits) {
+		pv := &poolView{Pool: p, broker: incarnations[v.brokerOf(&p)]}
+		for _, u := range p.Upstreams {
+			v.poolOf[u.ID] = p.ID
+			pv.slots += u.Slots
+		}
+		v.pools[p.ID] = pv
+		v.order = append(v.order, p.ID)
+	}
+}
+
+func (v *View) brokerOf(p *placement.Pool) string {
+	heard := slices.ContainsFunc(v.entries, func(e placement.Entry) bool { return e.Zone == p.Zone })
+	if v.Staffed[p.Zone] && !heard {
+		return ""
+	}
+	return placement.BrokerOf(p.ID, p.Zone, v.entries)
+}
+
+// brokers reports whether an incarnation is the broker of a pool.
+func (v *View) brokers(pool string, who fate.Incarnation) bool {
+	p := v.pools[pool]
+	return p != nil && p.broker == who
+}
+
+func (v *View) member(instance string) (Member, bool) {
+	i := slices.IndexFunc(v.Members, func(m Member) bool { return m.Instance == instance })
+	if i < 0 {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// SetView takes what is now known of the fleet.
+func (d *Dispatcher) SetView(v View) {
+	v.index()
+	before := d.view.Swap(&v)
+	d.upstreams.set(v.Upstreams)
+	d.brokers.rebind(&v)
+	d.slots.rebind(before, &v)
+	for _, m := range before.Members {
+		now, there := v.member(m.Instance)
+		if m.Incarnation != d.cfg.Self && (!there || now.Incarnation != m.Incarnation) {
+			d.brokers.homeGone(m.Incarnation)
+		}
+	}
+}
+
+// UpstreamLeaving makes an upstream get no new tasks from now on, ahead of the
+// next view.
+func (d *Dispatcher) UpstreamLeaving(id string) {
+	if d.upstreams.markLeaving(id) {
+		event.UpstreamLeaving.Log(d.cfg.Log, slog.String("upstream", id))
+		d.brokers.rebind(d.view.Load())
+	}
+}
+
+// LeavingUpstreams returns the upstreams that were seen leaving here.
+func (d *Dispatcher) LeavingUpstreams() []string { return d.upstreams.leavingIDs() }
+
+// upstreams holds the clients of upstreams.
+type upstreams struct {
+	d       *Dispatcher
+	mu      sync.RWMutex
+	clients map[string]*upstream.Client
+	leaving map[string]bool // seen leaving here, until the list drops them
+}
+
+func (u *upstreams) init(d *Dispatcher) {
+	u.d = d
+	u.clients = map[string]*upstream.Client{}
+	u.leaving = map[string]bool{}
+}
+
+// set keeps a client for each upstream of the list. Those off the list keep
+// theirs while it may still be needed to ask after a lease.
+func (u *upstreams) set(list []UpstreamSpec) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, s := range list {
+		c := u.clients[s.ID]
+		if c == nil || c.Address != s.Address {
+			u.clients[s.ID] = upstream.NewClient(s.ID, s.Address, max(s.Connections, 1), u.d.cfg.DialUpstream)
+			delete(u.leaving, s.ID)
+		}
+	}
+}
+
+func (u *upstreams) get(id string) *upstream.Client {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	return u.clients[id]
+}
+
+func (u *upstreams) markLeaving(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.leaving[id] || u.clients[id] == nil {
+		return false
+	}
+	u.leaving[id] = true
+	return true
+}
+
+func (u *upstreams) isLeaving(id string) bool {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	return u.leaving[id]
+}
+
+func (u *upstreams) leavingIDs() []string {
+	u.mu.RLock()
+	defer u.mu.RUnlock()
+	return slices.Sorted(maps.Keys(u.leaving))
+}
+
+func (u *upstreams) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.clients {
+		c.Close()
+	}
+}
+
+// Known returns how many entries, this one included, and upstreams are known.
+func (d *Dispatcher) Known() (members, upstreams int) {
+	v := d.view.Load()
+	return len(v.Members), len(v.Upstreams)
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,222 @@
+package entry
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/api"
+	"github.com/sedgehatch/sedgehatch/dispatch"
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/placement"
+
+	"github.com/samber/lo"
+)
+
+// Address tells the mesh where an instance listens.
+func (n *Node) Address(instance string) (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Address(instance)
+}
+
+// Frame takes a frame of another instance.
+func (n *Node) Frame(from fate.Incarnation, f *inner.Frame, reply func(*inner.Frame)) {
+	if hb := f.GetHeartbeat(); hb != nil {
+		n.heard(from, hb)
+		return
+	}
+	n.dispatch.Frame(from, f, reply)
+}
+
+func (n *Node) heard(from fate.Incarnation, hb *inner.Heartbeat) {
+	load := membership.Load{
+		Leaving: hb.GetLeaving(), ActiveJobs: hb.GetActiveJobs(), Revision: hb.GetSettingsRevision(),
+		Free: hb.GetFreeSlots(), Queued: hb.GetQueuedTasks(),
+	}
+	n.mu.Lock()
+	changes := n.table.Heard(from, load, time.Now().UnixMilli())
+	n.mu.Unlock()
+	n.changed(changes)
+	n.dispatch.SetLoad(from, int(load.Free), int(load.Queued))
+	for _, id := range hb.GetLeavingUpstreams() {
+		n.dispatch.UpstreamLeaving(id)
+	}
+}
+
+// changed acts on peers whose state changed.
+func (n *Node) changed(changes []membership.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		n.logChange(c)
+	}
+	n.updateView()
+	for _, c := range changes {
+		if c.Peer.State == membership.Dead {
+			n.mesh.Drop(c.Peer.Instance)
+			go n.dispatch.PeerLost(c.Peer.Incarnation)
+		}
+	}
+}
+
+func (n *Node) logChange(c membership.Change) {
+	attrs := []slog.Attr{slog.String("peer", string(c.Peer.Incarnation)), slog.String("before", string(c.Before))}
+	switch c.Peer.State {
+	case membership.Alive:
+		event.PeerAlive.Log(n.log, attrs...)
+	case membership.Dead:
+		event.PeerLost.Log(n.log, attrs...)
+	case membership.Leaving:
+		event.PeerLeaving.Log(n.log, attrs...)
+	}
+}
+
+// updateView gives the dispatcher what is known of the fleet now.
+func (n *Node) updateView() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	v := dispatch.View{Staffed: map[string]bool{n.cfg.Zone: true}}
+	if !n.leaving.Load() {
+		v.Members = append(v.Members, dispatch.Member{
+			Entry:       placement.Entry{Instance: n.cfg.Instance, Zone: n.cfg.Zone, Rack: n.cfg.Rack},
+			Incarnation: n.self,
+		})
+	}
+	for _, p := range n.table.Peers() {
+		v.Staffed[p.Zone] = true
+		if p.State == membership.Alive {
+			v.Members = append(v.Members, dispatch.Member{
+				Entry:       placement.Entry{Instance: p.Instance, Zone: p.Zone, Rack: p.Rack},
+				Incarnation: p.Incarnation,
+			})
+		}
+	}
+	for _, u := range n.listed {
+		if u.Role == api.RoleUpstream {
+			v.Upstreams = append(v.Upstreams, upstreamSpec(u))
+		}
+	}
+	n.dispatch.SetView(v)
+}
+
+func upstreamSpec(u api.PlatformInstance) dispatch.UpstreamSpec {
+	return dispatch.UpstreamSpec{
+		Upstream: placement.Upstream{
+			ID: u.ID, Zone: u.Zone, Rack: u.Rack, Slots: u.Slots, Leaving: u.Leaving,
+			Capacity: placement.Needs{CPU: u.CPU, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators},
+		},
+		Address: u.Address, Connections: u.Connections,
+	}
+}
+
+// heartbeats tells the peers that this instance lives, and notices silence.
+func (n *Node) heartbeats() {
+	ticker := time.NewTicker(n.cfg.Heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.stop.Done():
+			return
+		case <-ticker.C:
+			n.beat()
+			n.mu.Lock()
+			changes := n.table.Tick(time.Now().UnixMilli())
+			n.mu.Unlock()
+			n.changed(changes)
+		}
+	}
+}
+
+// beat sends one heartbeat to every peer. A peer that cannot be reached holds
+// nobody else up.
+func (n *Node) beat() {
+	free, queued := n.dispatch.Load()
+	leaving := n.dispatch.LeavingUpstreams()
+	n.mu.Lock()
+	peers := n.table.Peers()
+	n.mu.Unlock()
+	for _, p := range peers {
+		if p.Instance == n.cfg.Instance || p.Address == "" {
+			continue
+		}
+		f := &inner.Frame{Body: &inner.Frame_Heartbeat{Heartbeat: &inner.Heartbeat{
+			Leaving: n.leaving.Load(), ActiveJobs: uint64(n.dispatch.Active()), SettingsRevision: n.settings.Load().revision,
+			FreeSlots: uint64(free), QueuedTasks: uint64(queued), LeavingUpstreams: leaving,
+		}}}
+		go func() { _ = n.mesh.Send(fate.Incarnation(p.Instance), f) }()
+	}
+}
+
+// pollInstances reads the platform's list, and goes on from the last one when
+// the platform is silent.
+func (n *Node) pollInstances() {
+	ticker := time.NewTicker(n.cfg.PollInstances)
+	defer ticker.Stop()
+	down := false
+	for {
+		list, err := n.platform.Instances()
+		if (err != nil) != down && n.stop.Err() == nil {
+			down = err != nil
+			n.logPlatform(err)
+		}
+		if err == nil {
+			n.takeList(list)
+		}
+		select {
+		case <-n.stop.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) logPlatform(err error) {
+	if err != nil {
+		event.PlatformLost.Log(n.log, slog.String("error", err.Error()))
+		return
+	}
+	event.PlatformBack.Log(n.log)
+}
+
+func (n *Node) takeList(list []api.PlatformInstance) {
+	entries := lo.FilterMap(list, func(i api.PlatformInstance, _ int) (membership.Listing, bool) {
+		mine := i.Role == api.RoleEntry && i.ID != n.cfg.Instance
+		return membership.Listing{Instance: i.ID, Address: i.Address, Zone: i.Zone, Rack: i.Rack, Leaving: i.Leaving}, mine
+	})
+	n.mu.Lock()
+	same := sameList(n.listed, list)
+	n.listed = list
+	n.table.SetListed(entries)
+	n.mu.Unlock()
+	if !same {
+		n.updateView()
+		n.beat()
+	}
+}
+
+// sameList reports whether two lists say the same, in any order.
+func sameList(a, b []api.PlatformInstance) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	byID := lo.KeyBy(a, func(i api.PlatformInstance) string { return i.ID })
+	return lo.EveryBy(b, func(i api.PlatformInstance) bool { return byID[i.ID] == i })
+}
+
+// Peers returns what is known of the other entries.
+func (n *Node) Peers() []membership.Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Peers()
+}
+
+// Ready reports whether this instance hears members entries, itself included,
+// and knows upstreams.
+func (n *Node) Ready(members, upstreams int) bool {
+	m, u := n.dispatch.Known()
+	return m >= members && u >= upstreams
+}
--- /dev/null
+++ b/experiment/cluster.go
@@ -0,0 +1,280 @@
+// Package experiment runs entries, stand-in upstreams and a stand-in platform
+// over TCP on the loopback in one process, loads them, and checks what must
+// always hold from the upstreams' own records.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/api"
+	"github.com/sedgehatch/sedgehatch/client"
+	"github.com/sedgehatch/sedgehatch/dispatch"
+	"github.com/sedgehatch/sedgehatch/entry"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/standin"
+	"github.com/sedgehatch/sedgehatch/tracing"
+)
+
+// ZoneSpec is one availability zone of a cluster.
+type ZoneSpec struct {
+	Name      string
+	Entries   int
+	Upstreams int
+}
+
+// Spec describes a cluster.
+type Spec struct {
+	Zones        []ZoneSpec
+	Slots        int // of each upstream
+	CPU          float64
+	MemoryMB     uint64
+	PerRack      int // upstreams in one rack
+	Heartbeat    time.Duration
+	Membership   membership.Config
+	PollList     time.Duration
+	Dispatch     dispatch.Config
+	Log          *slog.Logger
+	Tracer       *tracing.Tracer
+	UsageLag     time.Duration
+	DialInner    func(from, address string) (net.Conn, error)
+	DialUpstream func(from, address string) (net.Conn, error)
+	DialPlatform func(from, address string) (net.Conn, error)
+}
+
+func (s *Spec) fill() {
+	if s.Slots == 0 {
+		s.Slots = 8
+	}
+	if s.CPU == 0 {
+		s.CPU, s.MemoryMB = 64, 128<<10
+	}
+	if s.PerRack == 0 {
+		s.PerRack = 6
+	}
+	if s.Heartbeat == 0 {
+		s.Heartbeat = 500 * time.Millisecond
+	}
+	if s.Membership == (membership.Config{}) {
+		s.Membership = membership.DefaultConfig
+	}
+	if s.PollList == 0 {
+		s.PollList = 500 * time.Millisecond
+	}
+	if s.Log == nil {
+		s.Log = slog.New(slog.DiscardHandler)
+	}
+}
+
+// Cluster is a running fleet in one process.
+type Cluster struct {
+	Spec      Spec
+	Platform  *standin.Platform
+	Recorder  *standin.Recorder
+	Upstreams []*standin.Upstream
+
+	mu    sync.Mutex
+	nodes map[string]*entry.Node
+	past  []*entry.Node // killed or stopped; their counters still count
+	zones map[string]string
+	order []string
+}
+
+// StartCluster starts a cluster and waits until its entries know each other.
+func StartCluster(spec Spec) (*Cluster, error) {
+	spec.fill()
+	p, err := standin.StartPlatform("")
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Spec: spec, Platform: p, Recorder: standin.NewRecorder(), nodes: map[string]*entry.Node{}, zones: map[string]string{}}
+	if err := c.start(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start() error {
+	for _, z := range c.Spec.Zones {
+		for i := range z.Upstreams {
+			if err := c.addUpstream(z.Name, i); err != nil {
+				return err
+			}
+		}
+		for i := range z.Entries {
+			name := fmt.Sprintf("%s-e%d", z.Name, i)
+			c.zones[name] = z.Name
+			c.order = append(c.order, name)
+			if _, err := c.StartEntry(name); err != nil {
+				return err
+			}
+		}
+	}
+	return c.AwaitMembers(len(c.order), 10*time.Second)
+}
+
+func (c *Cluster) addUpstream(zone string, i int) error {
+	u, err := standin.StartUpstream(standin.UpstreamConfig{
+		Info: api.UpstreamInfo{
+			ID: fmt.Sprintf("%s-u%d", zone, i), Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/c.Spec.PerRack),
+			CPU: c.Spec.CPU, MemoryMB: c.Spec.MemoryMB, Slots: c.Spec.Slots, Connections: 64,
+		},
+		Recorder: c.Recorder, UsageLag: c.Spec.UsageLag,
+	})
+	if err != nil {
+		return err
+	}
+	c.Upstreams = append(c.Upstreams, u)
+	c.Platform.List(u.Instance())
+	return nil
+}
+
+// StartEntry starts an entry, or starts it again as a new incarnation.
+func (c *Cluster) StartEntry(name string) (*entry.Node, error) {
+	cfg := entry.Config{
+		Fleet: "experiment", Instance: name, Zone: c.zones[name], Rack: name + "-rack",
+		ListenCallers: "127.0.0.1:0", ListenInner: "127.0.0.1:0", Platform: c.Platform.Address(),
+		Grace: 30 * time.Second, Heartbeat: c.Spec.Heartbeat, PollInstances: c.Spec.PollList,
+		Membership: c.Spec.Membership, Dispatch: c.Spec.Dispatch,
+	}
+	n, err := entry.New(cfg, c.hooks(name), c.Spec.Log)
+	if err != nil {
+		return nil, err
+	}
+	c.Platform.List(n.Instance())
+	n.Run()
+	c.mu.Lock()
+	c.nodes[name] = n
+	c.mu.Unlock()
+	return n, nil
+}
+
+// hooks binds the dialers of the spec to the name of an entry.
+func (c *Cluster) hooks(name string) entry.Hooks {
+	h := entry.Hooks{Tracer: c.Spec.Tracer}
+	if d := c.Spec.DialInner; d != nil {
+		h.DialInner = func(_ context.Context, address string) (net.Conn, error) { return d(name, address) }
+	}
+	if d := c.Spec.DialUpstream; d != nil {
+		h.DialUpstream = func(address string) (net.Conn, error) { return d(name, address) }
+	}
+	if d := c.Spec.DialPlatform; d != nil {
+		h.DialPlatform = func(address string) (net.Conn, error) { return d(name, address) }
+	}
+	return h
+}
+
+// AwaitMembers waits until every entry hears want entries, itself included,
+// and knows the upstreams.
+func (c *Cluster) AwaitMembers(want int, within time.Duration) error {
+	deadline := time.Now().Add(within)
+	for {
+		ready := true
+		for _, n := range c.Nodes() {
+			ready = ready && n.Ready(want, len(c.Upstreams))
+		}
+		if ready {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return failure.Timeout.New("the entries did not find each other within %v", within)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Nodes returns the entries that run.
+func (c *Cluster) Nodes() []*entry.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []*entry.Node
+	for _, name := range c.order {
+		if n := c.nodes[name]; n != nil {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Node returns a running entry by name, or nil.
+func (c *Cluster) Node(name string) *entry.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name]
+}
+
+// Names returns the names of all entries, running or not.
+func (c *Cluster) Names() []string { return c.order }
+
+// take removes an entry from those that run.
+func (c *Cluster) take(name string) *entry.Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.nodes[name]
+	delete(c.nodes, name)
+	if n != nil {
+		c.past = append(c.past, n)
+	}
+	return n
+}
+
+// KillEntry ends an entry abruptly. The platform's list keeps it for a while,
+// as it would.
+func (c *Cluster) KillEntry(name string) {
+	if n := c.take(name); n != nil {
+		n.Kill()
+	}
+}
+
+// StopEntry stops an entry as planned, and reports whether it drained.
+func (c *Cluster) StopEntry(ctx context.Context, name string) bool {
+	n := c.take(name)
+	return n == nil || n.Stop(ctx)
+}
+
+// Addresses returns where the running entries take callers.
+func (c *Cluster) Addresses() []string {
+	var list []string
+	for _, n := range c.Nodes() {
+		list = append(list, n.CallersAddress())
+	}
+	return list
+}
+
+// Client returns a client of the running entries.
+func (c *Cluster) Client(caller string) (*client.Client, error) {
+	return client.New(client.Config{Entries: c.Addresses(), Caller: caller, Tracer: c.Spec.Tracer})
+}
+
+// Messages returns what all entries sent so far, and what of it was wasted, by
+// kind.
+func (c *Cluster) Messages() (sent, wasted map[string]int64) {
+	c.mu.Lock()
+	nodes := append([]*entry.Node(nil), c.past...)
+	for _, n := range c.nodes {
+		nodes = append(nodes, n)
+	}
+	c.mu.Unlock()
+	sent, wasted = map[string]int64{}, map[string]int64{}
+	for _, n := range nodes {
+		n.Metrics().AddTo(sent, wasted)
+	}
+	return sent, wasted
+}
+
+// Close ends everything.
+func (c *Cluster) Close() {
+	for _, name := range c.order {
+		c.KillEntry(name)
+	}
+	for _, u := range c.Upstreams {
+		u.Close()
+	}
+	c.Platform.Close()
+}
--- /dev/null
+++ b/inner/mesh.go
@@ -0,0 +1,455 @@
+package inner
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fate"
+
+	"github.com/hashicorp/yamux"
+)
+
+// Handler takes the frames of other instances.
+type Handler interface {
+	// Frame takes one frame. It must not block: frames behind it wait. It may
+	// call reply once, at any time, when f has an id; f.Id zero wants none.
+	Frame(from fate.Incarnation, f *Frame, reply func(*Frame))
+}
+
+// Directory tells where instances listen.
+type Directory interface {
+	// Address returns the host and port of an instance's inner listener.
+	Address(instance string) (string, bool)
+}
+
+// Dialer opens a connection to an address. Tests cut and delay here.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Config is what a Mesh needs to know.
+type Config struct {
+	Fleet       string
+	Self        fate.Incarnation
+	Zone        string
+	Directory   Directory
+	Handler     Handler
+	Dial        Dialer            // nil is TCP
+	DialTimeout time.Duration     // zero is DefaultDialTimeout
+	Count       func(kind string) // counts each frame that is sent; may be nil
+}
+
+// DefaultDialTimeout bounds opening a connection, the hello included.
+const DefaultDialTimeout = time.Second
+
+// retryDial is how long a peer that could not be reached is left alone.
+const retryDial = 200 * time.Millisecond
+
+// Mesh keeps the connections to other instances: one for what this instance
+// asks, opened on first use, and one for what each peer asks.
+type Mesh struct {
+	cfg      Config
+	mu       sync.Mutex
+	links    map[string]*dialed // by instance
+	accepted map[*link]struct{}
+	closed   bool
+	running  sync.WaitGroup
+}
+
+// dialed is the connection to one peer, or the last failure to open it.
+type dialed struct {
+	mu     sync.Mutex
+	link   *link
+	err    error
+	failed time.Time
+}
+
+// NewMesh returns a mesh without connections.
+func NewMesh(cfg Config) *Mesh {
+	if cfg.Dial == nil {
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = DefaultDialTimeout
+	}
+	if cfg.Count == nil {
+		cfg.Count = func(string) {}
+	}
+	return &Mesh{cfg: cfg, links: map[string]*dialed{}, accepted: map[*link]struct{}{}}
+}
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.EnableKeepAlive = false // heartbeats do this
+	c.LogOutput = io.Discard
+	return c
+}
+
+// Serve takes connections from l until it or the mesh is closed.
+func (m *Mesh) Serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		m.running.Go(func() { m.accept(conn) })
+	}
+}
+
+func (m *Mesh) accept(conn net.Conn) {
+	_ = conn.SetDeadline(time.Now().Add(m.cfg.DialTimeout))
+	session, err := yamux.Server(conn, muxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	k, err := m.welcome(session)
+	if err != nil {
+		_ = session.Close()
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	if !m.keep(k) {
+		k.close()
+		return
+	}
+	k.run(func(f *Frame) { m.take(k, f) })
+	m.mu.Lock()
+	delete(m.accepted, k)
+	m.mu.Unlock()
+}
+
+func (m *Mesh) keep(k *link) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return false
+	}
+	m.accepted[k] = struct{}{}
+	return true
+}
+
+// welcome checks the hello of a peer and answers it.
+func (m *Mesh) welcome(session *yamux.Session) (*link, error) {
+	var streams [laneCount]net.Conn
+	var hello *Hello
+	for i := range streams {
+		s, err := session.Accept()
+		if err != nil {
+			return nil, failure.Protocol.Wrap(err, "a peer opened too few streams")
+		}
+		streams[i] = s
+		f, err := ReadFrame(bufio.NewReaderSize(s, frameHead))
+		if err != nil || f.GetHello() == nil {
+			return nil, failure.Protocol.New("a peer did not say hello")
+		}
+		hello = f.GetHello()
+		if problem := m.check(hello); problem != nil {
+			writeFrame(s, &Frame{Body: &Frame_Problem{FromError(problem)}})
+			return nil, problem
+		}
+		writeFrame(s, &Frame{Body: &Frame_Hello{m.hello()}})
+	}
+	return newLink(session, streams, hello), nil
+}
+
+func writeFrame(w io.Writer, f *Frame) {
+	if buf, err := AppendFrame(nil, f); err == nil {
+		_, _ = w.Write(buf)
+	}
+}
+
+func (m *Mesh) hello() *Hello {
+	return &Hello{Fleet: m.cfg.Fleet, Version: Version, Incarnation: string(m.cfg.Self), Zone: m.cfg.Zone}
+}
+
+// check returns the typed refusal of a stranger, or nil.
+func (m *Mesh) check(h *Hello) error {
+	if h.GetFleet() != m.cfg.Fleet {
+		return failure.Field(failure.Refused, "fleet", "this is fleet %q, not %q", m.cfg.Fleet, h.GetFleet())
+	}
+	if h.GetVersion() != Version {
+		return failure.Field(failure.Refused, "version", "this instance speaks version %d, not %d", Version, h.GetVersion())
+	}
+	return nil
+}
+
+func (m *Mesh) take(k *link, f *Frame) {
+	id := f.GetId()
+	m.cfg.Handler.Frame(k.peer, f, func(reply *Frame) {
+		if id == 0 {
+			return
+		}
+		reply.Id = id
+		reply.Reply = true
+		m.cfg.Count(KindOf(reply))
+		_ = k.send(reply)
+	})
+}
+
+// connect returns the open connection to an instance, opening it if needed.
+func (m *Mesh) connect(instance string) (*link, error) {
+	m.mu.Lock()
+	if m.closed {
+		m.mu.Unlock()
+		return nil, failure.Unreachable.New("the mesh is closed")
+	}
+	d := m.links[instance]
+	if d == nil {
+		d = &dialed{}
+		m.links[instance] = d
+	}
+	m.mu.Unlock()
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.link != nil && !d.link.isDown() {
+		return d.link, nil
+	}
+	if d.err != nil && time.Since(d.failed) < retryDial {
+		return nil, d.err
+	}
+	d.link, d.err = m.dial(instance)
+	if d.err != nil {
+		d.failed = time.Now()
+	}
+	return d.link, d.err
+}
+
+func (k *link) isDown() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.down
+}
+
+func (m *Mesh) dial(instance string) (*link, error) {
+	address, known := m.cfg.Directory.Address(instance)
+	if !known {
+		return nil, failure.Unreachable.New("no address is known for instance %s", instance)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), m.cfg.DialTimeout)
+	defer cancel()
+	conn, err := m.cfg.Dial(ctx, address)
+	if err != nil {
+		return nil, failure.Unreachable.Wrap(err, "instance %s cannot be reached", instance)
+	}
+	_ = conn.SetDeadline(time.Now().Add(m.cfg.DialTimeout))
+	k, err := m.introduce(conn, instance)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	m.running.Go(func() {
+		k.run(func(f *Frame) { m.take(k, f) })
+	})
+	return k, nil
+}
+
+func (m *Mesh) introduce(conn net.Conn, instance string) (*link, error) {
+	session, err := yamux.Client(conn, muxConfig())
+	if err != nil {
+		return nil, failure.Unreachable.Wrap(err, "instance %s cannot be reached", instance)
+	}
+	var streams [laneCount]net.Conn
+	var hello *Hello
+	for i := range streams {
+		s, err := session.Open()
+		if err != nil {
+			return nil, failure.Unreachable.Wrap(err, "instance %s gives no stream", instance)
+		}
+		streams[i] = s
+		writeFrame(s, &Frame{Body: &Frame_Hello{m.hello()}})
+		f, err := ReadFrame(bufio.NewReaderSize(s, frameHead))
+		if err != nil {
+			return nil, failure.Unreachable.Wrap(err, "instance %s did not answer hello", instance)
+		}
+		if f.GetProblem() != nil {
+			return nil, ToError(f.GetProblem())
+		}
+		hello = f.GetHello()
+	}
+	k := newLink(session, streams, hello)
+	if k.peer.Instance() != instance {
+		return nil, failure.Unreachable.New("%s answers where %s was expected", k.peer, instance)
+	}
+	return k, nil
+}
+
+// to returns the connection to one incarnation; one without a boot id is
+// whichever incarnation the instance is now.
+func (m *Mesh) to(peer fate.Incarnation) (*link, error) {
+	if _, _, exact := cutBoot(peer); !exact {
+		return m.connect(string(peer))
+	}
+	k, err := m.connect(peer.Instance())
+	if err != nil {
+		return nil, err
+	}
+	if k.peer != peer {
+		return nil, failure.Gone.New("%s is gone: its instance is %s now", peer, k.peer)
+	}
+	return k, nil
+}
+
+func cutBoot(i fate.Incarnation) (string, string, bool) {
+	name := i.Instance()
+	if name == string(i) {
+		return name, "", false
+	}
+	return name, string(i)[len(name)+1:], true
+}
+
+// Connect returns the incarnation that an instance is now.
+func (m *Mesh) Connect(instance string) (fate.Incarnation, error) {
+	k, err := m.connect(instance)
+	if err != nil {
+		return "", err
+	}
+	return k.peer, nil
+}
+
+// Send sends f without waiting for anything. The errors are Unreachable, and
+// Gone when the peer is another incarnation by now.
+func (m *Mesh) Send(peer fate.Incarnation, f *Frame) error {
+	k, err := m.to(peer)
+	if err != nil {
+		return err
+	}
+	m.cfg.Count(KindOf(f))
+	return k.send(f)
+}
+
+// Pending is a call whose reply has not come yet.
+type Pending struct {
+	peer  fate.Incarnation
+	link  *link
+	id    uint64
+	reply chan *Frame
+}
+
+// Begin sends f as a call. Calls to one peer that begin one after another
+// arrive in that order. The errors are those of Send.
+func (m *Mesh) Begin(peer fate.Incarnation, f *Frame) (*Pending, error) {
+	k, err := m.to(peer)
+	if err != nil {
+		return nil, err
+	}
+	id, reply, err := k.expect()
+	if err != nil {
+		return nil, err
+	}
+	f.Id = id
+	m.cfg.Count(KindOf(f))
+	if err := k.send(f); err != nil {
+		k.forget(id)
+		return nil, err
+	}
+	return &Pending{peer, k, id, reply}, nil
+}
+
+// Wait returns the reply. The errors are Lost, when the connection broke
+// before it came, Timeout, and whatever typed error the peer replied.
+func (p *Pending) Wait(ctx context.Context) (*Frame, error) {
+	select {
+	case answer, ok := <-p.reply:
+		if !ok {
+			return nil, failure.Lost.New("the connection to %s broke", p.peer)
+		}
+		if answer.GetProblem() != nil {
+			return nil, ToError(answer.GetProblem())
+		}
+		return answer, nil
+	case <-ctx.Done():
+		p.link.forget(p.id)
+		return nil, failure.Timeout.New("%s did not reply in time", p.peer)
+	}
+}
+
+// Call sends f and waits for its reply, with the errors of Begin and Wait.
+func (m *Mesh) Call(ctx context.Context, peer fate.Incarnation, f *Frame) (*Frame, error) {
+	p, err := m.Begin(peer, f)
+	if err != nil {
+		return nil, err
+	}
+	return p.Wait(ctx)
+}
+
+// Drop closes the connection to an instance, so that calls to it end at once.
+func (m *Mesh) Drop(instance string) {
+	m.mu.Lock()
+	d := m.links[instance]
+	delete(m.links, instance)
+	m.mu.Unlock()
+	if d == nil {
+		return
+	}
+	d.mu.Lock()
+	k := d.link
+	d.mu.Unlock()
+	if k != nil {
+		k.close()
+	}
+}
+
+// Close closes every connection and waits for their readers.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	links := m.links
+	m.links = map[string]*dialed{}
+	var open []*link
+	for k := range m.accepted {
+		open = append(open, k)
+	}
+	m.mu.Unlock()
+	for _, d := range links {
+		d.mu.Lock()
+		if d.link != nil {
+			open = append(open, d.link)
+		}
+		d.mu.Unlock()
+	}
+	for _, k := range open {
+		k.close()
+	}
+	m.running.Wait()
+}
+
+// KindOf names the kind of a frame for counting.
+func KindOf(f *Frame) string {
+	switch f.GetBody().(type) {
+	case *Frame_Heartbeat:
+		return "heartbeat"
+	case *Frame_OpenLog:
+		return "open_log"
+	case *Frame_Append:
+		return "append"
+	case *Frame_AppendReply:
+		return "append_reply"
+	case *Frame_Submit:
+		return "forward"
+	case *Frame_Answer:
+		return "forward_reply"
+	case *Frame_Cancel:
+		return "cancel"
+	case *Frame_SlotRequest:
+		return "slot_request"
+	case *Frame_SlotGrant:
+		return "slot_grant"
+	case *Frame_SlotRelease:
+		return "slot_release"
+	case *Frame_SlotWithdraw:
+		return "slot_withdraw"
+	case *Frame_Problem:
+		return "problem"
+	default:
+		return "other"
+	}
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,177 @@
+// Package membership decides which entries are alive. It is pure: heartbeats,
+// the platform's lagging list and the time come in; the changes come out.
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/sedgehatch/sedgehatch/fate"
+)
+
+// State is what is believed of a peer.
+type State string
+
+// The states of a peer.
+const (
+	Listed  State = "listed"  // on the platform's list, never heard
+	Alive   State = "alive"   // heard within SuspectMs
+	Suspect State = "suspect" // silent for longer: gets no new work
+	Dead    State = "dead"    // silent for DeadMs, or replaced
+	Leaving State = "leaving" // alive, and stopping as planned
+)
+
+// Config bounds the silence of peers, in milliseconds.
+type Config struct {
+	SuspectMs int64
+	DeadMs    int64
+}
+
+// DefaultConfig fits heartbeats every half second.
+var DefaultConfig = Config{SuspectMs: 1600, DeadMs: 3000}
+
+// Listing is an entry as the platform lists it.
+type Listing struct {
+	Instance string
+	Address  string // of its inner listener
+	Zone     string
+	Rack     string
+	Leaving  bool
+}
+
+// Load is what a heartbeat carries.
+type Load struct {
+	Leaving    bool
+	ActiveJobs uint64
+	Revision   uint64
+	Free       uint64
+	Queued     uint64
+}
+
+// Peer is what is known of one instance.
+type Peer struct {
+	Listing
+	Incarnation fate.Incarnation // "" until heard
+	State       State
+	Load        Load
+	heard       int64
+}
+
+// Change is a peer whose state changed.
+type Change struct {
+	Peer   Peer
+	Before State
+}
+
+// Table holds the peers of one instance. It is not safe for concurrent use.
+type Table struct {
+	cfg   Config
+	peers map[string]*Peer
+}
+
+// NewTable returns a table without peers.
+func NewTable(cfg Config) *Table {
+	return &Table{cfg: cfg, peers: map[string]*Peer{}}
+}
+
+// SetListed takes the platform's list. It only seeds and describes: a peer
+// that is heard stays though it is not listed, for the list lags.
+func (t *Table) SetListed(list []Listing) []Change {
+	listed := map[string]bool{}
+	for _, l := range list {
+		listed[l.Instance] = true
+		p := t.peers[l.Instance]
+		if p == nil {
+			p = &Peer{State: Listed}
+			t.peers[l.Instance] = p
+		}
+		p.Listing = l
+	}
+	for name, p := range t.peers {
+		if !listed[name] && (p.State == Dead || p.State == Listed) {
+			delete(t.peers, name)
+		}
+	}
+	return nil
+}
+
+// Heard takes a heartbeat. A new incarnation of an instance ends the one
+// before it at once; a late heartbeat of one that was replaced is not taken.
+func (t *Table) Heard(from fate.Incarnation, load Load, now int64) []Change {
+	p := t.peers[from.Instance()]
+	if p == nil {
+		p = &Peer{Listing: Listing{Instance: from.Instance()}, State: Listed}
+		t.peers[from.Instance()] = p
+	}
+	var changes []Change
+	if p.Incarnation != "" && p.Incarnation != from {
+		changes = append(changes, p.become(Dead))
+		p.State = Listed
+	}
+	p.Incarnation = from
+	p.Load = load
+	p.heard = now
+	state := Alive
+	if load.Leaving {
+		state = Leaving
+	}
+	return append(changes, p.changeTo(state)...)
+}
+
+// Ended takes the certain news that an incarnation is over.
+func (t *Table) Ended(who fate.Incarnation) []Change {
+	p := t.peers[who.Instance()]
+	if p == nil || p.Incarnation != who {
+		return nil
+	}
+	return p.changeTo(Dead)
+}
+
+// Tick lets time pass, in Unix milliseconds.
+func (t *Table) Tick(now int64) []Change {
+	var changes []Change
+	for _, p := range t.peers {
+		if p.State == Listed || p.State == Dead {
+			continue
+		}
+		switch silent := now - p.heard; {
+		case silent >= t.cfg.DeadMs:
+			changes = append(changes, p.changeTo(Dead)...)
+		case silent >= t.cfg.SuspectMs && p.State == Alive:
+			changes = append(changes, p.changeTo(Suspect)...)
+		}
+	}
+	return changes
+}
+
+func (p *Peer) become(s State) Change {
+	before := p.State
+	p.State = s
+	return Change{Peer: *p, Before: before}
+}
+
+func (p *Peer) changeTo(s State) []Change {
+	if p.State == s {
+		return nil
+	}
+	return []Change{p.become(s)}
+}
+
+// Peers returns every peer, by name.
+func (t *Table) Peers() []Peer {
+	list := make([]Peer, 0, len(t.peers))
+	for _, p := range t.peers {
+		list = append(list, *p)
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(a.Instance, b.Instance) })
+	return list
+}
+
+// Address returns where an instance listens.
+func (t *Table) Address(instance string) (string, bool) {
+	p := t.peers[instance]
+	if p == nil || p.Address == "" {
+		return "", false
+	}
+	return p.Address, true
+}
--- /dev/null
+++ b/tracing/tracing.go
@@ -0,0 +1,127 @@
+// Package tracing sets OpenTelemetry up and carries trace contexts as W3C
+// traceparent text, which is how they travel on every hop.
+package tracing
+
+import (
+	"context"
+	"os"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Config says where spans go. Without File and Endpoint none are made.
+type Config struct {
+	File     string  // spans as JSON lines
+	Endpoint string  // host and port of an OTLP receiver over HTTP
+	Ratio    float64 // the share of traces that begin here, within 0 and 1
+	Service  string  // the name of the process in its spans
+}
+
+// Tracer makes spans that continue the traces of other processes.
+type Tracer struct {
+	tracer trace.Tracer
+	active bool
+	stop   func(context.Context) error
+}
+
+// Off returns a tracer that makes no spans.
+func Off() *Tracer {
+	return &Tracer{tracer: noop.NewTracerProvider().Tracer(""), stop: func(context.Context) error { return nil }}
+}
+
+// New returns a tracer. The error is InvalidInput when the file cannot be
+// opened or the endpoint is no address.
+func New(ctx context.Context, cfg Config) (*Tracer, error) {
+	if cfg.File == "" && cfg.Endpoint == "" {
+		return Off(), nil
+	}
+	exporter, err := exporter(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	return FromExporter(exporter, cfg), nil
+}
+
+// FromExporter returns a tracer that hands its spans to exporter.
+func FromExporter(exporter sdktrace.SpanExporter, cfg Config) *Tracer {
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(cfg.Ratio))),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", cfg.Service))),
+	)
+	return &Tracer{tracer: provider.Tracer("sedgehatch"), active: true, stop: provider.Shutdown}
+}
+
+func exporter(ctx context.Context, cfg Config) (sdktrace.SpanExporter, error) {
+	if cfg.File != "" {
+		file, err := os.OpenFile(cfg.File, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, failure.Field(failure.InvalidInput, "tracing.file", "cannot be opened: %v", err)
+		}
+		e, err := stdouttrace.New(stdouttrace.WithWriter(file))
+		return e, wrap("tracing.file", err)
+	}
+	e, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(cfg.Endpoint), otlptracehttp.WithInsecure())
+	return e, wrap("tracing.endpoint", err)
+}
+
+func wrap(field string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return failure.Field(failure.InvalidInput, field, "cannot be used: %v", err)
+}
+
+// Close writes out what is left.
+func (t *Tracer) Close(ctx context.Context) error { return t.stop(ctx) }
+
+// Span is one hop. A nil Span is one that is not recorded.
+type Span struct {
+	span   trace.Span
+	parent string
+}
+
+const traceparent = "traceparent"
+
+// Start begins a span named name under parent, a traceparent or "".
+func (t *Tracer) Start(parent, name string, attrs ...attribute.KeyValue) *Span {
+	if !t.active {
+		return &Span{parent: parent}
+	}
+	ctx := propagation.TraceContext{}.Extract(context.Background(), propagation.MapCarrier{traceparent: parent})
+	_, span := t.tracer.Start(ctx, name, trace.WithAttributes(attrs...))
+	return &Span{span: span, parent: parent}
+}
+
+// Parent returns the traceparent for what is done within the span.
+func (s *Span) Parent() string {
+	if s.span == nil || !s.span.SpanContext().IsSampled() {
+		return s.parent
+	}
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(trace.ContextWithSpan(context.Background(), s.span), carrier)
+	return carrier[traceparent]
+}
+
+// Set adds an attribute.
+func (s *Span) Set(key, value string) {
+	if s.span != nil {
+		s.span.SetAttributes(attribute.String(key, value))
+	}
+}
+
+// End ends the span.
+func (s *Span) End() {
+	if s.span != nil {
+		s.span.End()
+	}
+}
