--- a/fate/home.go
+++ b/fate/home.go
@@ -1,6 +1,11 @@
 package fate
 
-import "github.com/sedgehatch/sedgehatch/failure"
+import (
+	"maps"
+	"slices"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+)
 
 // appendWindow is how many appends may be on their way without an
 // acknowledgement before further permits wait for the next one.
@@ -302,6 +307,9 @@
 		h.tell(j, &e)
 		return e
 	}
+	if j.verdict != nil {
+		return e // decided without these tasks
+	}
 	for _, p := range r.Permits {
 		t := &j.tasks[p.Task]
 		if t.phase == asked && t.attempt == p.Attempt {
@@ -484,7 +492,8 @@
 	}
 	h.sealed = true
 	h.dropPending()
-	for _, j := range h.jobs {
+	for _, key := range slices.SortedFunc(maps.Keys(h.jobs), compareKeys) {
+		j := h.jobs[key]
 		switch {
 		case j.told:
 		case !j.recorded:
--- a/fate/key.go
+++ b/fate/key.go
@@ -1,6 +1,7 @@
 package fate
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 
@@ -95,6 +96,15 @@
 	return string(k.Session) + "/" + strconv.FormatUint(k.Sequence, 10) + "/" + strconv.FormatUint(uint64(k.Generation), 10)
 }
 
+// compareKeys orders keys, so that what is done for many is done in one order.
+func compareKeys(a, b Key) int {
+	return cmp.Or(
+		cmp.Compare(a.Session, b.Session),
+		cmp.Compare(a.Sequence, b.Sequence),
+		cmp.Compare(a.Generation, b.Generation),
+	)
+}
+
 // Lease names one permitted start of one task of a submission at an upstream.
 // It is the primary key of the work at the place where the work happens.
 type Lease struct {
