--- a/fate/home.go
+++ b/fate/home.go
@@ -495,7 +495,7 @@
 	for _, key := range slices.SortedFunc(maps.Keys(h.jobs), compareKeys) {
 		j := h.jobs[key]
 		switch {
-		case j.told:
+		case j == nil || j.told: // let go for the one before, or over
 		case !j.recorded:
 			h.neverReached(j, &e)
 		case j.verdict != nil || !allStarted(j):
