Failures over TCP: homes, witnesses, upstreams, platform; unsent appends are known to be unsent

Cause: a job submitted just after its log's witness died was told unknown: every append that was made counted as known to the witness, also one that never left. Change: the home knows which appends never left (Unsent), tells not run of jobs that only those name, and closes the log, so that the caller's next key goes to another log. Tests over TCP kill homes, witnesses and both, cut connections to upstreams before and after the effect, vanish upstreams, stop as planned and take the platform away.

--- /dev/null
+++ b/connset/connset.go
@@ -0,0 +1,88 @@
+// Package connset closes many connections at once: those that wait for
+// something would otherwise outlive their owner.
+package connset
+
+import (
+	"maps"
+	"net"
+	"slices"
+	"sync"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+)
+
+// Set knows open connections until they close. The zero value is ready.
+type Set struct {
+	mu     sync.Mutex
+	open   map[*conn]struct{}
+	closed bool
+}
+
+type conn struct {
+	net.Conn
+	set *Set
+}
+
+// Close closes the connection and forgets it.
+func (c *conn) Close() error {
+	c.set.mu.Lock()
+	delete(c.set.open, c)
+	c.set.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Add returns c as a member of the set. The error is Unreachable once the set
+// is closed; c is closed then.
+func (s *Set) Add(c net.Conn) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = c.Close()
+		return nil, failure.Unreachable.New("the connections are closed")
+	}
+	if s.open == nil {
+		s.open = map[*conn]struct{}{}
+	}
+	member := &conn{c, s}
+	s.open[member] = struct{}{}
+	return member, nil
+}
+
+// Dial returns dial with its connections in the set.
+func (s *Set) Dial(dial func(address string) (net.Conn, error)) func(address string) (net.Conn, error) {
+	return func(address string) (net.Conn, error) {
+		c, err := dial(address)
+		if err != nil {
+			return nil, err
+		}
+		return s.Add(c)
+	}
+}
+
+// Listener returns l with its connections in the set.
+func (s *Set) Listener(l net.Listener) net.Listener { return &listener{l, s} }
+
+type listener struct {
+	net.Listener
+	set *Set
+}
+
+// Accept returns the next connection, in the set.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.set.Add(c)
+}
+
+// Close closes every connection, and each that would be added.
+func (s *Set) Close() {
+	s.mu.Lock()
+	s.closed = true
+	open := slices.Collect(maps.Keys(s.open))
+	s.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
--- a/dispatch/appender.go
+++ b/dispatch/appender.go
@@ -68,31 +68,38 @@
 		a.l.mu.Lock()
 		next := a.l.home.NextAppend(lazy)
 		a.l.mu.Unlock()
-		if next == nil || !a.send(next) {
+		if next == nil || !a.send(*next) {
 			return
 		}
 	}
 }
 
 // send sends one append, and reports whether it left.
-func (a *appender) send(next *fate.Append) bool {
-	f := &inner.Frame{Body: &inner.Frame_Append{Append: inner.FromAppend(next)}}
+func (a *appender) send(next fate.Append) bool {
+	f := &inner.Frame{Body: &inner.Frame_Append{Append: inner.FromAppend(&next)}}
 	if !next.WantAck {
-		return a.left(a.l.d.peers.Send(a.l.id.Witness, f))
+		return a.left(next.Sequence, a.l.d.peers.Send(a.l.id.Witness, f))
 	}
 	pending, err := a.l.d.peers.Begin(a.l.id.Witness, f)
-	if !a.left(err) {
+	if !a.left(next.Sequence, err) {
 		return false
 	}
 	go a.await(pending)
 	return true
 }
 
-func (a *appender) left(err error) bool {
-	if err != nil {
-		a.failed(err)
+// left takes how sending ended. An error of Send or Begin proves that no byte
+// of the append has left.
+func (a *appender) left(sequence uint64, err error) bool {
+	if err == nil {
+		return true
 	}
-	return err == nil
+	a.l.mu.Lock()
+	a.l.home.Unsent(sequence)
+	a.l.home.Close() // new work goes to another log
+	a.l.mu.Unlock()
+	a.failed(err)
+	return false
 }
 
 func (a *appender) await(p *inner.Pending) {
@@ -152,14 +159,23 @@
 func (a *appender) resend(from uint64) {
 	a.retry = nil
 	a.l.mu.Lock()
-	missing := append([]*fate.Append(nil), a.l.home.Unacked(from)...)
+	missing := a.l.home.Unacked(from)
 	a.l.mu.Unlock()
-	for i, m := range missing {
-		again := *m
+	for i, again := range missing {
 		again.WantAck = i == len(missing)-1
-		if !a.send(&again) {
+		if !a.send(again) {
+			a.unsent(missing[i+1:])
 			return
 		}
 	}
 	a.sendNew(false)
 }
+
+// unsent takes back what Unacked counted as sent.
+func (a *appender) unsent(list []fate.Append) {
+	a.l.mu.Lock()
+	defer a.l.mu.Unlock()
+	for i := range list {
+		a.l.home.Unsent(list[i].Sequence)
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/api"
+	"github.com/sedgehatch/sedgehatch/connset"
 	"github.com/sedgehatch/sedgehatch/dispatch"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
@@ -49,6 +50,7 @@
 	dispatch *dispatch.Dispatcher
 	app      *fiber.App
 	callers  net.Listener
+	conns    connset.Set // of callers
 	inner    net.Listener
 
 	mu        sync.Mutex // guards table and listed
@@ -173,7 +175,7 @@
 	n.running.Go(n.heartbeats)
 	n.running.Go(n.watchSettings)
 	n.running.Go(func() {
-		if err := n.app.Listener(n.callers); err != nil && n.stop.Err() == nil {
+		if err := n.app.Listener(n.conns.Listener(n.callers)); err != nil && n.stop.Err() == nil {
 			event.ServeFailed.Log(n.log, slog.String("error", err.Error()))
 		}
 	})
@@ -220,6 +222,7 @@
 		n.cancel()
 		n.platform.Close()
 		_ = n.callers.Close()
+		n.conns.Close()
 		_ = n.inner.Close()
 		n.dispatch.Close()
 		n.mesh.Close()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -220,3 +220,8 @@
 	m, u := n.dispatch.Known()
 	return m >= members && u >= upstreams
 }
+
+// KnowsLeaving reports whether this instance knows that an upstream leaves.
+func (n *Node) KnowsLeaving(upstream string) bool {
+	return lo.Contains(n.dispatch.LeavingUpstreams(), upstream)
+}
--- /dev/null
+++ b/experiment/failure_test.go
@@ -0,0 +1,387 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/api"
+	"github.com/sedgehatch/sedgehatch/client"
+	"github.com/sedgehatch/sedgehatch/dispatch"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/membership"
+)
+
+// quick makes failures be noticed soon.
+func quick(s *Spec) {
+	if os.Getenv("SEDGE_DEBUG") != "" {
+		s.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	s.Membership = membership.Config{SuspectMs: 300, DeadMs: 600}
+	s.Dispatch = dispatch.Config{WitnessTimeout: 300 * time.Millisecond, LostAfter: time.Second}
+}
+
+func tasks(n int, sleep time.Duration) client.Job {
+	job := client.Job{Service: "desk", Deadline: 20 * time.Second}
+	for i := range n {
+		job.Tasks = append(job.Tasks, work(sleep, fmt.Sprint(i)))
+	}
+	return job
+}
+
+func callers(t *testing.T, c *Cluster) *client.Client {
+	t.Helper()
+	cl, err := c.Client("desk")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cl.Close)
+	return cl
+}
+
+func prepare(t *testing.T, cl *client.Client, job client.Job) *client.Submission {
+	t.Helper()
+	s, err := cl.Prepare(context.Background(), job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// homeOf returns the names of the home and the witness of a submission.
+func homeOf(t *testing.T, s *client.Submission) (home, witness string) {
+	t.Helper()
+	log, err := s.Key().Session.Log()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return log.Home.Instance(), log.Witness.Instance()
+}
+
+// await polls for a condition of the test's own making.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited too long for %s", what)
+		}
+	}
+}
+
+func (c *Cluster) startsOf(key fate.Key) int { return len(c.Recorder.Of(key.String() + "/")) }
+
+func checkStarts(t *testing.T, c *Cluster) {
+	t.Helper()
+	if _, twice := c.Recorder.Starts(); len(twice) > 0 {
+		t.Errorf("started twice: %v", twice)
+	}
+}
+
+func wantComplete(t *testing.T, answer api.Answer, err error, n int) {
+	t.Helper()
+	if err != nil || answer.Fate != fate.Complete || len(answer.Tasks) != n {
+		t.Fatalf("answer %s %s with %d tasks, %v", answer.Fate, answer.Reason, len(answer.Tasks), err)
+	}
+	for i := range answer.Tasks {
+		if string(answer.Tasks[i].Result) != fmt.Sprint(i) {
+			t.Fatalf("task %d has result %s", i, answer.Tasks[i].Result)
+		}
+	}
+}
+
+// background submits to one entry, and returns where its answer will come.
+func background(s *client.Submission, entry string) chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.SendTo(context.Background(), entry)
+		done <- err
+	}()
+	return done
+}
+
+func TestHomeLostWhileTasksRun(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(20, 300*time.Millisecond))
+	home, witness := homeOf(t, s)
+	lost := background(s, c.Node(home).CallersAddress())
+	await(t, "every task to start", func() bool { return c.startsOf(s.Key()) == 20 })
+	c.KillEntry(home)
+	if err := <-lost; err == nil {
+		t.Error("the lost home answered")
+	}
+	answer, err := s.SendTo(context.Background(), c.Node(witness).CallersAddress())
+	wantComplete(t, answer, err, 20)
+	checkStarts(t, c)
+}
+
+// More tasks than slots: the witness starts those that its home had not.
+func TestHomeLostWhileTasksWait(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(120, 200*time.Millisecond))
+	home, witness := homeOf(t, s)
+	background(s, c.Node(home).CallersAddress())
+	await(t, "some tasks to start", func() bool { return c.startsOf(s.Key()) >= 48 })
+	c.KillEntry(home)
+	answer, err := s.SendTo(context.Background(), c.Node(witness).CallersAddress())
+	wantComplete(t, answer, err, 120)
+	checkStarts(t, c)
+}
+
+// A resubmission may reach any entry, at any moment; each gets the same answer.
+func TestResubmissionAnywhere(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(10, 100*time.Millisecond))
+	home, _ := homeOf(t, s)
+	first := background(s, c.Node(home).CallersAddress())
+	await(t, "a start", func() bool { return c.startsOf(s.Key()) > 0 })
+	for _, address := range c.Addresses() {
+		answer, err := s.SendTo(context.Background(), address)
+		wantComplete(t, answer, err, 10)
+	}
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if n := c.startsOf(s.Key()); n != 10 {
+		t.Errorf("%d starts", n)
+	}
+}
+
+func TestWitnessLost(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(10, 300*time.Millisecond))
+	home, witness := homeOf(t, s)
+	first := make(chan api.Answer, 1)
+	go func() {
+		answer, _ := s.SendTo(context.Background(), c.Node(home).CallersAddress())
+		first <- answer
+	}()
+	await(t, "every task to start", func() bool { return c.startsOf(s.Key()) == 10 })
+	c.KillEntry(witness)
+	wantComplete(t, <-first, nil, 10)
+	answer, err := cl.Do(context.Background(), tasks(5, time.Millisecond))
+	wantComplete(t, answer, err, 5)
+	checkStarts(t, c)
+}
+
+func TestHomeAndWitnessLost(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(10, 200*time.Millisecond))
+	home, witness := homeOf(t, s)
+	background(s, c.Node(home).CallersAddress())
+	await(t, "every task to start", func() bool { return c.startsOf(s.Key()) == 10 })
+	c.KillEntry(home)
+	c.KillEntry(witness)
+	answer, err := s.SendTo(context.Background(), c.Addresses()[0])
+	if err != nil || answer.Fate != fate.Unknown {
+		t.Errorf("answer %s, %v", answer.Fate, err)
+	}
+	checkStarts(t, c)
+}
+
+// A job that never reached the witness is proved not run.
+func TestNotRunIsProved(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(3, time.Millisecond))
+	home, _ := homeOf(t, s)
+	c.KillEntry(home)
+	answer, err := s.SendTo(context.Background(), c.Addresses()[0])
+	if err != nil || answer.Fate != fate.NotRun {
+		t.Fatalf("answer %s, %v", answer.Fate, err)
+	}
+	if n := c.startsOf(s.Key()); n != 0 {
+		t.Errorf("%d starts of a job that was told not run", n)
+	}
+	whole, err := cl.Do(context.Background(), tasks(3, time.Millisecond))
+	wantComplete(t, whole, err, 3)
+}
+
+func TestUpstreamConnectionDies(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		t.Run(fmt.Sprintf("before the start took effect: %v", before), func(t *testing.T) {
+			c := small(t, quick)
+			cl := callers(t, c)
+			bad := c.Upstreams[0]
+			if before {
+				bad.Faults.DropRequests.Store(true)
+			} else {
+				bad.Faults.DropAnswers.Store(true)
+			}
+			answer, err := cl.Do(context.Background(), tasks(40, 20*time.Millisecond))
+			wantComplete(t, answer, err, 40)
+			checkStarts(t, c)
+			if starts, _ := c.Recorder.Starts(); starts != 40 {
+				t.Errorf("%d starts", starts)
+			}
+		})
+	}
+}
+
+// An upstream that vanishes with its tasks: their job fails, and says which.
+func TestUpstreamVanishes(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(20, 500*time.Millisecond))
+	home, _ := homeOf(t, s)
+	done := make(chan api.Answer, 1)
+	go func() {
+		answer, _ := s.SendTo(context.Background(), c.Node(home).CallersAddress())
+		done <- answer
+	}()
+	await(t, "every task to start", func() bool { return c.startsOf(s.Key()) == 20 })
+	c.Upstreams[0].Close()
+	answer := <-done
+	if answer.Fate != fate.Failed || answer.Reason != fate.ReasonTaskLost {
+		t.Fatalf("answer %s %s", answer.Fate, answer.Reason)
+	}
+	unknown := 0
+	for _, task := range answer.Tasks {
+		if task.State == fate.TaskUnknown {
+			unknown++
+		}
+	}
+	if unknown == 0 || len(answer.Tasks) != 20 {
+		t.Errorf("%d of %d tasks are unknown", unknown, len(answer.Tasks))
+	}
+	checkStarts(t, c)
+}
+
+func TestCancel(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(200, 300*time.Millisecond))
+	home, _ := homeOf(t, s)
+	done := make(chan api.Answer, 1)
+	go func() {
+		answer, _ := s.SendTo(context.Background(), c.Node(home).CallersAddress())
+		done <- answer
+	}()
+	await(t, "a start", func() bool { return c.startsOf(s.Key()) > 0 })
+	answer, err := cl.Cancel(context.Background(), s.Key())
+	if err != nil || answer.Fate != fate.Failed || answer.Reason != fate.ReasonCancelled {
+		t.Fatalf("answer %s %s, %v", answer.Fate, answer.Reason, err)
+	}
+	if told := <-done; told.Fate != fate.Failed {
+		t.Errorf("the caller was told %s", told.Fate)
+	}
+	whole, err := cl.Do(context.Background(), tasks(48, time.Millisecond))
+	wantComplete(t, whole, err, 48)
+	if n := c.startsOf(s.Key()); n > 60 {
+		t.Errorf("%d tasks of a cancelled job started", n)
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	var wg sync.WaitGroup
+	begun := make(chan struct{}, 40)
+	for range 40 {
+		wg.Go(func() {
+			begun <- struct{}{}
+			answer, err := cl.Do(context.Background(), tasks(4, 50*time.Millisecond))
+			if err != nil || answer.Fate != fate.Complete {
+				t.Errorf("answer %s %s, %v", answer.Fate, answer.Reason, err)
+			}
+		})
+	}
+	for range 40 {
+		<-begun
+	}
+	if !c.StopEntry(context.Background(), c.Names()[0]) {
+		t.Error("the entry did not drain")
+	}
+	wg.Wait()
+	checkStarts(t, c)
+}
+
+func TestPlatformOutage(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	c.Platform.Faults.Down.Store(true)
+	answer, err := cl.Do(context.Background(), tasks(20, 10*time.Millisecond))
+	wantComplete(t, answer, err, 20)
+	c.KillEntry(c.Names()[0])
+	fresh := callers(t, c)
+	answer, err = fresh.Do(context.Background(), tasks(20, 10*time.Millisecond))
+	wantComplete(t, answer, err, 20)
+}
+
+func TestNeverFits(t *testing.T) {
+	c := small(t, nil)
+	cl := callers(t, c)
+	job := tasks(2, time.Millisecond)
+	job.Tasks[1].CPU = 1000
+	answer, err := cl.Do(context.Background(), job)
+	if err != nil || answer.Fate != fate.NotRun || answer.Reason != fate.ReasonNeverFits {
+		t.Errorf("answer %s %s, %v", answer.Fate, answer.Reason, err)
+	}
+	if starts, _ := c.Recorder.Starts(); starts != 0 {
+		t.Errorf("%d starts", starts)
+	}
+}
+
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	leaving := c.Upstreams[0]
+	leaving.Faults.Leaving.Store(true)
+	answer, err := cl.Do(context.Background(), tasks(48, 5*time.Millisecond))
+	wantComplete(t, answer, err, 48)
+	for _, n := range c.Nodes() {
+		await(t, "every entry to know", func() bool { return n.KnowsLeaving(leaving.Instance().ID) })
+	}
+	sent, _ := c.Messages()
+	answer, err = cl.Do(context.Background(), tasks(40, 5*time.Millisecond))
+	wantComplete(t, answer, err, 40)
+	after, _ := c.Messages()
+	if starts := after["start"] - sent["start"]; starts != 40 {
+		t.Errorf("%d starts were sent for 40 tasks", starts)
+	}
+}
+
+func TestLargestJob(t *testing.T) {
+	c := small(t, nil)
+	cl := callers(t, c)
+	answer, err := cl.Do(context.Background(), tasks(api.MaxTasks, time.Millisecond))
+	wantComplete(t, answer, err, api.MaxTasks)
+	_, err = cl.Do(context.Background(), tasks(api.MaxTasks+1, 0))
+	if !failure.Is(err, failure.TooLarge) || failure.FieldOf(err) != "tasks" {
+		t.Errorf("error %v", err)
+	}
+	_, err = cl.Do(context.Background(), client.Job{Service: "desk"})
+	if !failure.Is(err, failure.InvalidInput) || failure.FieldOf(err) != "tasks" {
+		t.Errorf("error %v", err)
+	}
+	if starts, _ := c.Recorder.Starts(); starts != api.MaxTasks {
+		t.Errorf("%d starts", starts)
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	c := small(t, nil)
+	cl := callers(t, c)
+	job := tasks(4, 5*time.Second)
+	job.Deadline = 200 * time.Millisecond
+	for i := range job.Tasks {
+		job.Tasks[i].RunMs = 10 // declared far off
+	}
+	answer, err := cl.Do(context.Background(), job)
+	if err != nil || answer.Fate != fate.Failed || answer.Reason != fate.ReasonDeadline {
+		t.Errorf("answer %s %s, %v", answer.Fate, answer.Reason, err)
+	}
+	if !strings.HasPrefix(string(answer.Tasks[0].State), string(fate.TaskUnknown)) {
+		t.Errorf("task state %s", answer.Tasks[0].State)
+	}
+}
--- a/fate/home.go
+++ b/fate/home.go
@@ -39,9 +39,9 @@
 	repeats bool
 	tasks   []homeTask
 	open    int // tasks that are not over
-	// recorded is true once an append that names the job was made, so that the
-	// witness may know of it.
-	recorded bool
+	// named is true once an append that holds the job was made; acked, once the
+	// witness acknowledged one.
+	named, acked bool
 	// verdict is the fate that was decided; told is true once it may be said.
 	verdict *Answer
 	told    bool
@@ -53,6 +53,14 @@
 	exclusive bool
 }
 
+// outgoing is an append that is not acknowledged.
+type outgoing struct {
+	Append
+	// sends counts the times that it may have left. Zero proves that the witness
+	// cannot know what it says.
+	sends int
+}
+
 // Home runs the jobs of one permit log. It is not safe for concurrent use.
 type Home struct {
 	id       LogID
@@ -61,7 +69,7 @@
 	pending  map[Key]*Record
 	order    []Key // of pending
 	urgent   bool  // pending holds a permit or a verdict
-	unacked  []*Append
+	unacked  []*outgoing
 	sequence uint64
 	sealed   bool
 	orphaned bool
@@ -230,7 +238,7 @@
 		return r
 	}
 	r = &Record{Key: j.key}
-	if !j.recorded {
+	if !j.named {
 		r.Job = j.job
 	}
 	h.pending[j.key] = r
@@ -239,20 +247,21 @@
 }
 
 // NextAppend returns the next message for the witness, or nil. Without lazy it
-// holds back while nothing waits for an acknowledgement.
+// holds back while nothing waits for an acknowledgement. It counts as sent
+// unless Unsent says otherwise.
 func (h *Home) NextAppend(lazy bool) *Append {
 	if len(h.order) == 0 || h.sealed || (!h.urgent && !lazy) || h.awaited() >= appendWindow {
 		return nil
 	}
 	h.sequence++
-	a := &Append{Log: h.id, Sequence: h.sequence, WantAck: h.urgent || len(h.unacked) >= quietAppends}
+	a := &outgoing{sends: 1, Append: Append{Log: h.id, Sequence: h.sequence, WantAck: h.urgent || len(h.unacked) >= quietAppends}}
 	for _, key := range h.order {
 		r := h.pending[key]
 		if r == nil {
 			continue
 		}
 		if j := h.jobs[key]; j != nil {
-			j.recorded = true
+			j.named = true
 		}
 		a.Records = append(a.Records, *r)
 	}
@@ -260,7 +269,37 @@
 	h.order = h.order[:0]
 	h.urgent = false
 	h.unacked = append(h.unacked, a)
-	return a
+	return &a.Append
+}
+
+// Unsent takes the proof that no byte of an append left the last time.
+func (h *Home) Unsent(sequence uint64) {
+	for _, a := range h.unacked {
+		if a.Sequence == sequence {
+			a.sends--
+		}
+	}
+}
+
+// mayBeKnown reports whether the witness may know of j.
+func (h *Home) mayBeKnown(j *homeJob) bool {
+	if j.acked {
+		return true
+	}
+	return slices.ContainsFunc(h.unacked, func(a *outgoing) bool { return a.sends > 0 && a.holds(j.key) })
+}
+
+func (a *outgoing) holds(key Key) bool {
+	return slices.ContainsFunc(a.Records, func(r Record) bool { return r.Key == key })
+}
+
+// withhold takes j out of all that was not sent: its fate is told without the
+// witness, which must not learn of it later.
+func (h *Home) withhold(j *homeJob) {
+	delete(h.pending, j.key)
+	for _, a := range h.unacked {
+		a.Records = slices.DeleteFunc(a.Records, func(r Record) bool { return r.Key == j.key })
+	}
 }
 
 func (h *Home) awaited() int {
@@ -274,14 +313,16 @@
 }
 
 // Unacked returns the appends from sequence on, to send again in order after
-// the connection to the witness was lost.
-func (h *Home) Unacked(from uint64) []*Append {
-	for i, a := range h.unacked {
+// the connection to the witness was lost. They count as sent, as in NextAppend.
+func (h *Home) Unacked(from uint64) []Append {
+	var list []Append
+	for _, a := range h.unacked {
 		if a.Sequence >= from {
-			return h.unacked[i:]
+			a.sends++
+			list = append(list, a.Append)
 		}
 	}
-	return nil
+	return list
 }
 
 // Ack takes the witness's acknowledgement of every append up to sequence.
@@ -300,7 +341,11 @@
 func (h *Home) acked(r *Record) Effects {
 	var e Effects
 	j := h.jobs[r.Key]
-	if j == nil || j.told || j.atWitness || h.sealed {
+	if j == nil {
+		return e
+	}
+	j.acked = true
+	if j.told || j.atWitness || h.sealed {
 		return e
 	}
 	if r.Verdict != nil {
@@ -402,8 +447,8 @@
 	}
 	j.verdict = verdict
 	h.stop(j, e)
-	if h.alone() || !j.recorded {
-		delete(h.pending, j.key)
+	if h.alone() || !h.mayBeKnown(j) {
+		h.withhold(j)
 		h.tell(j, e)
 		return
 	}
@@ -418,7 +463,7 @@
 // mustAsk reports whether a verdict needs a witness that will not record it.
 // A task that its upstream says has failed needs none: no one can say complete.
 func (h *Home) mustAsk(j *homeJob, v *Answer) bool {
-	return h.sealed && j.recorded && v.Reason != ReasonTaskFailed
+	return h.sealed && h.mayBeKnown(j) && v.Reason != ReasonTaskFailed
 }
 
 func verdictOf(j *homeJob, reason Reason) *Answer {
@@ -491,17 +536,23 @@
 		return e
 	}
 	h.sealed = true
-	h.dropPending()
 	for _, key := range slices.SortedFunc(maps.Keys(h.jobs), compareKeys) {
 		j := h.jobs[key]
+		if j == nil {
+			continue // let go for the one before
+		}
 		switch {
-		case j == nil || j.told: // let go for the one before, or over
-		case !j.recorded:
+		case j.told:
+		case !h.mayBeKnown(j):
 			h.neverReached(j, &e)
 		case j.verdict != nil || !allStarted(j):
 			h.leaveToWitness(j, &e)
 		}
+		if !j.told {
+			j.acked = true // from now on it counts as known
+		}
 	}
+	h.dropPending()
 	return e
 }
 
--- a/fate/home_test.go
+++ b/fate/home_test.go
@@ -128,7 +128,7 @@
 	}
 	started := 0
 	for _, a := range h.Unacked(r.Acked + 1) {
-		started += len(h.Ack(w.Append(a).Acked).Starts)
+		started += len(h.Ack(w.Append(&a).Acked).Starts)
 	}
 	if started != 2 {
 		t.Errorf("%d starts", started)
@@ -158,3 +158,23 @@
 	}
 	onlyAnswer(t, h.Learned(Answer{Key: one, Kind: NotRun}), NotRun)
 }
+
+// An append of which no byte left cannot have reached the witness.
+func TestUnsentIsNotRunWhenTheWitnessIsLost(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		h := NewHome(homeLogID, bound)
+		mustSubmit(t, h, one, jobOf(1), Accepted)
+		h.Place(one, 0, "u")
+		a := h.NextAppend(false)
+		if !sent {
+			h.Unsent(a.Sequence)
+		}
+		e := h.Orphan()
+		if sent && len(e.Ask) != 1 {
+			t.Errorf("effects %+v of an append that was sent", e)
+		}
+		if !sent {
+			onlyAnswer(t, e, NotRun)
+		}
+	}
+}
--- a/fate/world_test.go
+++ b/fate/world_test.go
@@ -53,7 +53,7 @@
 	homeUp  bool
 	witUp   bool
 
-	appends []*Append
+	appends []Append
 	replies []AppendReply
 	starts  []lostStart // on their way to upstreams
 	out     []lostStart // whose end somebody waits for
@@ -199,7 +199,7 @@
 		return
 	}
 	if a := w.home.NextAppend(w.choose.below(2) == 0); a != nil {
-		w.appends = append(w.appends, a)
+		w.send(*a)
 	}
 	if w.broken == verdictNotRecorded {
 		for _, j := range w.home.jobs {
@@ -212,9 +212,24 @@
 	}
 }
 
+// send puts an append on its way, or fails before its first byte has left.
+func (w *world) send(a Append) {
+	if w.choose.below(4) == 0 {
+		w.home.Unsent(a.Sequence)
+		return
+	}
+	w.appends = append(w.appends, a)
+}
+
 func (w *world) resend() {
 	if w.homeUp {
-		w.appends = append(w.appends, w.home.Unacked(0)...)
+		w.sendAll(w.home.Unacked(0))
+	}
+}
+
+func (w *world) sendAll(list []Append) {
+	for _, a := range list {
+		w.send(a)
 	}
 }
 
@@ -227,7 +242,7 @@
 		w.replies = append(w.replies, AppendReply{Acked: a.Sequence})
 		return
 	}
-	w.replies = append(w.replies, w.witness.Append(a))
+	w.replies = append(w.replies, w.witness.Append(&a))
 }
 
 func (w *world) dropAppend() { pull(w, &w.appends, false) }
@@ -243,7 +258,7 @@
 	}
 	w.effects(w.home.Ack(r.Acked), false)
 	if r.Gap {
-		w.appends = append(w.appends, w.home.Unacked(r.Acked+1)...)
+		w.sendAll(w.home.Unacked(r.Acked + 1))
 	}
 }
 
@@ -387,7 +402,10 @@
 	}
 	if w.broken == orphanSaysNotRun {
 		for _, j := range w.home.jobs {
-			j.recorded = j.recorded && j.verdict != nil
+			j.acked = false
+		}
+		for _, a := range w.home.unacked {
+			a.sends = 0
 		}
 	}
 	w.effects(w.home.Orphan(), false)
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -125,6 +125,10 @@
 
 func (u *Upstream) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
+	if u.ended() {
+		drop(ctx)
+		return
+	}
 	if path != api.PathTasks && u.Faults.Deaf.Load() {
 		drop(ctx)
 		return
@@ -197,6 +201,10 @@
 		return
 	}
 	u.run(l, service, work)
+	if u.ended() {
+		drop(ctx)
+		return
+	}
 	ctx.Response.Header.Set(api.HeaderState, string(l.info.State))
 	ctx.SetContentType("application/json")
 	if l.info.State == api.LeaseFinished {
@@ -206,6 +214,16 @@
 	}
 }
 
+// ended reports whether the upstream has vanished.
+func (u *Upstream) ended() bool {
+	select {
+	case <-u.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func leaseTime(text []byte) time.Duration {
 	ms, err := strconv.ParseInt(string(text), 10, 64)
 	if err != nil || ms <= 0 {
@@ -374,6 +392,8 @@
 		select {
 		case <-l.over:
 		case <-u.done:
+			drop(ctx)
+			return
 		}
 	}
 	u.answer(ctx, l)
