--- a/api/platform.go
+++ b/api/platform.go
@@ -42,6 +42,7 @@
 	Address string `json:"address"` // of an entry's inner listener, or of an upstream
 	// CallerAddress is where an entry takes callers.
 	CallerAddress string `json:"caller_address,omitempty"`
+	Region        string `json:"region,omitempty"`
 	Zone          string `json:"zone"`
 	Rack          string `json:"rack"`
 	Leaving       bool   `json:"leaving"`
--- a/client/client.go
+++ b/client/client.go
@@ -137,6 +137,9 @@
 	return nil, err
 }
 
+// Leave makes the next job open another session than s has.
+func (c *Client) Leave(s *Submission) { c.leave(s.s) }
+
 // leave makes the next job open another session.
 func (c *Client) leave(s *session) {
 	c.mu.Lock()
@@ -151,9 +154,9 @@
 type Submission struct {
 	c        *Client
 	s        *session
-	request  api.Submission
+	request  api.Submission // but for the attempt
+	attempts atomic.Uint32
 	deadline time.Duration
-	span     *tracing.Span
 }
 
 // Prepare gives a job its key.
@@ -177,14 +180,15 @@
 
 // SendTo makes one call to one entry, as the next attempt under the key.
 func (s *Submission) SendTo(ctx context.Context, entry string) (api.Answer, error) {
-	s.request.Attempt++
-	if s.request.Attempt > 1 {
+	request := s.request
+	request.Attempt = s.attempts.Add(1)
+	if request.Attempt > 1 {
 		s.c.resends.Add(1)
 	}
 	span := s.c.cfg.Tracer.Start("", "caller")
 	defer span.End()
 	var answer api.Answer
-	err := s.c.call(ctx, entry, http.MethodPost, api.PathJobs, &s.request, span.Parent(), s.deadline+s.c.cfg.CallTimeout, &answer)
+	err := s.c.call(ctx, entry, http.MethodPost, api.PathJobs, &request, span.Parent(), s.deadline+s.c.cfg.CallTimeout, &answer)
 	return answer, err
 }
 
@@ -241,7 +245,7 @@
 		case failure.Is(err, failure.SessionEnded), failure.Is(err, failure.Stopping):
 		case err != nil:
 			return answer, err
-		case answer.Fate == fate.NotRun && homeEnded(answer.Reason):
+		case HomeEnded(&answer):
 		case answer.Fate == fate.Unknown:
 			c.leave(s.s)
 			return answer, nil
@@ -253,9 +257,15 @@
 	return answer, nil
 }
 
-// homeEnded reports whether a job was not run only for where it was sent.
-func homeEnded(r fate.Reason) bool {
-	return r == fate.ReasonNeverReached || r == fate.ReasonWitnessLost || r == fate.ReasonStopping || r == fate.ReasonHomeLost
+// HomeEnded reports whether a job was not run only for where it was sent: it
+// may be sent again under a new key, also where it is not repeatable.
+func HomeEnded(a *api.Answer) bool {
+	switch a.Reason {
+	case fate.ReasonNeverReached, fate.ReasonWitnessLost, fate.ReasonStopping, fate.ReasonHomeLost:
+		return a.Fate == fate.NotRun
+	default:
+		return false
+	}
 }
 
 // State asks any entry what is known of a job.
--- a/dispatch/brokers.go
+++ b/dispatch/brokers.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +25,8 @@
 	broker *placement.Broker
 	homes  map[fate.Incarnation]bool // those that hold places
 	hurry  bool                      // homes were told that work waits
+	// gathering is true while places that came back wait for others.
+	gathering bool
 }
 
 func (b *brokers) init(d *Dispatcher) {
@@ -85,40 +89,46 @@
 func (b *brokers) run(p *brokerPool, input func(*placement.Broker) []placement.Grant) {
 	p.mu.Lock()
 	grants := input(p.broker)
-	hasten, hurry := p.pressure()
-	p.mu.Unlock()
+	var messages []*inner.SlotGrant
 	for i := range grants {
-		b.send(p, &grants[i], hurry)
+		p.homes[fate.Incarnation(grants[i].Home)] = true
+		messages = append(messages, p.message(&grants[i]))
+	}
+	hasten := p.pressure()
+	p.mu.Unlock()
+	for i, m := range messages {
+		b.deliver(fate.Incarnation(grants[i].Home), m)
 	}
 	for _, home := range hasten {
-		b.deliver(home, &inner.SlotGrant{Hurry: true, Ticket: p.id})
+		b.deliver(home, &inner.SlotGrant{Hurry: true, Pool: p.id})
 	}
 }
 
-// pressure returns the homes to be told that work waits, each time that it
-// begins to. The lock is held.
-func (p *brokerPool) pressure() (hasten []fate.Incarnation, hurry bool) {
-	hurry = p.broker.Queued() > 0
-	if hurry && !p.hurry {
-		for home := range p.homes {
-			hasten = append(hasten, home)
-		}
-		clear(p.homes)
+// message returns a grant as it is sent, with how the pool stands. The lock is
+// held.
+func (p *brokerPool) message(g *placement.Grant) *inner.SlotGrant {
+	m := &inner.SlotGrant{
+		Pool: p.id, Ticket: g.Ticket, Refused: string(g.Refused), RetryAfterMs: uint32(g.RetryAfterMs),
+		Hurry: p.broker.Queued() > 0, Free: uint32(p.broker.Free()), Queued: uint32(p.broker.Queued()),
 	}
-	p.hurry = hurry
-	return hasten, hurry
-}
-
-func (b *brokers) send(p *brokerPool, g *placement.Grant, hurry bool) {
-	home := fate.Incarnation(g.Home)
-	p.mu.Lock()
-	p.homes[home] = true
-	p.mu.Unlock()
-	m := &inner.SlotGrant{Ticket: g.Ticket, Refused: string(g.Refused), RetryAfterMs: uint32(g.RetryAfterMs), Hurry: hurry}
 	for _, place := range g.Places {
 		m.Places = append(m.Places, &inner.Place{Upstream: place.Upstream, Count: uint32(place.Count)})
 	}
-	b.deliver(home, m)
+	return m
+}
+
+// pressure returns the homes to be told that work waits, each time that it
+// begins to. The lock is held.
+func (p *brokerPool) pressure() []fate.Incarnation {
+	waits := p.broker.Queued() > 0
+	began := waits && !p.hurry
+	p.hurry = waits
+	if !began {
+		return nil
+	}
+	hasten := slices.Collect(maps.Keys(p.homes))
+	clear(p.homes)
+	return hasten
 }
 
 // deliver sends a grant to a home, which may be this instance.
@@ -142,6 +152,7 @@
 		return k.Request(placement.Request{
 			Home: string(home), Ticket: m.GetTicket(), Count: int(m.GetCount()),
 			Needs: toNeeds(m.GetNeeds()), RunMs: float64(m.GetRunMs()), Service: m.GetService(), DeadlineMs: m.GetDeadlineMs(),
+			Zone: m.GetZone(), Avoid: m.GetAvoidZones(),
 		}, nowMs())
 	})
 }
@@ -154,7 +165,27 @@
 			RunMs: float64(u.GetRunUs()) / 1000, Failed: int(u.GetFailed()), HoldMs: int64(u.GetHoldMs()),
 		})
 	}
-	b.run(b.pool(m.GetPool()), func(k *placement.Broker) []placement.Grant { return k.Release(string(home), usages, nowMs()) })
+	p := b.pool(m.GetPool())
+	b.run(p, func(k *placement.Broker) []placement.Grant {
+		k.Release(string(home), usages, nowMs())
+		b.gather(p)
+		return nil
+	})
+}
+
+// gather grants what came back, a moment later and all at once. The lock is
+// held.
+func (b *brokers) gather(p *brokerPool) {
+	if p.gathering || p.broker.Queued() == 0 {
+		return
+	}
+	p.gathering = true
+	time.AfterFunc(b.d.cfg.Gather, func() {
+		b.run(p, func(k *placement.Broker) []placement.Grant {
+			p.gathering = false
+			return k.Tick(nowMs())
+		})
+	})
 }
 
 func (b *brokers) withdraw(home fate.Incarnation, m *inner.SlotWithdraw) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,6 +31,7 @@
 // Config is what a Dispatcher needs to know. Zero values get the defaults.
 type Config struct {
 	Self   fate.Incarnation
+	Region string
 	Zone   string
 	Rack   string
 	Shards int // logs that take sessions side by side, per scope
@@ -51,6 +52,9 @@
 	// ReleaseDelay is how long free places may wait for company on their way
 	// back to a broker where nobody waits for them.
 	ReleaseDelay time.Duration
+	// Gather is how long places that came back wait for others before they are
+	// granted together.
+	Gather       time.Duration
 	Broker       placement.BrokerConfig
 	DialUpstream upstream.Dial
 	Metrics      *metrics.Set
@@ -65,8 +69,9 @@
 	DefaultLease          = 10 * time.Second
 	DefaultLostAfter      = 5 * time.Second
 	DefaultWitnessTimeout = 1500 * time.Millisecond
-	DefaultLazyAppend     = 20 * time.Millisecond
+	DefaultLazyAppend     = 300 * time.Millisecond
 	DefaultReleaseDelay   = 40 * time.Millisecond
+	DefaultGather         = 3 * time.Millisecond
 )
 
 // DefaultKeep is the retention of one log.
@@ -84,6 +89,7 @@
 	or(&c.WitnessTimeout, DefaultWitnessTimeout)
 	or(&c.LazyAppend, DefaultLazyAppend)
 	or(&c.ReleaseDelay, DefaultReleaseDelay)
+	or(&c.Gather, DefaultGather)
 	if c.Shards == 0 {
 		c.Shards = DefaultShards
 	}
--- a/dispatch/homes.go
+++ b/dispatch/homes.go
@@ -97,7 +97,7 @@
 	number := h.number.Add(1)
 	id := fate.LogID{Home: h.d.cfg.Self, Number: number}
 	view := h.d.view.Load()
-	self := placement.Entry{Instance: h.d.cfg.Self.Instance(), Zone: h.d.cfg.Zone, Rack: h.d.cfg.Rack}
+	self := placement.Entry{Instance: h.d.cfg.Self.Instance(), Region: h.d.cfg.Region, Zone: h.d.cfg.Zone, Rack: h.d.cfg.Rack}
 	if m, ok := view.member(placement.WitnessOf(self, number, scope, view.entries)); ok {
 		id.Witness = m.Incarnation
 		if err := h.invite(id); err != nil {
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -182,12 +182,17 @@
 	return pools
 }
 
-// away is 0 for a pool of this zone, and 1 for others.
+// away tells how far a pool is: this zone or region, another zone, another
+// region.
 func (s *slots) away(p *poolView) int {
-	if p.Zone == s.d.cfg.Zone {
+	switch {
+	case p.Zone == s.d.cfg.Zone, p.Zone == "" && p.Region == s.d.cfg.Region:
 		return 0
+	case p.Region == s.d.cfg.Region:
+		return 1
+	default:
+		return 2
 	}
-	return 1
 }
 
 func (s *slots) free(p *poolView) int {
@@ -235,6 +240,7 @@
 	m := &inner.SlotRequest{
 		Ticket: t.id, Pool: t.pool, Count: uint32(count), Needs: fromNeeds(t.needs), RunMs: t.runMs,
 		Service: t.service, DeadlineMs: t.deadline, Held: held,
+		Zone: s.d.cfg.Zone, AvoidZones: v.avoid,
 	}
 	if p.broker == s.d.cfg.Self {
 		s.d.brokers.request(s.d.cfg.Self, m)
@@ -251,7 +257,10 @@
 	s.mu.Lock()
 	t := s.tickets[m.GetTicket()]
 	if m.GetHurry() {
-		s.hasten(t, m)
+		s.hasten(m.GetPool())
+	}
+	if m.GetTicket() != "" {
+		s.load[m.GetPool()] = poolLoad{int(m.GetFree()), int(m.GetQueued())}
 	}
 	list, spare := s.assign(t, m.GetPlaces())
 	if t != nil && (len(t.tasks) == 0 || m.GetRefused() != "") {
@@ -291,11 +300,7 @@
 }
 
 // hasten makes places go back at once while work waits. The lock is held.
-func (s *slots) hasten(t *ticket, m *inner.SlotGrant) {
-	pool := m.GetTicket()
-	if t != nil {
-		pool = t.pool
-	}
+func (s *slots) hasten(pool string) {
 	r := s.returnsOf(pool)
 	r.hurry = true
 	if len(r.usages) > 0 {
@@ -358,7 +363,7 @@
 }
 
 // hurryDelay is how long places wait for company where work waits for them.
-const hurryDelay = time.Millisecond
+const hurryDelay = 2 * time.Millisecond
 
 // schedule makes the places of a pool go back before long. The lock is held.
 func (s *slots) schedule(pool string, r *returning) {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -41,6 +41,7 @@
 	order   []string          // the ids of pools
 	poolOf  map[string]string // by upstream
 	fits    []placement.Upstream
+	avoid   []string // zones that are cut off
 }
 
 // poolView is a pool and its broker; broker is "" while there is none.
@@ -56,13 +57,22 @@
 		v.entries = append(v.entries, m.Entry)
 		incarnations[m.Instance] = m.Incarnation
 	}
+	var usable []placement.Upstream
 	for _, u := range v.Upstreams {
 		v.fits = append(v.fits, u.Upstream)
+		if !v.cutOff(u.Zone) {
+			usable = append(usable, u.Upstream)
+		}
+	}
+	for zone := range v.Staffed {
+		if v.cutOff(zone) {
+			v.avoid = append(v.avoid, zone)
+		}
 	}
 	v.pools = map[string]*poolView{}
 	v.poolOf = map[string]string{}
-	for _, p := range placement.Pools(v.fits) {
-		pv := &poolView{Pool: p, broker: incarnations[v.brokerOf(&p)]}
+	for _, p := range placement.Pools(usable) {
+		pv := &poolView{Pool: p, broker: incarnations[placement.BrokerOf(&p, v.entries)]}
 		for _, u := range p.Upstreams {
 			v.poolOf[u.ID] = p.ID
 			pv.slots += u.Slots
@@ -72,12 +82,9 @@
 	}
 }
 
-func (v *View) brokerOf(p *placement.Pool) string {
-	heard := slices.ContainsFunc(v.entries, func(e placement.Entry) bool { return e.Zone == p.Zone })
-	if v.Staffed[p.Zone] && !heard {
-		return ""
-	}
-	return placement.BrokerOf(p.ID, p.Zone, v.entries)
+// cutOff reports whether a zone has entries but none of them is heard.
+func (v *View) cutOff(zone string) bool {
+	return v.Staffed[zone] && !slices.ContainsFunc(v.entries, func(e placement.Entry) bool { return e.Zone == zone })
 }
 
 // brokers reports whether an incarnation is the broker of a pool.
--- a/entry/node.go
+++ b/entry/node.go
@@ -132,7 +132,7 @@
 
 func (n *Node) dispatchConfig(hooks Hooks) dispatch.Config {
 	c := n.cfg.Dispatch
-	c.Self, c.Zone, c.Rack = n.self, n.cfg.Zone, n.cfg.Rack
+	c.Self, c.Region, c.Zone, c.Rack = n.self, n.cfg.Region, n.cfg.Zone, n.cfg.Rack
 	c.Metrics, c.Tracer, c.Log = n.metrics, n.tracer, n.log
 	c.DialUpstream = hooks.DialUpstream
 	return c
@@ -163,7 +163,7 @@
 func (n *Node) Instance() api.PlatformInstance {
 	return api.PlatformInstance{
 		ID: n.cfg.Instance, Role: api.RoleEntry, Address: n.inner.Addr().String(),
-		CallerAddress: n.CallersAddress(), Zone: n.cfg.Zone, Rack: n.cfg.Rack,
+		CallerAddress: n.CallersAddress(), Region: n.cfg.Region, Zone: n.cfg.Zone, Rack: n.cfg.Rack,
 	}
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -82,7 +82,7 @@
 	v := dispatch.View{Staffed: map[string]bool{n.cfg.Zone: true}}
 	if !n.leaving.Load() {
 		v.Members = append(v.Members, dispatch.Member{
-			Entry:       placement.Entry{Instance: n.cfg.Instance, Zone: n.cfg.Zone, Rack: n.cfg.Rack},
+			Entry:       placement.Entry{Instance: n.cfg.Instance, Region: n.cfg.Region, Zone: n.cfg.Zone, Rack: n.cfg.Rack},
 			Incarnation: n.self,
 		})
 	}
@@ -90,7 +90,7 @@
 		v.Staffed[p.Zone] = true
 		if p.State == membership.Alive {
 			v.Members = append(v.Members, dispatch.Member{
-				Entry:       placement.Entry{Instance: p.Instance, Zone: p.Zone, Rack: p.Rack},
+				Entry:       placement.Entry{Instance: p.Instance, Region: p.Region, Zone: p.Zone, Rack: p.Rack},
 				Incarnation: p.Incarnation,
 			})
 		}
@@ -106,7 +106,7 @@
 func upstreamSpec(u api.PlatformInstance) dispatch.UpstreamSpec {
 	return dispatch.UpstreamSpec{
 		Upstream: placement.Upstream{
-			ID: u.ID, Zone: u.Zone, Rack: u.Rack, Slots: u.Slots, Leaving: u.Leaving,
+			ID: u.ID, Region: u.Region, Zone: u.Zone, Rack: u.Rack, Slots: u.Slots, Leaving: u.Leaving,
 			Capacity: placement.Needs{CPU: u.CPU, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators},
 		},
 		Address: u.Address, Connections: u.Connections,
@@ -185,7 +185,7 @@
 func (n *Node) takeList(list []api.PlatformInstance) {
 	entries := lo.FilterMap(list, func(i api.PlatformInstance, _ int) (membership.Listing, bool) {
 		mine := i.Role == api.RoleEntry && i.ID != n.cfg.Instance
-		return membership.Listing{Instance: i.ID, Address: i.Address, Zone: i.Zone, Rack: i.Rack, Leaving: i.Leaving}, mine
+		return membership.Listing{Instance: i.ID, Address: i.Address, Region: i.Region, Zone: i.Zone, Rack: i.Rack, Leaving: i.Leaving}, mine
 	})
 	n.mu.Lock()
 	same := sameList(n.listed, list)
--- a/experiment/cluster.go
+++ b/experiment/cluster.go
@@ -17,6 +17,8 @@
 	"github.com/sedgehatch/sedgehatch/entry"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/platform"
+	"github.com/sedgehatch/sedgehatch/settings"
 	"github.com/sedgehatch/sedgehatch/standin"
 	"github.com/sedgehatch/sedgehatch/tracing"
 )
@@ -30,23 +32,27 @@
 
 // Spec describes a cluster.
 type Spec struct {
-	Zones        []ZoneSpec
-	Slots        int // of each upstream
-	CPU          float64
-	MemoryMB     uint64
-	PerRack      int // upstreams in one rack
-	Heartbeat    time.Duration
-	Membership   membership.Config
-	PollList     time.Duration
-	Dispatch     dispatch.Config
-	Log          *slog.Logger
-	Tracer       *tracing.Tracer
-	UsageLag     time.Duration
-	DialInner    func(from, address string) (net.Conn, error)
-	DialUpstream func(from, address string) (net.Conn, error)
-	DialPlatform func(from, address string) (net.Conn, error)
+	Zones      []ZoneSpec
+	Slots      int // of each upstream
+	CPU        float64
+	MemoryMB   uint64
+	PerRack    int // upstreams in one rack
+	Heartbeat  time.Duration
+	Membership membership.Config
+	PollList   time.Duration
+	Dispatch   dispatch.Config
+	Log        *slog.Logger
+	Tracer     *tracing.Tracer
+	UsageLag   time.Duration
+	// Network delays and cuts what entries open; nil is the plain loopback.
+	Network *Network
+	// Settings is the tree, in INI, that is in force from the start.
+	Settings string
 }
 
+// platformZone is where the platform is, for cuts.
+const platformZone = "platform"
+
 func (s *Spec) fill() {
 	if s.Slots == 0 {
 		s.Slots = 8
@@ -101,6 +107,10 @@
 }
 
 func (c *Cluster) start() error {
+	c.locate(c.Platform.Address(), platformZone)
+	if err := c.putSettings(); err != nil {
+		return err
+	}
 	for _, z := range c.Spec.Zones {
 		for i := range z.Upstreams {
 			if err := c.addUpstream(z.Name, i); err != nil {
@@ -131,6 +141,7 @@
 		return err
 	}
 	c.Upstreams = append(c.Upstreams, u)
+	c.locate(u.Address(), zone)
 	c.Platform.List(u.Instance())
 	return nil
 }
@@ -147,6 +158,8 @@
 	if err != nil {
 		return nil, err
 	}
+	c.locate(n.Instance().Address, c.zones[name])
+	c.locate(n.CallersAddress(), c.zones[name])
 	c.Platform.List(n.Instance())
 	n.Run()
 	c.mu.Lock()
@@ -155,19 +168,34 @@
 	return n, nil
 }
 
-// hooks binds the dialers of the spec to the name of an entry.
+// hooks sends what an entry opens through the network.
 func (c *Cluster) hooks(name string) entry.Hooks {
 	h := entry.Hooks{Tracer: c.Spec.Tracer}
-	if d := c.Spec.DialInner; d != nil {
-		h.DialInner = func(_ context.Context, address string) (net.Conn, error) { return d(name, address) }
+	if c.Spec.Network == nil {
+		return h
 	}
-	if d := c.Spec.DialUpstream; d != nil {
-		h.DialUpstream = func(address string) (net.Conn, error) { return d(name, address) }
+	dial := func(address string) (net.Conn, error) { return c.Spec.Network.Dial(c.zones[name], address) }
+	h.DialInner = func(_ context.Context, address string) (net.Conn, error) { return dial(address) }
+	h.DialUpstream = dial
+	h.DialPlatform = dial
+	return h
+}
+
+// locate tells the network where an address is.
+func (c *Cluster) locate(address, zone string) {
+	if c.Spec.Network != nil {
+		c.Spec.Network.Place(address, zone)
 	}
-	if d := c.Spec.DialPlatform; d != nil {
-		h.DialPlatform = func(address string) (net.Conn, error) { return d(name, address) }
+}
+
+// putSettings makes the spec's settings the first revision.
+func (c *Cluster) putSettings() error {
+	if c.Spec.Settings == "" {
+		return nil
 	}
-	return h
+	store := settings.NewStore(platform.NewClient(c.Platform.Address(), nil, nil), func() int64 { return time.Now().UnixMilli() })
+	_, _, err := store.Change(0, "experiment", func(*settings.Tree) (*settings.Tree, []error) { return settings.Parse(c.Spec.Settings) })
+	return err
 }
 
 // AwaitMembers waits until every entry hears want entries, itself included,
@@ -177,7 +205,7 @@
 	for {
 		ready := true
 		for _, n := range c.Nodes() {
-			ready = ready && n.Ready(want, len(c.Upstreams))
+			ready = ready && n.Ready(want, len(c.Upstreams)) && (c.Spec.Settings == "" || n.Revision() > 0)
 		}
 		if ready {
 			return nil
--- a/membership/table.go
+++ b/membership/table.go
@@ -34,6 +34,7 @@
 type Listing struct {
 	Instance string
 	Address  string // of its inner listener
+	Region   string
 	Zone     string
 	Rack     string
 	Leaving  bool
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -39,6 +39,9 @@
 	RunMs      float64 // declared
 	Service    string
 	DeadlineMs int64 // Unix milliseconds; zero is none
+	Zone       string
+	// Avoid holds zones that the home cannot reach.
+	Avoid []string
 }
 
 // Place is a number of slots at one upstream.
@@ -246,12 +249,13 @@
 	b.queue = slices.DeleteFunc(b.queue, func(q *ticket) bool { return q == t })
 }
 
-// Release takes places back and learns from what was seen there.
-func (b *Broker) Release(home string, usages []Usage, now int64) []Grant {
+// Release takes places back and learns from what was seen there. It grants
+// nothing: Tick does, so that places that come back one after another go out
+// together.
+func (b *Broker) Release(home string, usages []Usage, now int64) {
 	for i := range usages {
 		b.release(home, &usages[i], now)
 	}
-	return b.serve(now)
 }
 
 func (b *Broker) release(home string, u *Usage, now int64) {
@@ -405,7 +409,7 @@
 func (b *Broker) fill(t *ticket, now int64) Grant {
 	g := Grant{Home: t.Home, Ticket: t.Ticket}
 	for t.Count > 0 {
-		p := b.choose(t.Needs, now)
+		p := b.choose(&t.Request, now)
 		if p == nil {
 			break
 		}
@@ -427,29 +431,38 @@
 	g.Places = append(g.Places, Place{upstream, 1})
 }
 
-// sparing is added to the score of an upstream with accelerators for a task
-// that needs none.
-const sparing = 100
+// What is added to the score of an upstream, a share of slots in use.
+const (
+	sparing  = 100  // it has accelerators, and the task needs none
+	awayCost = 0.13 // it is in another zone than the home: about one slot of 8
+)
 
-// choose returns the upstream with the lowest score, or nil.
-func (b *Broker) choose(n Needs, now int64) *place {
+// choose returns the upstream with the lowest score for a task of r, or nil.
+func (b *Broker) choose(r *Request, now int64) *place {
 	var best *place
 	var lowest float64
 	for _, p := range b.sorted {
-		if !b.usable(p, now) || !p.taken.plus(n).Within(p.Capacity) {
+		if !b.usable(p, now) || slices.Contains(r.Avoid, p.Zone) || !p.taken.plus(r.Needs).Within(p.Capacity) {
 			continue
 		}
-		score := float64(p.used+1) / float64(p.Slots) * p.health.factor(&b.cfg.Health)
-		if n.Accelerators == 0 && p.Capacity.Accelerators > 0 {
-			score += sparing
-		}
-		if best == nil || score < lowest {
+		if score := b.score(p, r); best == nil || score < lowest {
 			best, lowest = p, score
 		}
 	}
 	return best
 }
 
+func (b *Broker) score(p *place, r *Request) float64 {
+	score := float64(p.used+1) / float64(p.Slots) * p.health.factor(&b.cfg.Health)
+	if r.Needs.Accelerators == 0 && p.Capacity.Accelerators > 0 {
+		score += sparing
+	}
+	if p.Zone != r.Zone {
+		score += awayCost
+	}
+	return score
+}
+
 // usable reports whether p may get a task: an ejected upstream gets a single
 // probe once its time is over.
 func (b *Broker) usable(p *place, now int64) bool {
--- a/placement/fit.go
+++ b/placement/fit.go
@@ -28,6 +28,7 @@
 // Upstream is what placement knows of one upstream.
 type Upstream struct {
 	ID       string
+	Region   string
 	Zone     string
 	Rack     string
 	Capacity Needs
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -11,28 +11,32 @@
 // PoolSize is the most upstreams that one broker hands out together.
 const PoolSize = 64
 
-// Pool is a set of upstreams of one zone that share a broker.
+// Pool is a set of upstreams that share a broker.
 type Pool struct {
 	ID        string
-	Zone      string
+	Region    string
+	Zone      string // "" where the pool spans the zones of its region
 	Upstreams []Upstream
 }
 
-// Pools groups upstreams by zone, and large zones into several pools, so that
-// an upstream that comes or goes moves no other one between pools.
+// Pools groups upstreams. A region of up to PoolSize upstreams is one pool: the
+// larger the pool, the less a job waits while a place is free elsewhere. In a
+// larger region each zone has pools of its own, which upstreams share out by
+// hash, so that one that comes or goes moves no other.
 func Pools(upstreams []Upstream) []Pool {
-	counts := map[string]int{}
+	inRegion, inZone := map[string]int{}, map[string]int{}
 	for i := range upstreams {
-		counts[upstreams[i].Zone]++
+		inRegion[upstreams[i].Region]++
+		inZone[upstreams[i].Zone]++
 	}
 	byID := map[string]*Pool{}
 	for i := range upstreams {
 		u := &upstreams[i]
-		id := poolOf(u, counts[u.Zone])
-		if byID[id] == nil {
-			byID[id] = &Pool{ID: id, Zone: u.Zone}
+		p := poolOf(u, inRegion[u.Region], inZone[u.Zone])
+		if byID[p.ID] == nil {
+			byID[p.ID] = &p
 		}
-		byID[id].Upstreams = append(byID[id].Upstreams, *u)
+		byID[p.ID].Upstreams = append(byID[p.ID].Upstreams, *u)
 	}
 	pools := make([]Pool, 0, len(byID))
 	for _, p := range byID {
@@ -43,30 +47,45 @@
 	return pools
 }
 
-func poolOf(u *Upstream, inZone int) string {
+func poolOf(u *Upstream, inRegion, inZone int) Pool {
+	if inRegion <= PoolSize {
+		return Pool{ID: "region/" + u.Region, Region: u.Region}
+	}
 	parts := 1
 	for parts*PoolSize < inZone {
 		parts *= 2
 	}
-	return u.Zone + "/" + strconv.FormatUint(xxhash.Sum64String(u.ID)%uint64(parts), 10)
+	part := strconv.FormatUint(xxhash.Sum64String(u.ID)%uint64(parts), 10)
+	return Pool{ID: "zone/" + u.Zone + "/" + part, Region: u.Region, Zone: u.Zone}
 }
 
 // Entry is an instance that may be a broker or a witness.
 type Entry struct {
 	Instance string
+	Region   string
 	Zone     string
 	Rack     string
 }
 
-// BrokerOf chooses the broker of a pool: by rendezvous hash among the entries
-// of the pool's zone, or among all where that zone has none. It returns ""
-// without entries.
-func BrokerOf(pool string, zone string, entries []Entry) string {
-	best := highest(pool, entries, func(e *Entry) bool { return e.Zone == zone })
-	if best == "" {
-		best = highest(pool, entries, func(*Entry) bool { return true })
+// BrokerOf chooses the broker of a pool by rendezvous hash: among the entries
+// of its zone, or else of its region, or else all. It returns "" without
+// entries.
+func BrokerOf(p *Pool, entries []Entry) string {
+	choices := []func(*Entry) bool{
+		func(e *Entry) bool { return p.Zone != "" && e.Zone == p.Zone },
+		func(e *Entry) bool { return e.Region == p.Region },
+		func(*Entry) bool { return true },
 	}
-	return best
+	return firstOf(p.ID, entries, choices)
+}
+
+func firstOf(name string, entries []Entry, choices []func(*Entry) bool) string {
+	for _, may := range choices {
+		if found := highest(name, entries, may); found != "" {
+			return found
+		}
+	}
+	return ""
 }
 
 func highest(name string, entries []Entry, may func(*Entry) bool) string {
@@ -101,20 +120,14 @@
 		return ""
 	}
 	name := self.Instance + "#" + strconv.FormatUint(number, 10)
-	sameZone := func(e *Entry) bool { return e.Zone == self.Zone }
+	near := func(e *Entry) bool { return e.Zone == self.Zone }
 	if scope == ScopeRegion {
-		sameZone = func(e *Entry) bool { return e.Zone != self.Zone }
+		near = func(e *Entry) bool { return e.Zone != self.Zone && e.Region == self.Region }
 	}
-	choices := []func(*Entry) bool{
-		func(e *Entry) bool { return sameZone(e) && e.Rack != self.Rack },
-		sameZone,
-		func(*Entry) bool { return true },
-	}
-	for _, may := range choices {
-		found := highest(name, others, func(e *Entry) bool { return e.Instance != self.Instance && may(e) })
-		if found != "" {
-			return found
-		}
-	}
-	return ""
+	other := func(e *Entry) bool { return e.Instance != self.Instance }
+	return firstOf(name, others, []func(*Entry) bool{
+		func(e *Entry) bool { return other(e) && near(e) && e.Rack != self.Rack },
+		func(e *Entry) bool { return other(e) && near(e) },
+		other,
+	})
 }
