Command line: demo, submit, job, settings, instances, bench, stand-ins

Cause: the fleet could be reached from tests alone. Change: the sedgehatch command, with an exit code for each fate, and the bench that plays scenarios in variants, with a table, JSON and plots.

--- /dev/null
+++ b/cli/submit.go
@@ -0,0 +1,230 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/api"
+	"github.com/sedgehatch/sedgehatch/client"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fate"
+
+	"github.com/urfave/cli/v3"
+)
+
+// jobFile is the JSON that submit reads.
+type jobFile struct {
+	Service    string     `json:"service"`
+	Repeatable bool       `json:"repeatable"`
+	DeadlineMs int64      `json:"deadline_ms"`
+	Tasks      []api.Task `json:"tasks"`
+}
+
+func submitCommand() *cli.Command {
+	return &cli.Command{
+		Name: "submit", Usage: "submit a job and wait for its fate",
+		ArgsUsage:   "FILE (JSON; - is standard input)",
+		Description: `A job: {"service":"desk","deadline_ms":5000,"tasks":[{"cpu":1,"run_ms":200,"payload":{}}]}`,
+		Flags:       append(callerFlags(), jsonFlag()),
+		Action:      submit,
+	}
+}
+
+func submit(ctx context.Context, c *cli.Command) error {
+	job, err := readJob(c.Args().First(), os.Stdin)
+	if err != nil {
+		return err
+	}
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	sub, err := cl.Prepare(ctx, job)
+	if err != nil {
+		return err
+	}
+	if terminal(c.Root().ErrWriter) {
+		watching, stop := context.WithCancel(ctx)
+		defer stop()
+		go progress(watching, c.Root().ErrWriter, cl, sub.Key())
+	}
+	answer, err := sub.Submit(ctx)
+	if client.HomeEnded(&answer) || failure.Is(err, failure.SessionEnded) || failure.Is(err, failure.Stopping) {
+		cl.Leave(sub)
+		answer, err = cl.Do(ctx, job)
+	}
+	if err != nil {
+		return err
+	}
+	return tell(c, answer)
+}
+
+func readJob(name string, stdin io.Reader) (client.Job, error) {
+	var raw []byte
+	var err error
+	switch name {
+	case "":
+		return client.Job{}, failure.Field(failure.InvalidInput, "FILE", "names no job; - is standard input")
+	case "-":
+		raw, err = io.ReadAll(io.LimitReader(stdin, api.MaxBody))
+	default:
+		raw, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return client.Job{}, failure.Field(failure.InvalidInput, name, "cannot be read: %v", err)
+	}
+	var f jobFile
+	if err := api.Decode(raw, &f); err != nil {
+		return client.Job{}, err
+	}
+	return client.Job{
+		Service: f.Service, Repeatable: f.Repeatable, Tasks: f.Tasks,
+		Deadline: time.Duration(f.DeadlineMs) * time.Millisecond,
+	}, nil
+}
+
+func terminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// progressEvery is how often the progress of a job is asked for.
+const progressEvery = 200 * time.Millisecond
+
+// progress shows how many tasks are over until ctx ends.
+func progress(ctx context.Context, w io.Writer, cl *client.Client, key fate.Key) {
+	for {
+		select {
+		case <-ctx.Done():
+			fmt.Fprint(w, "\r\033[K")
+			return
+		case <-time.After(progressEvery):
+		}
+		if a, err := cl.State(ctx, key, 0); err == nil && a.Total > 0 {
+			fmt.Fprintf(w, "\r%d of %d tasks", a.Done, a.Total)
+		}
+	}
+}
+
+// tell prints an answer, and ends with the exit code of its fate.
+func tell(c *cli.Command, a api.Answer) error {
+	out := c.Root().Writer
+	if c.Bool("json") {
+		if err := printJSON(out, a); err != nil {
+			return err
+		}
+	} else {
+		printAnswer(out, &a)
+	}
+	if code := exitOf[a.Fate]; code != ExitComplete {
+		return exit{code}
+	}
+	return nil
+}
+
+func printAnswer(w io.Writer, a *api.Answer) {
+	fmt.Fprintf(w, "session     %s\nsequence    %d\nfate        %s\n", a.Session, a.Sequence, a.Fate)
+	if a.Reason != "" {
+		fmt.Fprintf(w, "reason      %s\n", a.Reason)
+	}
+	if a.RetryAfterMs > 0 {
+		fmt.Fprintf(w, "retry after %d ms\n", a.RetryAfterMs)
+	}
+	if a.Total > 0 {
+		fmt.Fprintf(w, "progress    %d of %d tasks\n", a.Done, a.Total)
+	}
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	defer func() { _ = t.Flush() }()
+	for i, task := range a.Tasks {
+		fmt.Fprintf(t, "task %d\t%s\t%s\n", i, task.State, strings.TrimSpace(string(task.Result)+" "+task.Error))
+	}
+}
+
+func jobCommand() *cli.Command {
+	key := []cli.Flag{
+		&cli.StringFlag{Name: "session", Usage: "the `TOKEN` of the session", Required: true},
+		&cli.Uint64Flag{Name: "sequence", Usage: "the `NUMBER` of the job in its session", Required: true},
+		&cli.Uint32Flag{Name: "generation", Usage: "the `NUMBER` of the job's generation"},
+		jsonFlag(),
+	}
+	return &cli.Command{
+		Name: "job", Usage: "ask after a job, or cancel it",
+		Commands: []*cli.Command{
+			{
+				Name: "state", Usage: "print what is known of a job",
+				Flags: append(append(callerFlags(), key...), &cli.DurationFlag{Name: "wait", Usage: "how long to wait for its fate"}),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return withClient(c, func(cl *client.Client) (api.Answer, error) {
+						return cl.State(ctx, keyOf(c), c.Duration("wait"))
+					})
+				},
+			},
+			{
+				Name: "cancel", Usage: "end a job early and print its fate",
+				Flags: append(callerFlags(), key...),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return withClient(c, func(cl *client.Client) (api.Answer, error) { return cl.Cancel(ctx, keyOf(c)) })
+				},
+			},
+		},
+	}
+}
+
+func keyOf(c *cli.Command) fate.Key {
+	return fate.Key{Session: fate.Session(c.String("session")), Sequence: c.Uint64("sequence"), Generation: c.Uint32("generation")}
+}
+
+func withClient(c *cli.Command, ask func(*client.Client) (api.Answer, error)) error {
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	answer, err := ask(cl)
+	if err != nil {
+		return err
+	}
+	return tell(c, answer)
+}
+
+func instancesCommand() *cli.Command {
+	return &cli.Command{
+		Name: "instances", Usage: "list the entries as one of them sees them",
+		Flags: append(callerFlags(), jsonFlag()),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			cl, err := newClient(c)
+			if err != nil {
+				return err
+			}
+			defer cl.Close()
+			list, err := cl.Instances(ctx)
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return printJSON(c.Root().Writer, list)
+			}
+			printInstances(c.Root().Writer, list)
+			return nil
+		},
+	}
+}
+
+func printInstances(w io.Writer, list []api.InstanceStatus) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	defer func() { _ = t.Flush() }()
+	fmt.Fprintln(t, "INSTANCE\tZONE\tSTATE\tJOBS\tSETTINGS\tFREE SLOTS\tQUEUED")
+	for _, i := range list {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t%d\n", i.Instance, i.Zone, i.State, i.ActiveJobs, i.Revision, i.FreeSlots, i.QueuedTasks)
+	}
+}
--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -42,6 +42,7 @@
 	HeartbeatMs  int64   `ini:"heartbeat_ms"`
 	ReleaseMs    int64   `ini:"release_delay_ms"`
 	Witness      string  `ini:"witness"`
+	Placing      string  `ini:"placing"`
 	MaxQueued    int     `ini:"max_queued"`
 	NoEjection   bool    `ini:"no_ejection"`
 	PlatformLag  int64   `ini:"list_lag_ms"`
@@ -110,7 +111,7 @@
 	}
 	s := &Scenario{
 		Name:    strings.TrimSuffix(name[strings.LastIndexByte(name, '/')+1:], ".ini"),
-		Cluster: ClusterSection{Slots: 8, CPU: 64, MemoryMB: 128 << 10, PerRack: 6, HeartbeatMs: 500, Witness: "zone", Order: string(placement.OrderFIFO)},
+		Cluster: ClusterSection{Slots: 8, CPU: 64, MemoryMB: 128 << 10, PerRack: 6, HeartbeatMs: 500, Witness: "zone", Placing: "broker", Order: string(placement.OrderFIFO)},
 		Load:    LoadSection{Seconds: 5, Level: 0.7, Scale: 4, Seed: 1},
 	}
 	for _, section := range file.Sections() {
