--- a/api/decode.go
+++ b/api/decode.go
@@ -126,10 +126,13 @@
 	return &s.path[len(s.path)-1]
 }
 
+// namedDepth is how deep errors name a place: payloads are the caller's own.
+const namedDepth = 3
+
 // where names the place of the current token, such as "tasks[3].cpu".
 func (s *shape) where(whole string) string {
 	var b strings.Builder
-	for _, at := range s.path {
+	for _, at := range s.path[:min(len(s.path), namedDepth)] {
 		switch {
 		case at.names == nil:
 			b.WriteString("[" + strconv.Itoa(at.index) + "]")
--- /dev/null
+++ b/api/limits_test.go
@@ -0,0 +1,95 @@
+package api
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+)
+
+const session = "a.1~b.2~3~desk.4"
+
+func body(fields string) string {
+	return `{"session":"` + session + `","sequence":1,"attempt":1,"service":"desk",` + fields + `}`
+}
+
+// TestBadInput shows that each wrong request is refused by the name of its
+// field.
+func TestBadInput(t *testing.T) {
+	deep := strings.Repeat("[", 100) + strings.Repeat("]", 100)
+	for name, c := range map[string]struct{ body, field string }{
+		"cut off":           {`{"session":"x`, "session"},
+		"empty":             {``, "body"},
+		"not an object":     {`[1]`, ""},
+		"something behind":  {body(`"tasks":[{}]`) + "{}", "body"},
+		"unknown field":     {body(`"tasks":[{}],"colour":1`), "colour"},
+		"repeated name":     {body(`"tasks":[{}],"sequence":2`), "sequence"},
+		"repeated in task":  {body(`"tasks":[{},{"cpu":1,"cpu":2}]`), "tasks[1].cpu"},
+		"wrong type":        {body(`"tasks":[{"cpu":"many"}]`), "tasks.cpu"},
+		"too deep":          {body(`"tasks":[{"payload":` + deep + `}]`), "tasks[0].payload"},
+		"no tasks":          {body(`"tasks":[]`), "tasks"},
+		"too many tasks":    {body(`"tasks":[` + strings.Repeat("{},", MaxTasks) + `{}]`), "tasks"},
+		"large payload":     {body(`"tasks":[{"payload":"` + strings.Repeat("x", MaxPayload) + `"}]`), "tasks[0].payload"},
+		"negative cpu":      {body(`"tasks":[{"cpu":-1}]`), "tasks[0].cpu"},
+		"long run":          {body(`"tasks":[{},{"run_ms":4000000}]`), "tasks[1].run_ms"},
+		"bad session":       {`{"session":"x","sequence":1,"attempt":1,"service":"d","tasks":[{}]}`, "session"},
+		"no sequence":       {`{"session":"` + session + `","attempt":1,"service":"d","tasks":[{}]}`, "sequence"},
+		"no attempt":        {`{"session":"` + session + `","sequence":1,"service":"d","tasks":[{}]}`, "attempt"},
+		"bad service":       {`{"session":"` + session + `","sequence":1,"attempt":1,"service":"a b","tasks":[{}]}`, "service"},
+		"long deadline":     {body(`"deadline_ms":99999999,"tasks":[{}]`), "deadline_ms"},
+		"generation unsafe": {body(`"generation":1,"tasks":[{}]`), "generation"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Submission
+			err := Decode([]byte(c.body), &s)
+			if err == nil {
+				err = s.Check()
+			}
+			if !failure.Is(err, failure.InvalidInput) && !failure.Is(err, failure.TooLarge) {
+				t.Fatalf("error %v", err)
+			}
+			if got := failure.FieldOf(err); got != c.field {
+				t.Errorf("names field %q, want %q", got, c.field)
+			}
+		})
+	}
+}
+
+func TestGoodInput(t *testing.T) {
+	var s Submission
+	if err := Decode([]byte(body(`"tasks":[{"cpu":1,"payload":{"a":[1,{"a":2}]}},{"payload":"x"}]`)), &s); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Check(); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Session.Caller(); got != "desk" {
+		t.Errorf("caller %q", got)
+	}
+	again := s
+	if s.Job(0, 1).Digest != again.Job(5, 9).Digest {
+		t.Error("a resubmission looks like other work")
+	}
+	again.Tasks = append([]Task(nil), s.Tasks...)
+	again.Tasks[1].RunMs++
+	if s.Job(0, 1).Digest == again.Job(0, 1).Digest {
+		t.Error("other work looks like a resubmission")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(body(`"tasks":[{"cpu":1}]`)))
+	f.Add([]byte(`{"a":[{"a":1}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var s Submission
+		if err := Decode(raw, &s); err != nil {
+			if failure.Code(err) != "invalid_input" {
+				t.Fatalf("error of type %s", failure.Code(err))
+			}
+			return
+		}
+		if s.Check() == nil {
+			s.Job(0, 1)
+		}
+	})
+}
--- a/inner/doc.go
+++ b/inner/doc.go
@@ -7,7 +7,7 @@
 // request of this protocol allows.
 package inner
 
-//go:generate protoc --go_out=. --go_opt=module=github.com/sedgehatch/sedgehatch -I .. ../inner/inner.proto
+//go:generate sh -c "protoc --go_out=.. --go_opt=module=github.com/sedgehatch/sedgehatch -I .. ../inner/inner.proto && sha256sum < inner.proto | cut -d\" \" -f1 > inner.proto.sum"
 
 // Version is the version of the protocol; both sides must have the same.
 const Version = 1
