Slots: homes and brokers put their books right by syncs; views are set on one goroutine

Cause: found by killing entries under load. A frame of slots that did not arrive was never made up for; a broker that could not be reached refused the jobs; telling a new broker what is held crashed; setting a view could dial, and so deadlock, under the lock that dialing needs; releases under pressure put their own timer off without end. Change: SlotSync carries all that a home has of a pool, each second and whenever something may not have arrived, and a broker takes it once no grant is on its way; a new broker waits 150 ms for it. Slot frames never wait for a dial (Post) and are taken in order. A leaving upstream is told to its broker with the release of its place.

--- a/api/problem.go
+++ b/api/problem.go
@@ -23,7 +23,7 @@
 	Code string `json:"code"`
 	// Field names what is wrong in the request, where something is.
 	Field string `json:"field,omitempty"`
-	// Fate is "not_run" where this call started nothing under its key.
+	// Fate is "not_run" where nothing started, or ever will, under the key.
 	Fate         fate.Kind `json:"fate,omitempty"`
 	RetryAfterMs uint32    `json:"retry_after_ms,omitempty"`
 }
@@ -42,10 +42,9 @@
 	failure.Code(failure.Timeout.NewWithNoMessage()):      http.StatusGatewayTimeout,
 }
 
-// notRun lists the codes that prove that the call started nothing.
+// notRun lists the codes that prove that nothing started, or will, under the
+// key. A wrong request proves nothing: an earlier attempt may have been right.
 var notRun = map[string]bool{
-	failure.Code(failure.InvalidInput.NewWithNoMessage()): true,
-	failure.Code(failure.TooLarge.NewWithNoMessage()):     true,
 	failure.Code(failure.SessionEnded.NewWithNoMessage()): true,
 	failure.Code(failure.Stopping.NewWithNoMessage()):     true,
 }
--- a/dispatch/brokers.go
+++ b/dispatch/brokers.go
@@ -9,6 +9,8 @@
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/placement"
+
+	"github.com/samber/lo"
 )
 
 // brokers holds the pools that this instance hands out.
@@ -47,13 +49,24 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.pools[id] == nil {
-		p = &brokerPool{id: id, broker: placement.NewBroker(b.d.cfg.Broker), homes: map[fate.Incarnation]bool{}}
+		p = &brokerPool{id: id, broker: placement.NewBroker(b.d.cfg.Broker, b.quietUntil()), homes: map[fate.Incarnation]bool{}}
 		p.broker.SetUpstreams(b.upstreamsOf(b.d.view.Load(), id), nowMs())
 		b.pools[id] = p
 	}
 	return b.pools[id]
 }
 
+// settleMs is how long a new broker waits for homes to say what they hold,
+// where there are others.
+const settleMs = 150
+
+func (b *brokers) quietUntil() int64 {
+	if len(b.d.view.Load().Members) <= 1 {
+		return 0
+	}
+	return nowMs() + settleMs
+}
+
 // upstreamsOf returns the upstreams of a pool, those seen leaving marked.
 func (b *brokers) upstreamsOf(v *View, id string) []placement.Upstream {
 	p := v.pools[id]
@@ -108,7 +121,7 @@
 // held.
 func (p *brokerPool) message(g *placement.Grant) *inner.SlotGrant {
 	m := &inner.SlotGrant{
-		Pool: p.id, Ticket: g.Ticket, Refused: string(g.Refused), RetryAfterMs: uint32(g.RetryAfterMs),
+		Pool: p.id, Ticket: g.Ticket, Sequence: g.Sequence, Refused: string(g.Refused), RetryAfterMs: uint32(g.RetryAfterMs),
 		Hurry: p.broker.Queued() > 0, Free: uint32(p.broker.Free()), Queued: uint32(p.broker.Queued()),
 	}
 	for _, place := range g.Places {
@@ -131,29 +144,51 @@
 	return hasten
 }
 
-// deliver sends a grant to a home, which may be this instance.
+// deliver sends a grant to a home, which may be this instance. One that does
+// not arrive is noticed at the home's next sync.
 func (b *brokers) deliver(home fate.Incarnation, m *inner.SlotGrant) {
 	if home == b.d.cfg.Self {
-		b.d.slots.granted(m)
+		b.d.slots.granted(home, m)
 		return
 	}
-	if err := b.d.peers.Send(home, &inner.Frame{Body: &inner.Frame_SlotGrant{SlotGrant: m}}); err != nil {
+	if err := b.d.peers.Post(home, &inner.Frame{Body: &inner.Frame_SlotGrant{SlotGrant: m}}); err != nil {
 		b.d.cfg.Metrics.Waste("slot_grant")
 	}
 }
 
+// take takes a frame of a home. Frames of one home come in order.
+func (b *brokers) take(home fate.Incarnation, f *inner.Frame) {
+	switch body := f.GetBody().(type) {
+	case *inner.Frame_SlotRequest:
+		b.request(home, body.SlotRequest)
+	case *inner.Frame_SlotRelease:
+		b.release(home, body.SlotRelease)
+	case *inner.Frame_SlotWithdraw:
+		b.withdraw(home, body.SlotWithdraw)
+	case *inner.Frame_SlotSync:
+		b.sync(home, body.SlotSync)
+	}
+}
+
 func (b *brokers) request(home fate.Incarnation, m *inner.SlotRequest) {
-	held := make([]placement.Place, 0, len(m.GetHeld()))
-	for _, h := range m.GetHeld() {
-		held = append(held, placement.Place{Upstream: h.GetUpstream(), Count: int(h.GetCount())})
+	b.run(b.pool(m.GetPool()), func(k *placement.Broker) []placement.Grant { return k.Request(toRequest(home, m), nowMs()) })
+}
+
+func toRequest(home fate.Incarnation, m *inner.SlotRequest) placement.Request {
+	return placement.Request{
+		Home: string(home), Ticket: m.GetTicket(), Count: int(m.GetCount()),
+		Needs: toNeeds(m.GetNeeds()), RunMs: float64(m.GetRunMs()), Service: m.GetService(), DeadlineMs: m.GetDeadlineMs(),
+		Zone: m.GetZone(), Avoid: m.GetAvoidZones(),
 	}
+}
+
+func (b *brokers) sync(home fate.Incarnation, m *inner.SlotSync) {
+	held := lo.Map(m.GetHeld(), func(h *inner.Place, _ int) placement.Place {
+		return placement.Place{Upstream: h.GetUpstream(), Count: int(h.GetCount())}
+	})
+	waiting := lo.Map(m.GetWaiting(), func(r *inner.SlotRequest, _ int) placement.Request { return toRequest(home, r) })
 	b.run(b.pool(m.GetPool()), func(k *placement.Broker) []placement.Grant {
-		k.Hold(string(home), held)
-		return k.Request(placement.Request{
-			Home: string(home), Ticket: m.GetTicket(), Count: int(m.GetCount()),
-			Needs: toNeeds(m.GetNeeds()), RunMs: float64(m.GetRunMs()), Service: m.GetService(), DeadlineMs: m.GetDeadlineMs(),
-			Zone: m.GetZone(), Avoid: m.GetAvoidZones(),
-		}, nowMs())
+		return k.Sync(string(home), m.GetSequence(), held, waiting, nowMs())
 	})
 }
 
@@ -162,8 +197,11 @@
 	for _, u := range m.GetUsages() {
 		usages = append(usages, placement.Usage{
 			Upstream: u.GetUpstream(), Needs: toNeeds(u.GetNeeds()), Service: u.GetService(), Count: int(u.GetCount()),
-			RunMs: float64(u.GetRunUs()) / 1000, Failed: int(u.GetFailed()), HoldMs: int64(u.GetHoldMs()),
+			RunMs: float64(u.GetRunUs()) / 1000, Failed: int(u.GetFailed()), HoldMs: int64(u.GetHoldMs()), Leaving: u.GetLeaving(),
 		})
+		if u.GetLeaving() {
+			b.d.UpstreamLeaving(u.GetUpstream())
+		}
 	}
 	p := b.pool(m.GetPool())
 	b.run(p, func(k *placement.Broker) []placement.Grant {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 // Peers carries frames to other instances; inner.Mesh does.
 type Peers interface {
 	Send(peer fate.Incarnation, f *inner.Frame) error
+	Post(peer fate.Incarnation, f *inner.Frame) error
 	Begin(peer fate.Incarnation, f *inner.Frame) (*inner.Pending, error)
 	Call(ctx context.Context, peer fate.Incarnation, f *inner.Frame) (*inner.Frame, error)
 }
@@ -160,6 +161,7 @@
 
 func (d *Dispatcher) tick(now time.Time) {
 	d.brokers.tick(now)
+	d.slots.tick(now)
 	d.homes.tick(now)
 	d.witnesses.tick(now)
 }
--- a/dispatch/frames.go
+++ b/dispatch/frames.go
@@ -9,8 +9,8 @@
 )
 
 // Frame takes a frame of another instance, as inner.Handler. It reports false
-// for a frame that is not the dispatcher's. Appends are taken in order; what
-// waits runs on a goroutine of its own.
+// for a frame that is not the dispatcher's. Appends and slots are taken in
+// order; what waits runs on a goroutine of its own.
 func (d *Dispatcher) Frame(from fate.Incarnation, f *inner.Frame, reply func(*inner.Frame)) bool {
 	switch body := f.GetBody().(type) {
 	case *inner.Frame_Append:
@@ -24,14 +24,10 @@
 			d.cancelled(body.Cancel)
 			replyWith(reply, nil)
 		}()
-	case *inner.Frame_SlotRequest:
-		go d.brokers.request(from, body.SlotRequest)
 	case *inner.Frame_SlotGrant:
-		go d.slots.granted(body.SlotGrant)
-	case *inner.Frame_SlotRelease:
-		go d.brokers.release(from, body.SlotRelease)
-	case *inner.Frame_SlotWithdraw:
-		go d.brokers.withdraw(from, body.SlotWithdraw)
+		d.slots.granted(from, body.SlotGrant)
+	case *inner.Frame_SlotRequest, *inner.Frame_SlotRelease, *inner.Frame_SlotWithdraw, *inner.Frame_SlotSync:
+		d.brokers.take(from, f)
 	default:
 		return false
 	}
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -22,9 +22,18 @@
 	held    map[string]int // places in use, by upstream
 	returns map[string]*returning
 	load    map[string]poolLoad
+	seen    map[string]seen // the last grant of each pool
+	unsure  map[string]bool // pools that something may not have reached
+	synced  time.Time
 	closed  bool
 }
 
+// seen is the last grant that came of a pool, and who sent it.
+type seen struct {
+	broker   fate.Incarnation
+	sequence uint64
+}
+
 // ticket is a request for places that is not filled yet.
 type ticket struct {
 	id       string
@@ -43,7 +52,8 @@
 type returning struct {
 	usages []placement.Usage
 	timer  *time.Timer
-	hurry  bool // work waits there: nothing is held back
+	due    time.Time // of the timer
+	hurry  bool      // work waits there: nothing is held back
 }
 
 // poolLoad is what was last heard of a pool.
@@ -58,6 +68,8 @@
 	s.held = map[string]int{}
 	s.returns = map[string]*returning{}
 	s.load = map[string]poolLoad{}
+	s.seen = map[string]seen{}
+	s.unsure = map[string]bool{}
 }
 
 func (s *slots) close() {
@@ -222,40 +234,45 @@
 	if !t.log.noteTicket(t.key, t.id) {
 		return
 	}
+	s.flush(t.pool)
 	s.mu.Lock()
 	s.tickets[t.id] = t
+	m := s.requestOf(v, t)
 	s.mu.Unlock()
-	s.flush(t.pool)
-	s.ask(v, t, nil)
+	if p := v.pools[t.pool]; p != nil {
+		s.post(p, &inner.Frame{Body: &inner.Frame_SlotRequest{SlotRequest: m}})
+	}
 }
 
-func (s *slots) ask(v *View, t *ticket, held []*inner.Place) {
-	p := v.pools[t.pool]
-	if p == nil {
-		return
-	}
-	s.mu.Lock()
-	count := len(t.tasks)
-	s.mu.Unlock()
-	m := &inner.SlotRequest{
-		Ticket: t.id, Pool: t.pool, Count: uint32(count), Needs: fromNeeds(t.needs), RunMs: t.runMs,
-		Service: t.service, DeadlineMs: t.deadline, Held: held,
-		Zone: s.d.cfg.Zone, AvoidZones: v.avoid,
+// requestOf returns what t asks for. The lock is held.
+func (s *slots) requestOf(v *View, t *ticket) *inner.SlotRequest {
+	return &inner.SlotRequest{
+		Ticket: t.id, Pool: t.pool, Count: uint32(len(t.tasks)), Needs: fromNeeds(t.needs), RunMs: t.runMs,
+		Service: t.service, DeadlineMs: t.deadline, Zone: s.d.cfg.Zone, AvoidZones: v.avoid,
 	}
+}
+
+// post sends a frame to the broker of a pool, which may be this instance. What
+// does not arrive is made up for by the next sync.
+func (s *slots) post(p *poolView, f *inner.Frame) {
 	if p.broker == s.d.cfg.Self {
-		s.d.brokers.request(s.d.cfg.Self, m)
+		s.d.brokers.take(s.d.cfg.Self, f)
 		return
 	}
-	err := s.d.peers.Send(p.broker, &inner.Frame{Body: &inner.Frame_SlotRequest{SlotRequest: m}})
-	if err != nil {
-		s.refused(t, noPoolRetryMs)
+	if err := s.d.peers.Post(p.broker, f); err != nil {
+		s.mu.Lock()
+		s.unsure[p.ID] = true
+		s.mu.Unlock()
 	}
 }
 
 // granted takes places from a broker.
-func (s *slots) granted(m *inner.SlotGrant) {
+func (s *slots) granted(from fate.Incarnation, m *inner.SlotGrant) {
 	s.mu.Lock()
 	t := s.tickets[m.GetTicket()]
+	if m.GetSequence() > 0 {
+		s.seen[m.GetPool()] = seen{from, m.GetSequence()}
+	}
 	if m.GetHurry() {
 		s.hasten(m.GetPool())
 	}
@@ -336,6 +353,7 @@
 	}
 	r := s.returnsOf(pool)
 	r.add(u)
+	r.hurry = r.hurry || u.Failed > 0 || u.HoldMs > 0 || u.Leaving // the broker should know
 	s.schedule(pool, r)
 }
 
@@ -352,7 +370,7 @@
 func (r *returning) add(u placement.Usage) {
 	for i := range r.usages {
 		o := &r.usages[i]
-		if o.Upstream == u.Upstream && o.Needs == u.Needs && o.Service == u.Service && o.HoldMs == u.HoldMs {
+		if o.Upstream == u.Upstream && o.Needs == u.Needs && o.Service == u.Service && o.HoldMs == u.HoldMs && o.Leaving == u.Leaving {
 			o.Count += u.Count
 			o.RunMs += u.RunMs
 			o.Failed += u.Failed
@@ -371,12 +389,14 @@
 	if r.hurry || s.d.view.Load().brokers(pool, s.d.cfg.Self) {
 		delay = hurryDelay
 	}
-	if r.timer != nil && !r.hurry {
+	due := time.Now().Add(delay)
+	if r.timer != nil && !due.Before(r.due) {
 		return
 	}
 	if r.timer != nil {
 		r.timer.Stop()
 	}
+	r.due = due
 	r.timer = time.AfterFunc(delay, func() { s.flush(pool) })
 }
 
@@ -405,14 +425,10 @@
 	for _, u := range usages {
 		m.Usages = append(m.Usages, &inner.Usage{
 			Upstream: u.Upstream, Needs: fromNeeds(u.Needs), Service: u.Service, Count: uint32(u.Count),
-			RunUs: uint32(u.RunMs * 1000), Failed: uint32(u.Failed), HoldMs: uint32(u.HoldMs),
+			RunUs: uint32(u.RunMs * 1000), Failed: uint32(u.Failed), HoldMs: uint32(u.HoldMs), Leaving: u.Leaving,
 		})
 	}
-	if p.broker == s.d.cfg.Self {
-		s.d.brokers.release(s.d.cfg.Self, m)
-		return
-	}
-	_ = s.d.peers.Send(p.broker, &inner.Frame{Body: &inner.Frame_SlotRelease{SlotRelease: m}})
+	s.post(p, &inner.Frame{Body: &inner.Frame_SlotRelease{SlotRelease: m}})
 }
 
 // withdraw takes back what waits of tickets, one message for each broker.
@@ -426,54 +442,83 @@
 		}
 	}
 	s.mu.Unlock()
+	v := s.d.view.Load()
 	for pool, tickets := range byPool {
-		s.sendWithdraw(&inner.SlotWithdraw{Pool: pool, Tickets: tickets})
-	}
-}
-
-func (s *slots) sendWithdraw(m *inner.SlotWithdraw) {
-	p := s.d.view.Load().pools[m.GetPool()]
-	if p == nil {
-		return
-	}
-	if p.broker == s.d.cfg.Self {
-		s.d.brokers.withdraw(s.d.cfg.Self, m)
-		return
+		p := v.pools[pool]
+		if p == nil || p.broker == "" {
+			continue
+		}
+		if p.broker != s.d.cfg.Self {
+			s.d.cfg.Metrics.Waste("slot_withdraw")
+		}
+		s.post(p, &inner.Frame{Body: &inner.Frame_SlotWithdraw{SlotWithdraw: &inner.SlotWithdraw{Pool: pool, Tickets: tickets}}})
 	}
-	s.d.cfg.Metrics.Waste("slot_withdraw")
-	_ = s.d.peers.Send(p.broker, &inner.Frame{Body: &inner.Frame_SlotWithdraw{SlotWithdraw: m}})
 }
 
-// rebind takes a new view: what waits at a pool whose broker changed is asked
-// for again at the new one, which learns there what is held.
+// rebind takes a new view: a new broker learns what is held and what waits.
 func (s *slots) rebind(before, now *View) {
 	for _, id := range now.order {
 		old := before.pools[id]
 		if old != nil && old.broker == now.pools[id].broker {
 			continue
 		}
-		if held := s.heldAt(now, id); len(held) > 0 && old != nil {
-			s.ask(now, &ticket{pool: id}, held)
-		}
-		for _, t := range s.waitingAt(id) {
-			s.ask(now, t, nil)
-		}
+		s.mu.Lock()
+		delete(s.load, id)
+		s.mu.Unlock()
+		s.sync(now, id)
 	}
 	for _, t := range s.homeless(now) {
 		s.refused(t, noPoolRetryMs)
 	}
 }
 
-func (s *slots) waitingAt(pool string) []*ticket {
+// syncEvery is how often brokers learn what this instance has of their pools.
+const syncEvery = time.Second
+
+// tick syncs with the brokers: all of them now and then, and at once those
+// that something may not have reached.
+func (s *slots) tick(now time.Time) {
+	v := s.d.view.Load()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []*ticket
+	all := now.Sub(s.synced) >= syncEvery
+	if all {
+		s.synced = now
+	}
+	var pools []string
+	for _, id := range v.order {
+		if s.unsure[id] || all {
+			pools = append(pools, id)
+		}
+	}
+	clear(s.unsure)
+	s.mu.Unlock()
+	for _, id := range pools {
+		s.sync(v, id)
+	}
+}
+
+// sync tells a broker all that this instance has of its pool, if anything.
+func (s *slots) sync(v *View, pool string) {
+	p := v.pools[pool]
+	if p == nil || p.broker == "" {
+		return
+	}
+	s.flush(pool)
+	s.mu.Lock()
+	m := &inner.SlotSync{Pool: pool, Held: s.heldAt(v, pool)}
 	for _, t := range s.tickets {
-		if t.pool == pool {
-			list = append(list, t)
+		if t.pool == pool && len(t.tasks) > 0 {
+			m.Waiting = append(m.Waiting, s.requestOf(v, t))
 		}
 	}
-	return list
+	last := s.seen[pool]
+	if last.broker == p.broker {
+		m.Sequence = last.sequence
+	}
+	s.mu.Unlock()
+	if last.broker == p.broker || len(m.Held) > 0 || len(m.Waiting) > 0 {
+		s.post(p, &inner.Frame{Body: &inner.Frame_SlotSync{SlotSync: m}})
+	}
 }
 
 // homeless returns the tickets whose pool is gone.
@@ -489,15 +534,24 @@
 	return list
 }
 
+// heldAt returns the places held at a pool: those in use, and those that the
+// next release gives back. The lock is held.
 func (s *slots) heldAt(v *View, pool string) []*inner.Place {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []*inner.Place
+	counts := map[string]int{}
 	for upstream, n := range s.held {
 		if v.poolOf[upstream] == pool {
-			list = append(list, &inner.Place{Upstream: upstream, Count: uint32(n)})
+			counts[upstream] += n
 		}
 	}
+	if r := s.returns[pool]; r != nil {
+		for _, u := range r.usages {
+			counts[u.Upstream] += u.Count
+		}
+	}
+	list := make([]*inner.Place, 0, len(counts))
+	for upstream, n := range counts {
+		list = append(list, &inner.Place{Upstream: upstream, Count: uint32(n)})
+	}
 	return list
 }
 
--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -145,6 +145,7 @@
 		return
 	case api.RefusedLeaving:
 		l.d.UpstreamLeaving(o.Upstream)
+		u.Leaving = true
 	default:
 		u.HoldMs = holdBusy.Milliseconds()
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -153,8 +153,10 @@
 
 func (o *option) apply(name string, file *ini.File, c *Config) error {
 	section := file.Section(o.section)
-	value := section.Key(o.key).String()
-	if !section.HasKey(o.key) {
+	value := ""
+	if section.HasKey(o.key) { // Key would make it
+		value = section.Key(o.key).String()
+	} else {
 		if o.fallback == "" && !o.optional {
 			return failure.Field(failure.InvalidInput, o.section+"."+o.key, "%s: [%s] %s is missing; allowed: %s", name, o.section, o.key, o.allowed)
 		}
--- /dev/null
+++ b/entry/config_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+)
+
+const good = `
+[instance]
+fleet = f
+name = e1
+zone = a
+[listen]
+callers = 127.0.0.1:7400
+inner = 127.0.0.1:7500
+[platform]
+address = 127.0.0.1:7300
+`
+
+func TestConfigDefaults(t *testing.T) {
+	c, problems := ParseConfig("e.ini", []byte(good))
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	if c.Instance != "e1" || c.Heartbeat != 500*time.Millisecond || c.Grace != 30*time.Second || c.LogFormat != "text" {
+		t.Errorf("config %+v", c)
+	}
+}
+
+// TestConfigListsEveryProblem holds that one check names all that is wrong.
+func TestConfigListsEveryProblem(t *testing.T) {
+	_, problems := ParseConfig("e.ini", []byte(`
+[instance]
+fleet = f
+name = e.1
+[listen]
+callers = localhost:99
+inner = 127.0.0.1:7500
+colour = red
+[platform]
+address = 127.0.0.1:7300
+[peers]
+suspect_ms = 500
+dead_ms = 400
+[tracing]
+ratio = 2
+`))
+	var fields []string
+	for _, p := range problems {
+		if !failure.Is(p, failure.InvalidInput) {
+			t.Errorf("problem without its type: %v", p)
+		}
+		fields = append(fields, failure.FieldOf(p))
+	}
+	slices.Sort(fields)
+	want := []string{"instance.name", "instance.zone", "listen.callers", "listen.colour", "peers.dead_ms", "tracing.ratio"}
+	if !slices.Equal(fields, want) {
+		t.Errorf("problems %v, want %v", fields, want)
+	}
+}
+
+func TestConfigIsNotINI(t *testing.T) {
+	if _, problems := ParseConfig("e.ini", []byte("[instance\nx")); len(problems) != 1 {
+		t.Errorf("problems %v", problems)
+	}
+	if _, problems := LoadConfig("no/such/file.ini"); len(problems) != 1 {
+		t.Errorf("problems %v", problems)
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -53,17 +53,18 @@
 	conns    connset.Set // of callers
 	inner    net.Listener
 
-	mu        sync.Mutex // guards table and listed
-	table     *membership.Table
-	listed    []api.PlatformInstance
-	settings  atomic.Pointer[applied]
-	leaving   atomic.Bool
-	inFlight  atomic.Int64 // calls of callers that wait for an answer
-	flights   flights
-	stop      context.Context
-	cancel    context.CancelFunc
-	running   sync.WaitGroup
-	closeOnce sync.Once
+	mu          sync.Mutex // guards table and listed
+	table       *membership.Table
+	listed      []api.PlatformInstance
+	viewChanged chan struct{}
+	settings    atomic.Pointer[applied]
+	leaving     atomic.Bool
+	inFlight    atomic.Int64 // calls of callers that wait for an answer
+	flights     flights
+	stop        context.Context
+	cancel      context.CancelFunc
+	running     sync.WaitGroup
+	closeOnce   sync.Once
 }
 
 // applied is a revision of the settings that is in force here.
@@ -116,7 +117,7 @@
 		cfg: cfg, log: do.MustInvoke[*slog.Logger](i), metrics: do.MustInvoke[*metrics.Set](i),
 		self:   fate.Incarnation(cfg.Instance + "." + uuid.NewString()[:8]),
 		tracer: tracer, platform: do.MustInvoke[*platform.Client](i),
-		table: membership.NewTable(cfg.Membership),
+		table: membership.NewTable(cfg.Membership), viewChanged: make(chan struct{}, 1),
 	}
 	n.log = n.log.With(slog.String("instance", cfg.Instance))
 	n.stop, n.cancel = context.WithCancel(context.Background())
@@ -173,6 +174,7 @@
 	n.running.Go(func() { n.mesh.Serve(n.inner) })
 	n.running.Go(n.pollInstances)
 	n.running.Go(n.heartbeats)
+	n.running.Go(n.keepView)
 	n.running.Go(n.watchSettings)
 	n.running.Go(func() {
 		if err := n.app.Listener(n.conns.Listener(n.callers)); err != nil && n.stop.Err() == nil {
@@ -192,6 +194,7 @@
 	event.Draining.Log(n.log, slog.Int("jobs", n.dispatch.Active()))
 	n.leaving.Store(true)
 	n.dispatch.Drain()
+	n.updateView()
 	n.beat()
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Grace)
 	defer cancel()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -75,17 +75,31 @@
 	}
 }
 
-// updateView gives the dispatcher what is known of the fleet now.
+// updateView makes the dispatcher learn what is known of the fleet now.
 func (n *Node) updateView() {
+	select {
+	case n.viewChanged <- struct{}{}:
+	default:
+	}
+}
+
+// keepView gives the dispatcher each new view, one after another.
+func (n *Node) keepView() {
+	for {
+		select {
+		case <-n.stop.Done():
+			return
+		case <-n.viewChanged:
+			n.dispatch.SetView(n.view())
+		}
+	}
+}
+
+// view returns what is known of the fleet now.
+func (n *Node) view() dispatch.View {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	v := dispatch.View{Staffed: map[string]bool{n.cfg.Zone: true}}
-	if !n.leaving.Load() {
-		v.Members = append(v.Members, dispatch.Member{
-			Entry:       placement.Entry{Instance: n.cfg.Instance, Region: n.cfg.Region, Zone: n.cfg.Zone, Rack: n.cfg.Rack},
-			Incarnation: n.self,
-		})
-	}
 	for _, p := range n.table.Peers() {
 		v.Staffed[p.Zone] = true
 		if p.State == membership.Alive {
@@ -100,7 +114,14 @@
 			v.Upstreams = append(v.Upstreams, upstreamSpec(u))
 		}
 	}
-	n.dispatch.SetView(v)
+	if !n.leaving.Load() || len(v.Members) == 0 {
+		// One that leaves serves its own to the end where nobody else is there.
+		v.Members = append(v.Members, dispatch.Member{
+			Entry:       placement.Entry{Instance: n.cfg.Instance, Region: n.cfg.Region, Zone: n.cfg.Zone, Rack: n.cfg.Rack},
+			Incarnation: n.self,
+		})
+	}
+	return v
 }
 
 func upstreamSpec(u api.PlatformInstance) dispatch.UpstreamSpec {
--- a/experiment/cluster.go
+++ b/experiment/cluster.go
@@ -84,11 +84,13 @@
 	Recorder  *standin.Recorder
 	Upstreams []*standin.Upstream
 
-	mu    sync.Mutex
-	nodes map[string]*entry.Node
-	past  []*entry.Node // killed or stopped; their counters still count
-	zones map[string]string
-	order []string
+	mu     sync.Mutex
+	nodes  map[string]*entry.Node
+	past   []*entry.Node // killed or stopped; their counters still count
+	losses []Loss
+	zones  map[string]string
+	ports  map[string]entry.Config // where each entry listened first
+	order  []string
 }
 
 // StartCluster starts a cluster and waits until its entries know each other.
@@ -98,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Cluster{Spec: spec, Platform: p, Recorder: standin.NewRecorder(), nodes: map[string]*entry.Node{}, zones: map[string]string{}}
+	c := &Cluster{Spec: spec, Platform: p, Recorder: standin.NewRecorder(), nodes: map[string]*entry.Node{}, zones: map[string]string{}, ports: map[string]entry.Config{}}
 	if err := c.start(); err != nil {
 		c.Close()
 		return nil, err
@@ -154,10 +156,15 @@
 		Grace: 30 * time.Second, Heartbeat: c.Spec.Heartbeat, PollInstances: c.Spec.PollList,
 		Membership: c.Spec.Membership, Dispatch: c.Spec.Dispatch,
 	}
+	if before, again := c.ports[name]; again {
+		cfg.ListenCallers, cfg.ListenInner = before.ListenCallers, before.ListenInner
+	}
 	n, err := entry.New(cfg, c.hooks(name), c.Spec.Log)
 	if err != nil {
 		return nil, err
 	}
+	cfg.ListenCallers, cfg.ListenInner = n.CallersAddress(), n.Instance().Address
+	c.ports[name] = cfg
 	c.locate(n.Instance().Address, c.zones[name])
 	c.locate(n.CallersAddress(), c.zones[name])
 	c.Platform.List(n.Instance())
@@ -174,7 +181,8 @@
 	if c.Spec.Network == nil {
 		return h
 	}
-	dial := func(address string) (net.Conn, error) { return c.Spec.Network.Dial(c.zones[name], address) }
+	zone := c.zones[name]
+	dial := func(address string) (net.Conn, error) { return c.Spec.Network.Dial(zone, address) }
 	h.DialInner = func(_ context.Context, address string) (net.Conn, error) { return dial(address) }
 	h.DialUpstream = dial
 	h.DialPlatform = dial
@@ -252,10 +260,26 @@
 	return n
 }
 
+// Loss is an entry that was killed, and when.
+type Loss struct {
+	Name string
+	At   time.Time
+}
+
+// Losses returns the entries that were killed so far.
+func (c *Cluster) Losses() []Loss {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Loss(nil), c.losses...)
+}
+
 // KillEntry ends an entry abruptly. The platform's list keeps it for a while,
 // as it would.
 func (c *Cluster) KillEntry(name string) {
 	if n := c.take(name); n != nil {
+		c.mu.Lock()
+		c.losses = append(c.losses, Loss{name, time.Now()})
+		c.mu.Unlock()
 		n.Kill()
 	}
 }
--- a/experiment/faults.go
+++ b/experiment/faults.go
@@ -16,6 +16,7 @@
 	"kill_entry":   killEntries,
 	"stop_entry":   stopEntries,
 	"rolling":      rollingRestart,
+	"losses":       losses,
 	"fail_all":     onUpstreams(func(u *standin.Upstream, on bool, _ int64) { u.Faults.FailAll.Store(on) }),
 	"straggle":     onUpstreams(func(u *standin.Upstream, on bool, factor int64) { u.Faults.Straggle.Store(times(on, factor)) }),
 	"drop_answers": onUpstreams(func(u *standin.Upstream, on bool, _ int64) { u.Faults.DropAnswers.Store(on) }),
@@ -77,6 +78,21 @@
 	}
 }
 
+// losses kills one entry after another, Factor times, each for a while.
+func losses(c *Cluster, _ *Network, f *FaultSection) func() {
+	const down = 250 * time.Millisecond
+	for i := range f.Factor {
+		name := c.Names()[int(i)%len(c.Names())]
+		c.KillEntry(name)
+		time.Sleep(down)
+		if _, err := c.StartEntry(name); err != nil {
+			return nil
+		}
+		_ = c.AwaitMembers(len(c.Names()), 10*time.Second)
+	}
+	return nil
+}
+
 func stopEntries(c *Cluster, _ *Network, f *FaultSection) func() {
 	for _, name := range fields(f.Target) {
 		c.StopEntry(context.Background(), name)
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -94,11 +94,25 @@
 	RefusalP99Ms    float64          `json:"refusal_p99_ms"`
 	GoodputShare    float64          `json:"goodput_share"` // run time of complete jobs, of all slots' time
 	Resubmissions   int64            `json:"resubmissions"`
+	Losses          LossReport       `json:"losses"`
 	Sent            map[string]int64 `json:"sent"`
 	Wasted          map[string]int64 `json:"wasted"`
 	Services        []ServiceReport  `json:"services"`
 }
 
+// LossReport is what became of the jobs that were in flight at an entry when
+// that was killed. First is the fate of the key that was in flight; Final, what
+// the caller had in the end, after a new key where the first was not run.
+type LossReport struct {
+	Entries   int                 `json:"entries"`
+	Jobs      int                 `json:"jobs"`
+	First     map[fate.Kind]int   `json:"first"`
+	Reasons   map[fate.Reason]int `json:"reasons"`
+	Final     map[fate.Kind]int   `json:"final"`
+	AnswerP50 float64             `json:"answer_ms_p50"` // from the loss to the answer
+	AnswerP99 float64             `json:"answer_ms_p99"`
+}
+
 // ServiceReport is the part of one service.
 type ServiceReport struct {
 	Name     string  `json:"name"`
@@ -132,6 +146,14 @@
 	services  []*serviceRun
 	goodMs    float64
 	resubmits atomic.Int64
+	jobs      []jobRecord
+}
+
+// jobRecord is a job as its caller saw it.
+type jobRecord struct {
+	home         string
+	began, ended time.Time
+	first, final api.Answer
 }
 
 type serviceRun struct {
@@ -266,16 +288,30 @@
 	if again {
 		r.wg.Go(func() { r.resubmit(sub, cl, ideal) })
 	}
+	began := time.Now()
 	answer, err := sub.Submit(ctx)
+	record := jobRecord{home: homeName(sub), began: began, first: answer}
 	if ended(answer, err) {
 		// Provably not run, only for where it was sent: the library sends it
 		// again under a new key.
 		cl.Leave(sub)
 		answer, err = cl.Do(ctx, job)
 	}
+	record.ended, record.final = time.Now(), answer
+	r.mu.Lock()
+	r.jobs = append(r.jobs, record)
+	r.mu.Unlock()
 	r.note(s, job, answer, err, ideal, time.Since(due))
 }
 
+func homeName(sub *client.Submission) string {
+	log, err := sub.Key().Session.Log()
+	if err != nil {
+		return ""
+	}
+	return log.Home.Instance()
+}
+
 func ended(answer api.Answer, err error) bool {
 	return failure.Is(err, failure.SessionEnded) || failure.Is(err, failure.Stopping) || err == nil && client.HomeEnded(&answer)
 }
@@ -374,6 +410,7 @@
 	for _, task := range twice {
 		p.Violations = append(p.Violations, "started twice: "+task)
 	}
+	p.Losses = r.losses()
 	for _, s := range r.services {
 		s.report.RatioP50, s.report.RatioP99 = quantiles(s.ratios, ratioScale)
 		s.report.MsP50, s.report.MsP99 = quantiles(s.micros, 1000)
@@ -398,3 +435,26 @@
 	}
 	return total
 }
+
+// losses finds the jobs that were in flight at entries when those were killed.
+func (r *run) losses() LossReport {
+	report := LossReport{First: map[fate.Kind]int{}, Final: map[fate.Kind]int{}, Reasons: map[fate.Reason]int{}}
+	took := hdrhistogram.New(1, maxMicros, significance)
+	for _, loss := range r.c.Losses() {
+		report.Entries++
+		for _, j := range r.jobs {
+			if j.home != loss.Name || loss.At.Before(j.began) || loss.At.After(j.ended) {
+				continue
+			}
+			report.Jobs++
+			report.First[j.first.Fate]++
+			report.Final[j.final.Fate]++
+			if j.first.Fate != fate.Complete {
+				report.Reasons[j.first.Reason]++
+			}
+			_ = took.RecordValue(j.ended.Sub(loss.At).Microseconds())
+		}
+	}
+	report.AnswerP50, report.AnswerP99 = quantiles(took, 1000)
+	return report
+}
--- a/inner/link.go
+++ b/inner/link.go
@@ -93,7 +93,7 @@
 
 func laneOf(f *Frame) int {
 	switch f.GetBody().(type) {
-	case *Frame_Heartbeat, *Frame_SlotRequest, *Frame_SlotGrant, *Frame_SlotRelease, *Frame_SlotWithdraw:
+	case *Frame_Heartbeat, *Frame_SlotRequest, *Frame_SlotGrant, *Frame_SlotRelease, *Frame_SlotWithdraw, *Frame_SlotSync:
 		return laneControl
 	default:
 		return laneBulk
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -326,6 +326,32 @@
 	return k.send(f)
 }
 
+// Post is Send, but never waits for a connection to be opened: without one the
+// error is Unreachable, and one is opened for later.
+func (m *Mesh) Post(peer fate.Incarnation, f *Frame) error {
+	m.mu.Lock()
+	d := m.links[peer.Instance()]
+	m.mu.Unlock()
+	if k := d.open(); k != nil && k.peer == peer {
+		m.cfg.Count(KindOf(f))
+		return k.send(f)
+	}
+	go func() { _, _ = m.connect(peer.Instance()) }()
+	return failure.Unreachable.New("no connection to %s is open yet", peer)
+}
+
+// open returns the connection if it is open and nobody is opening it.
+func (d *dialed) open() *link {
+	if d == nil || !d.mu.TryLock() {
+		return nil
+	}
+	defer d.mu.Unlock()
+	if d.link == nil || d.link.isDown() {
+		return nil
+	}
+	return d.link
+}
+
 // Pending is a call whose reply has not come yet.
 type Pending struct {
 	peer  fate.Incarnation
@@ -447,6 +473,8 @@
 		return "slot_release"
 	case *Frame_SlotWithdraw:
 		return "slot_withdraw"
+	case *Frame_SlotSync:
+		return "slot_sync"
 	case *Frame_Problem:
 		return "problem"
 	default:
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -63,6 +63,7 @@
 type Grant struct {
 	Home         string
 	Ticket       string
+	Sequence     uint64 // counts the grants to this home, refusals aside
 	Places       []Place
 	Refused      Refusal
 	RetryAfterMs int64
@@ -77,6 +78,7 @@
 	RunMs    float64 // sum over the tasks that finished
 	Failed   int
 	HoldMs   int64 // the upstream was busy: leave these places alone so long
+	Leaving  bool  // the upstream said that it is leaving
 }
 
 type ticket struct {
@@ -100,6 +102,7 @@
 type orphan struct {
 	upstream string
 	count    int
+	taken    Needs
 	at       int64
 }
 
@@ -111,16 +114,26 @@
 	queue    []*ticket
 	tickets  map[ticketKey]*ticket
 	queued   int // tasks
-	held     map[heldKey]int
+	held     map[heldKey]*holding
+	homes    map[string]*grants
 	orphans  []orphan
 	services *estimates
+	// quietUntil is when a new broker may begin to grant.
+	quietUntil int64
 }
 
-// NewBroker returns a broker without upstreams.
-func NewBroker(cfg BrokerConfig) *Broker {
+// grants counts what was granted to one home.
+type grants struct {
+	sequence uint64
+	last     int64 // Unix milliseconds
+}
+
+// NewBroker returns a broker without upstreams. It grants nothing before
+// quietUntil (Unix milliseconds), so that homes can say what they hold.
+func NewBroker(cfg BrokerConfig, quietUntil int64) *Broker {
 	return &Broker{
 		cfg: cfg, places: map[string]*place{}, tickets: map[ticketKey]*ticket{},
-		held: map[heldKey]int{}, services: newEstimates(),
+		held: map[heldKey]*holding{}, homes: map[string]*grants{}, quietUntil: quietUntil, services: newEstimates(),
 	}
 }
 
@@ -177,13 +190,6 @@
 	return slots
 }
 
-// Hold notes places that a home got from the broker before this one.
-func (b *Broker) Hold(home string, held []Place) {
-	for _, h := range held {
-		b.take(home, b.placeOf(h.Upstream), Needs{}, h.Count)
-	}
-}
-
 func (b *Broker) placeOf(id string) *place {
 	p := b.places[id]
 	if p == nil {
@@ -193,17 +199,60 @@
 	return p
 }
 
+// holding is what one home holds of one upstream.
+type holding struct {
+	count int
+	taken Needs
+}
+
 func (b *Broker) take(home string, p *place, n Needs, count int) {
-	p.used += count
+	key := heldKey{home, p.ID}
+	h := b.held[key]
+	if h == nil {
+		h = &holding{}
+		b.held[key] = h
+	}
 	for range count {
 		p.taken = p.taken.plus(n)
+		h.taken = h.taken.plus(n)
+	}
+	p.used += count
+	h.count += count
+}
+
+// giveUp takes count places of a holding back and returns what they took. The
+// places stay used until they are vacated.
+func (b *Broker) giveUp(key heldKey, count int) Needs {
+	h := b.held[key]
+	share := float64(count) / float64(h.count)
+	freed := Needs{h.taken.CPU * share, uint64(float64(h.taken.MemoryMB) * share), uint32(float64(h.taken.Accelerators) * share)}
+	h.taken = h.taken.minus(freed)
+	h.count -= count
+	if h.count <= 0 {
+		delete(b.held, key)
+	}
+	return freed
+}
+
+func (p *place) vacate(freed Needs, count int) {
+	p.used = max(p.used-count, 0)
+	p.taken = p.taken.minus(freed)
+	if p.used == 0 {
+		p.taken = Needs{}
 	}
-	b.held[heldKey{home, p.ID}] += count
 }
 
 // Request takes a request. What can be placed is granted at once, the rest
 // waits, unless it would wait past its deadline or past the queue's bound.
 func (b *Broker) Request(r Request, now int64) []Grant {
+	if refused := b.enqueue(r, now); refused != nil {
+		return refused
+	}
+	return b.serve(now)
+}
+
+// enqueue makes a request wait, or refuses it.
+func (b *Broker) enqueue(r Request, now int64) []Grant {
 	key := ticketKey{r.Home, r.Ticket}
 	if b.tickets[key] != nil || r.Count <= 0 {
 		return nil
@@ -215,7 +264,7 @@
 	b.tickets[key] = t
 	b.queue = append(b.queue, t)
 	b.queued += r.Count
-	return b.serve(now)
+	return nil
 }
 
 // wait estimates how long r would wait, in milliseconds, and whether that is
@@ -264,35 +313,19 @@
 		return
 	}
 	b.learn(p, u, now)
-	count := min(u.Count, b.held[heldKey{home, u.Upstream}])
-	if count == 0 {
+	p.Leaving = p.Leaving || u.Leaving
+	key := heldKey{home, u.Upstream}
+	h := b.held[key]
+	if h == nil {
 		return
 	}
+	count := min(u.Count, h.count)
+	freed := b.giveUp(key, count)
 	if u.HoldMs > 0 {
-		b.unhold(home, u.Upstream, count)
-		b.orphans = append(b.orphans, orphan{u.Upstream, count, now + u.HoldMs})
+		b.orphans = append(b.orphans, orphan{u.Upstream, count, freed, now + u.HoldMs})
 		return
 	}
-	b.unhold(home, u.Upstream, count)
-	b.vacate(p, u.Needs, count)
-}
-
-func (b *Broker) unhold(home, upstream string, count int) {
-	key := heldKey{home, upstream}
-	b.held[key] -= count
-	if b.held[key] <= 0 {
-		delete(b.held, key)
-	}
-}
-
-func (b *Broker) vacate(p *place, n Needs, count int) {
-	p.used = max(p.used-count, 0)
-	for range count {
-		p.taken = p.taken.minus(n)
-	}
-	if p.used == 0 {
-		p.taken = Needs{}
-	}
+	p.vacate(freed, count)
 }
 
 // learn takes what the tasks of a usage were like.
@@ -337,13 +370,13 @@
 			b.remove(t)
 		}
 	}
-	for key, count := range b.held {
-		if key.home != home {
-			continue
+	for key, h := range b.held {
+		if key.home == home {
+			count := h.count
+			b.orphans = append(b.orphans, orphan{key.upstream, count, b.giveUp(key, count), now + b.cfg.OrphanMs})
 		}
-		delete(b.held, key)
-		b.orphans = append(b.orphans, orphan{key.upstream, count, now + b.cfg.OrphanMs})
 	}
+	delete(b.homes, home)
 	return b.serve(now)
 }
 
@@ -354,7 +387,7 @@
 			return false
 		}
 		if p := b.places[o.upstream]; p != nil {
-			b.vacate(p, Needs{}, o.count)
+			p.vacate(o.taken, o.count)
 		}
 		return true
 	})
@@ -363,15 +396,16 @@
 
 // serve grants what can be granted.
 func (b *Broker) serve(now int64) []Grant {
-	if b.queued == 0 {
+	if b.queued == 0 || now < b.quietUntil {
 		return nil
 	}
 	b.arrange(now)
-	var grants []Grant
+	var list []Grant
 	var done []*ticket
 	for _, t := range b.queue {
 		if g := b.fill(t, now); len(g.Places) > 0 {
-			grants = append(grants, g)
+			g.Sequence = b.granted(t.Home, now)
+			list = append(list, g)
 		}
 		if t.Count == 0 {
 			done = append(done, t)
@@ -380,7 +414,74 @@
 	for _, t := range done {
 		b.remove(t)
 	}
-	return grants
+	return list
+}
+
+func (b *Broker) granted(home string, now int64) uint64 {
+	g := b.homes[home]
+	if g == nil {
+		g = &grants{}
+		b.homes[home] = g
+	}
+	g.sequence++
+	g.last = now
+	return g.sequence
+}
+
+// grantMs is how long a grant may be on its way. After that it was lost.
+const grantMs = 1000
+
+// Sync puts the books right by what a home says that it has: the places that
+// it holds and the requests that wait. It changes nothing while a grant may be
+// on its way; sequence is that of the last one that the home got.
+func (b *Broker) Sync(home string, sequence uint64, held []Place, waiting []Request, now int64) []Grant {
+	if g := b.homes[home]; g != nil && g.sequence != sequence && now-g.last < grantMs {
+		return nil
+	}
+	b.syncHeld(home, held)
+	refused := b.syncWaiting(home, waiting, now)
+	return append(refused, b.serve(now)...)
+}
+
+func (b *Broker) syncHeld(home string, held []Place) {
+	now := map[string]int{}
+	for _, h := range held {
+		now[h.Upstream] += h.Count
+	}
+	for key, h := range b.held {
+		if over := h.count - now[key.upstream]; key.home == home && over > 0 {
+			b.placeOf(key.upstream).vacate(b.giveUp(key, over), over)
+		}
+	}
+	for upstream, count := range now {
+		missing := count
+		if h := b.held[heldKey{home, upstream}]; h != nil {
+			missing -= h.count
+		}
+		if missing > 0 {
+			b.take(home, b.placeOf(upstream), Needs{}, missing)
+		}
+	}
+}
+
+func (b *Broker) syncWaiting(home string, waiting []Request, now int64) []Grant {
+	named := map[string]bool{}
+	var refused []Grant
+	for _, r := range waiting {
+		named[r.Ticket] = true
+		if t := b.tickets[ticketKey{home, r.Ticket}]; t != nil {
+			b.queued += r.Count - t.Count
+			t.Count = r.Count
+			continue
+		}
+		refused = append(refused, b.enqueue(r, now)...)
+	}
+	for _, t := range slices.Clone(b.queue) {
+		if t.Home == home && !named[t.Ticket] {
+			b.remove(t)
+		}
+	}
+	return refused
 }
 
 // agingMs is how long a ticket waits before it goes ahead of smaller ones.
