--- a/client/client.go
+++ b/client/client.go
@@ -209,6 +209,9 @@
 		if err != nil && !again(err) {
 			return answer, err
 		}
+		if err != nil {
+			s.c.leave(s.s) // its home may be lost: new jobs go elsewhere
+		}
 		if time.Since(began) > s.deadline+s.c.cfg.CallTimeout {
 			return answer, failure.Timeout.New("the fate of %s was not learned in time", s.Key())
 		}
@@ -246,9 +249,6 @@
 		case err != nil:
 			return answer, err
 		case HomeEnded(&answer):
-		case answer.Fate == fate.Unknown:
-			c.leave(s.s)
-			return answer, nil
 		default:
 			return answer, nil
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -131,7 +131,7 @@
 	cfg.fill()
 	d := &Dispatcher{cfg: cfg, peers: peers}
 	d.stop, d.cancel = context.WithCancel(context.Background())
-	d.view.Store(&View{})
+	d.view.Store(&View{Others: -1})
 	d.upstreams.init(d)
 	d.homes.init(d)
 	d.witnesses.init(d)
--- a/dispatch/homes.go
+++ b/dispatch/homes.go
@@ -14,6 +14,7 @@
 	"github.com/sedgehatch/sedgehatch/placement"
 
 	"github.com/google/uuid"
+	"github.com/samber/lo"
 )
 
 // homes holds the logs that this instance is home to.
@@ -92,17 +93,18 @@
 	return l.id.Witness == "" && scope != placement.ScopeNone && len(h.d.view.Load().Members) > 1
 }
 
-// open opens a log with a witness, or alone when there is none.
+// open opens a log with a witness, or alone when nobody can be one.
 func (h *homes) open(scope placement.Scope) *homeLog {
-	number := h.number.Add(1)
-	id := fate.LogID{Home: h.d.cfg.Self, Number: number}
-	view := h.d.view.Load()
+	id := fate.LogID{Home: h.d.cfg.Self, Number: h.number.Add(1)}
+	view := h.awaitOthers(scope)
 	self := placement.Entry{Instance: h.d.cfg.Self.Instance(), Region: h.d.cfg.Region, Zone: h.d.cfg.Zone, Rack: h.d.cfg.Rack}
-	if m, ok := view.member(placement.WitnessOf(self, number, scope, view.entries)); ok {
+	for others := view.entries; ; {
+		m, there := view.member(placement.WitnessOf(self, id.Number, scope, others))
 		id.Witness = m.Incarnation
-		if err := h.invite(id); err != nil {
-			id.Witness = ""
+		if !there || h.invite(id) == nil {
+			break
 		}
+		others = lo.Reject(others, func(e placement.Entry, _ int) bool { return e.Instance == m.Instance })
 	}
 	switch {
 	case id.Witness != "":
@@ -113,6 +115,27 @@
 	return newHomeLog(h.d, id)
 }
 
+// awaitOthers returns the view once it has somebody to be witness, or there is
+// nobody, or after WitnessTimeout: an instance that has just started may not
+// have heard the others yet.
+func (h *homes) awaitOthers(scope placement.Scope) *View {
+	until := time.Now().Add(h.d.cfg.WitnessTimeout)
+	for {
+		v := h.d.view.Load()
+		if scope == placement.ScopeNone || len(v.Members) > 1 || v.Others == 0 || time.Now().After(until) {
+			return v
+		}
+		select {
+		case <-time.After(othersPoll):
+		case <-h.d.stop.Done():
+			return v
+		}
+	}
+}
+
+// othersPoll is how often a new instance looks whether it has heard others.
+const othersPoll = 5 * time.Millisecond
+
 // invite makes the witness know the log, before any session of it is given out.
 func (h *homes) invite(id fate.LogID) error {
 	ctx, cancel := context.WithTimeout(h.d.stop, h.d.cfg.WitnessTimeout)
--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -229,8 +229,10 @@
 		return api.LeaseInfo{}, failure.Unreachable.New("upstream %s is not known", upstreamID)
 	}
 	d.cfg.Metrics.Sent("lookup")
-	d.cfg.Metrics.Waste("lookup")
 	info, err := client.Lookup(lease, lookupWait)
+	if _, known := concluded(&info); err != nil || !known {
+		d.cfg.Metrics.Waste("lookup")
+	}
 	if err != nil || info.State != api.LeaseNeverSeen {
 		return info, err
 	}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -31,6 +31,8 @@
 type View struct {
 	Members   []Member // this instance among them, unless it is leaving
 	Upstreams []UpstreamSpec
+	// Others is how many other entries the platform lists; -1 is not known yet.
+	Others int
 	// Staffed holds the zones that have entries of their own, alive or not. The
 	// upstreams of such a zone are not used while none of its entries is heard:
 	// the zone is cut off.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -7,6 +7,7 @@
 	"github.com/sedgehatch/sedgehatch/api"
 	"github.com/sedgehatch/sedgehatch/dispatch"
 	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
@@ -99,7 +100,7 @@
 func (n *Node) view() dispatch.View {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	v := dispatch.View{Staffed: map[string]bool{n.cfg.Zone: true}}
+	v := dispatch.View{Staffed: map[string]bool{n.cfg.Zone: true}, Others: n.listedOthers()}
 	for _, p := range n.table.Peers() {
 		v.Staffed[p.Zone] = true
 		if p.State == membership.Alive {
@@ -124,6 +125,15 @@
 	return v
 }
 
+// listedOthers returns how many other entries the platform lists, or -1 before
+// it has answered. The lock is held.
+func (n *Node) listedOthers() int {
+	if n.listed == nil {
+		return -1
+	}
+	return lo.CountBy(n.listed, func(i api.PlatformInstance) bool { return i.Role == api.RoleEntry && i.ID != n.cfg.Instance })
+}
+
 func upstreamSpec(u api.PlatformInstance) dispatch.UpstreamSpec {
 	return dispatch.UpstreamSpec{
 		Upstream: placement.Upstream{
@@ -168,8 +178,21 @@
 			Leaving: n.leaving.Load(), ActiveJobs: uint64(n.dispatch.Active()), SettingsRevision: n.settings.Load().revision,
 			FreeSlots: uint64(free), QueuedTasks: uint64(queued), LeavingUpstreams: leaving,
 		}}}
-		go func() { _ = n.mesh.Send(fate.Incarnation(p.Instance), f) }()
+		go n.beatTo(p, f)
+	}
+}
+
+// beatTo sends a heartbeat. A peer whose process is certainly gone is lost at
+// once, without waiting for its silence.
+func (n *Node) beatTo(p membership.Peer, f *inner.Frame) {
+	err := n.mesh.Send(fate.Incarnation(p.Instance), f)
+	if !failure.Is(err, failure.Gone) || p.Incarnation == "" || n.stop.Err() != nil {
+		return
 	}
+	n.mu.Lock()
+	changes := n.table.Ended(p.Incarnation)
+	n.mu.Unlock()
+	n.changed(changes)
 }
 
 // pollInstances reads the platform's list, and goes on from the last one when
@@ -209,7 +232,7 @@
 		return membership.Listing{Instance: i.ID, Address: i.Address, Region: i.Region, Zone: i.Zone, Rack: i.Rack, Leaving: i.Leaving}, mine
 	})
 	n.mu.Lock()
-	same := sameList(n.listed, list)
+	same := n.listed != nil && sameList(n.listed, list)
 	n.listed = list
 	n.table.SetListed(entries)
 	n.mu.Unlock()
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -78,26 +78,28 @@
 // Report is what came of a load. Ratios compare a response, from the moment
 // that it was due to be sent, with the longest true run time in its job.
 type Report struct {
-	Jobs            int64            `json:"jobs"`
-	Tasks           int64            `json:"tasks"`
-	Complete        int64            `json:"complete"`
-	Failed          int64            `json:"failed"`
-	NotRun          int64            `json:"not_run"`
-	Unknown         int64            `json:"unknown"`
-	Unanswered      int64            `json:"unanswered"`
-	DuplicateStarts int64            `json:"duplicate_starts"`
-	Violations      []string         `json:"violations"`
-	MessagesPerTask float64          `json:"messages_per_task"`
-	WastedPerTask   float64          `json:"wasted_per_task"`
-	RatioP50        float64          `json:"response_ratio_p50"`
-	RatioP99        float64          `json:"response_ratio_p99"`
-	RefusalP99Ms    float64          `json:"refusal_p99_ms"`
-	GoodputShare    float64          `json:"goodput_share"` // run time of complete jobs, of all slots' time
-	Resubmissions   int64            `json:"resubmissions"`
-	Losses          LossReport       `json:"losses"`
-	Sent            map[string]int64 `json:"sent"`
-	Wasted          map[string]int64 `json:"wasted"`
-	Services        []ServiceReport  `json:"services"`
+	Jobs            int64      `json:"jobs"`
+	Tasks           int64      `json:"tasks"`
+	Complete        int64      `json:"complete"`
+	Failed          int64      `json:"failed"`
+	NotRun          int64      `json:"not_run"`
+	Unknown         int64      `json:"unknown"`
+	Unanswered      int64      `json:"unanswered"`
+	DuplicateStarts int64      `json:"duplicate_starts"`
+	Violations      []string   `json:"violations"`
+	MessagesPerTask float64    `json:"messages_per_task"`
+	WastedPerTask   float64    `json:"wasted_per_task"`
+	RatioP50        float64    `json:"response_ratio_p50"`
+	RatioP99        float64    `json:"response_ratio_p99"`
+	RefusalP99Ms    float64    `json:"refusal_p99_ms"`
+	GoodputShare    float64    `json:"goodput_share"` // run time of complete jobs, of all slots' time
+	Resubmissions   int64      `json:"resubmissions"`
+	Losses          LossReport `json:"losses"`
+	// Reasons counts the answers that are not complete, and the errors, by cause.
+	Reasons  map[string]int   `json:"reasons"`
+	Sent     map[string]int64 `json:"sent"`
+	Wasted   map[string]int64 `json:"wasted"`
+	Services []ServiceReport  `json:"services"`
 }
 
 // LossReport is what became of the jobs that were in flight at an entry when
@@ -172,6 +174,7 @@
 		c: c, load: load,
 		ratios:   hdrhistogram.New(1, maxRatio, significance),
 		refusals: hdrhistogram.New(1, maxMicros, significance),
+		report:   Report{Reasons: map[string]int{}},
 	}
 	for i := range load.Services {
 		s, err := r.newService(&load.Services[i])
@@ -343,9 +346,13 @@
 	s.report.Jobs++
 	r.report.Tasks += int64(len(job.Tasks))
 	if err != nil {
+		r.report.Reasons[failure.Code(err)]++
 		r.refused(s, err, took)
 		return
 	}
+	if answer.Fate != fate.Complete {
+		r.report.Reasons[string(answer.Fate)+" "+string(answer.Reason)]++
+	}
 	switch answer.Fate {
 	case fate.Complete:
 		r.complete(s, job, &answer, idealMs, took)
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
@@ -236,6 +238,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), m.cfg.DialTimeout)
 	defer cancel()
 	conn, err := m.cfg.Dial(ctx, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, failure.Gone.Wrap(err, "instance %s does not run", instance)
+	}
 	if err != nil {
 		return nil, failure.Unreachable.Wrap(err, "instance %s cannot be reached", instance)
 	}
@@ -316,7 +321,7 @@
 }
 
 // Send sends f without waiting for anything. The errors are Unreachable, and
-// Gone when the peer is another incarnation by now.
+// Gone when the peer is another incarnation by now, or does not run.
 func (m *Mesh) Send(peer fate.Incarnation, f *Frame) error {
 	k, err := m.to(peer)
 	if err != nil {
--- /dev/null
+++ b/membership/table_test.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/sedgehatch/sedgehatch/fate"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScenarios runs the stories in testdata: what comes in, and the changes
+// that come out.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		table := NewTable(Config{SuspectMs: 100, DeadMs: 300})
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var changes []Change
+			now := int64(0)
+			if d.HasArg("at") {
+				d.ScanArgs(t, "at", &now)
+			}
+			switch d.Cmd {
+			case "list":
+				var list []Listing
+				for _, name := range strings.Fields(d.Input) {
+					list = append(list, Listing{Instance: name, Address: name + ":1", Zone: "z"})
+				}
+				table.SetListed(list)
+			case "heard":
+				var who string
+				d.ScanArgs(t, "from", &who)
+				changes = table.Heard(fate.Incarnation(who), Load{Leaving: d.HasArg("leaving")}, now)
+			case "ended":
+				var who string
+				d.ScanArgs(t, "who", &who)
+				changes = table.Ended(fate.Incarnation(who))
+			case "tick":
+				changes = table.Tick(now)
+			case "peers":
+				return describe(table)
+			}
+			var b strings.Builder
+			for _, c := range changes {
+				fmt.Fprintf(&b, "%s: %s -> %s\n", c.Peer.Incarnation, c.Before, c.Peer.State)
+			}
+			return b.String()
+		})
+	})
+}
+
+func describe(t *Table) string {
+	var b strings.Builder
+	for _, p := range t.Peers() {
+		fmt.Fprintf(&b, "%s %s %s\n", p.Instance, p.Incarnation, p.State)
+	}
+	return b.String()
+}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -342,16 +342,17 @@
 		p.health.succeeded()
 	}
 	for range u.Failed {
-		if p.health.failed(&b.cfg.Health) && b.mayEject(p) {
+		if p.health.failed(&b.cfg.Health) && b.mayEject(p, now) {
 			p.health.eject(now, &b.cfg.Health)
 		}
 	}
 }
 
-// mayEject keeps the ejected share of the pool bounded.
-func (b *Broker) mayEject(p *place) bool {
+// mayEject keeps the ejected share of the pool bounded. Failures of what ran
+// on when an upstream was ejected do not prolong that; those of a probe do.
+func (b *Broker) mayEject(p *place, now int64) bool {
 	if p.health.ejected {
-		return true
+		return now >= p.health.until
 	}
 	ejected := 1
 	for _, o := range b.sorted {
--- /dev/null
+++ b/placement/broker_test.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScenarios runs the stories in testdata: inputs of a broker, and what it
+// grants.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		cfg := DefaultBroker
+		cfg.MaxQueued = 20
+		cfg.Health = HealthConfig{FailuresToEject: 2, MaxEjected: 0.5, FirstMs: 100, MaxMs: 1000, SlowFactor: 1.5}
+		s := &story{cfg: cfg, b: NewBroker(cfg, 0)}
+		datadriven.RunTest(t, path, s.step)
+	})
+}
+
+type story struct {
+	cfg BrokerConfig
+	b   *Broker
+	now int64
+}
+
+func (s *story) step(t *testing.T, d *datadriven.TestData) string {
+	if d.HasArg("at") {
+		d.ScanArgs(t, "at", &s.now)
+	}
+	switch d.Cmd {
+	case "order":
+		s.cfg.Order = Order(strings.TrimSpace(d.Input))
+		s.b = NewBroker(s.cfg, 0)
+		return ""
+	case "upstreams":
+		return told(s.b.SetUpstreams(s.upstreams(t, d), s.now))
+	case "request":
+		return told(s.b.Request(s.request(t, d), s.now))
+	case "release":
+		s.b.Release(arg(t, d, "home", "h"), []Usage{s.usage(t, d)}, s.now)
+		return told(s.b.Tick(s.now))
+	case "withdraw":
+		s.b.Withdraw(arg(t, d, "home", "h"), []string{arg(t, d, "ticket", "")})
+		return told(s.b.Tick(s.now))
+	case "gone":
+		return told(s.b.HomeGone(arg(t, d, "home", "h"), s.now))
+	case "sync":
+		return told(s.sync(t, d))
+	case "tick":
+		return told(s.b.Tick(s.now))
+	case "state":
+		return fmt.Sprintf("free %d, queued %d\n", s.b.Free(), s.b.Queued())
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+func arg(t *testing.T, d *datadriven.TestData, key, fallback string) string {
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &fallback)
+	}
+	return fallback
+}
+
+func num(t *testing.T, d *datadriven.TestData, key string, fallback int) int {
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &fallback)
+	}
+	return fallback
+}
+
+// upstreams reads a line for each: name, zone, slots, cpu, accelerators.
+func (s *story) upstreams(t *testing.T, d *datadriven.TestData) []Upstream {
+	var list []Upstream
+	for line := range strings.Lines(d.Input) {
+		u := Upstream{Capacity: Needs{MemoryMB: 1000}}
+		fields := strings.Fields(line)
+		if _, err := fmt.Sscan(strings.Join(fields[:5], " "), &u.ID, &u.Zone, &u.Slots, &u.Capacity.CPU, &u.Capacity.Accelerators); err != nil {
+			t.Fatal(err)
+		}
+		u.Leaving = len(fields) > 5
+		list = append(list, u)
+	}
+	return list
+}
+
+func (s *story) request(t *testing.T, d *datadriven.TestData) Request {
+	r := Request{
+		Home: arg(t, d, "home", "h"), Ticket: arg(t, d, "ticket", "t"), Count: num(t, d, "count", 1),
+		Needs:      Needs{CPU: float64(num(t, d, "cpu", 0)), Accelerators: uint32(num(t, d, "accelerators", 0))},
+		RunMs:      float64(num(t, d, "run", 100)),
+		DeadlineMs: int64(num(t, d, "deadline", 0)), Zone: arg(t, d, "zone", "z"), Service: "s",
+	}
+	if d.HasArg("avoid") {
+		r.Avoid = []string{arg(t, d, "avoid", "")}
+	}
+	return r
+}
+
+func (s *story) usage(t *testing.T, d *datadriven.TestData) Usage {
+	return Usage{
+		Upstream: arg(t, d, "upstream", "u"), Count: num(t, d, "count", 1), Service: "s",
+		RunMs: float64(num(t, d, "run", 0)), Failed: num(t, d, "failed", 0), HoldMs: int64(num(t, d, "hold", 0)),
+	}
+}
+
+// sync reads the places held, a line each: upstream, count.
+func (s *story) sync(t *testing.T, d *datadriven.TestData) []Grant {
+	var held []Place
+	for line := range strings.Lines(d.Input) {
+		var p Place
+		if _, err := fmt.Sscan(line, &p.Upstream, &p.Count); err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, p)
+	}
+	return s.b.Sync(arg(t, d, "home", "h"), uint64(num(t, d, "sequence", 0)), held, nil, s.now)
+}
+
+func told(grants []Grant) string {
+	var b strings.Builder
+	for _, g := range grants {
+		fmt.Fprintf(&b, "%s/%s:", g.Home, g.Ticket)
+		for _, p := range g.Places {
+			fmt.Fprintf(&b, " %s=%d", p.Upstream, p.Count)
+		}
+		if g.Refused != "" {
+			fmt.Fprintf(&b, " refused %s, retry after %d", g.Refused, g.RetryAfterMs)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -50,7 +50,8 @@
 const (
 	dialTimeout    = 500 * time.Millisecond
 	controlTimeout = time.Second
-	controlConns   = 4
+	connWait       = 50 * time.Millisecond // for a connection to be free
+	controlConns   = 16
 	// idleConn is shorter than what servers keep idle connections for, so that
 	// a start is rarely written to one that is being closed.
 	idleConn  = 4 * time.Second
@@ -92,6 +93,7 @@
 		Addr:                          address,
 		Dial:                          dial,
 		MaxConns:                      connections,
+		MaxConnWaitTimeout:            connWait,
 		MaxIdleConnDuration:           idleConn,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
