Places of tasks that never start come back; scenarios for every failure

A home held all 48 places though no job ran: a place given to a task whose log was sealed, or whose job ended, before the permit was acknowledged was never given back. Change: fate names such places (Unused), and the runtime gives them back. Runs of scenarios and histories now check that nothing is held once no job runs. Appends are sent by whoever makes them, replies are taken where they are read.

--- a/dispatch/appender.go
+++ b/dispatch/appender.go
@@ -1,8 +1,8 @@
 package dispatch
 
 import (
-	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/event"
@@ -12,163 +12,176 @@
 )
 
 // appender carries the appends of one log to its witness, in order, and the
-// acknowledgements back.
+// acknowledgements back. Its lock is taken before the log's, never after.
 type appender struct {
-	l       *homeLog
-	replies chan appendResult
-	silent  time.Time // since when the witness does not answer; zero when it does
-	retry   <-chan time.Time
-}
+	l *homeLog
 
-type appendResult struct {
-	reply *inner.AppendReply
-	err   error
+	mu      sync.Mutex
+	lazyAt  time.Time // when results were last sent without waiting for company
+	waiting time.Time // since when an acknowledgement is awaited; zero is none
+	silent  time.Time // since when the witness does not answer; zero when it does
+	retryAt time.Time // when what is missing is sent again; zero is not at all
 }
 
 // resendEvery is how often a silent witness is tried again.
 const resendEvery = 50 * time.Millisecond
 
-func (l *homeLog) runAppender() {
-	a := &appender{l: l, replies: make(chan appendResult, 64)}
-	lazy := time.NewTicker(l.d.cfg.LazyAppend)
-	defer lazy.Stop()
-	for {
-		select {
-		case <-l.done:
-			return
-		case <-l.d.stop.Done():
-			return
-		case <-l.wake:
-			a.sendNew(false)
-		case <-lazy.C:
-			a.sendNew(true)
-		case r := <-a.replies:
-			a.take(r)
-		case <-a.retry:
-			a.resend(0)
-		}
-		if a.over() {
-			return
-		}
-	}
-}
-
-// over reports whether the log will never append again.
-func (a *appender) over() bool {
-	a.l.mu.Lock()
-	defer a.l.mu.Unlock()
-	return a.l.home.Sealed()
-}
-
-func (a *appender) sendNew(lazy bool) {
-	if a.retry != nil {
-		return // what is missing goes first
+// flush sends what is due. What was not acknowledged goes first.
+func (a *appender) flush(lazy bool) {
+	if a.l.id.Witness == "" {
+		return
 	}
-	for {
+	a.mu.Lock()
+	lost := false
+	for a.retryAt.IsZero() && !lost {
 		a.l.mu.Lock()
 		next := a.l.home.NextAppend(lazy)
 		a.l.mu.Unlock()
-		if next == nil || !a.send(*next) {
-			return
+		if next == nil {
+			break
 		}
+		lost = a.send(*next)
+	}
+	a.mu.Unlock()
+	if lost {
+		a.orphan()
 	}
 }
 
-// send sends one append, and reports whether it left.
-func (a *appender) send(next fate.Append) bool {
+// send sends one append, and reports whether the witness is to be taken for
+// lost. An error proves that no byte of the append has left. The lock is held.
+func (a *appender) send(next fate.Append) (lost bool) {
 	f := &inner.Frame{Body: &inner.Frame_Append{Append: inner.FromAppend(&next)}}
-	if !next.WantAck {
-		return a.left(next.Sequence, a.l.d.peers.Send(a.l.id.Witness, f))
-	}
-	pending, err := a.l.d.peers.Begin(a.l.id.Witness, f)
-	if !a.left(next.Sequence, err) {
-		return false
+	peers, witness := a.l.d.peers, a.l.id.Witness
+	var err error
+	if next.WantAck {
+		if a.waiting.IsZero() {
+			a.waiting = time.Now()
+		}
+		err = peers.Notify(witness, f, a.replied)
+	} else {
+		err = peers.Post(witness, f)
 	}
-	go a.await(pending)
-	return true
-}
-
-// left takes how sending ended. An error of Send or Begin proves that no byte
-// of the append has left.
-func (a *appender) left(sequence uint64, err error) bool {
 	if err == nil {
-		return true
+		return false
 	}
 	a.l.mu.Lock()
-	a.l.home.Unsent(sequence)
+	a.l.home.Unsent(next.Sequence)
 	a.l.home.Close() // new work goes to another log
 	a.l.mu.Unlock()
-	a.failed(err)
-	return false
+	return a.failed(err)
 }
 
-func (a *appender) await(p *inner.Pending) {
-	ctx, cancel := context.WithTimeout(a.l.d.stop, a.l.d.cfg.WitnessTimeout/2)
-	defer cancel()
-	reply, err := p.Wait(ctx)
-	result := appendResult{err: err}
-	if err == nil {
-		result.reply = reply.GetAppendReply()
+// replied takes what came of an append.
+func (a *appender) replied(f *inner.Frame, err error) {
+	if a.l.d.stop.Err() != nil {
+		return
 	}
-	select {
-	case a.replies <- result:
-	case <-a.l.done:
-	case <-a.l.d.stop.Done():
+	if err != nil {
+		a.mu.Lock()
+		lost := a.failed(err)
+		a.mu.Unlock()
+		if lost {
+			a.orphan()
+		}
+		return
 	}
+	a.acked(f.GetAppendReply())
 }
 
-func (a *appender) take(r appendResult) {
-	switch {
-	case r.err != nil:
-		a.failed(r.err)
-	case r.reply.GetSealed():
+func (a *appender) acked(r *inner.AppendReply) {
+	if r.GetSealed() {
 		event.LogSealed.Log(a.l.d.cfg.Log, slog.String("log", a.l.id.String()))
 		a.l.step(func(h *fate.Home) fate.Effects { return h.Seal() })
-	case r.reply.GetUnknownLog():
+		return
+	}
+	if r.GetUnknownLog() {
 		a.orphan()
-	default:
-		a.silent = time.Time{}
-		a.retry = nil
-		a.l.step(func(h *fate.Home) fate.Effects { return h.Ack(r.reply.GetAcked()) })
-		if r.reply.GetGap() {
-			a.resend(r.reply.GetAcked() + 1)
-		}
-		a.sendNew(false)
+		return
+	}
+	a.mu.Lock()
+	a.silent, a.waiting = time.Time{}, time.Time{}
+	a.mu.Unlock()
+	a.l.step(func(h *fate.Home) fate.Effects { return h.Ack(r.GetAcked()) })
+	if r.GetGap() {
+		a.resend(r.GetAcked() + 1)
 	}
 }
 
-// failed tries again later, or takes the witness for lost.
-func (a *appender) failed(err error) {
+// failed has what is missing sent again later, or reports that the witness is
+// to be taken for lost. The lock is held.
+func (a *appender) failed(err error) (lost bool) {
 	now := time.Now()
 	if a.silent.IsZero() {
 		a.silent = now
 	}
-	if failure.Is(err, failure.Gone) || now.Sub(a.silent) > a.l.d.cfg.WitnessTimeout {
-		a.orphan()
+	a.waiting = time.Time{}
+	a.retryAt = now.Add(resendEvery)
+	return failure.Is(err, failure.Gone) || now.Sub(a.silent) > a.l.d.cfg.WitnessTimeout
+}
+
+// tick sends results that waited long enough, and notices a silent witness.
+func (a *appender) tick(now time.Time) {
+	if a.l.id.Witness == "" || a.over() {
 		return
 	}
-	a.retry = time.After(resendEvery)
+	a.mu.Lock()
+	retry := !a.retryAt.IsZero() && !now.Before(a.retryAt)
+	lazy := now.Sub(a.lazyAt) >= a.l.d.cfg.LazyAppend
+	if lazy {
+		a.lazyAt = now
+	}
+	lost := false
+	if !a.waiting.IsZero() && now.Sub(a.waiting) > a.l.d.cfg.WitnessTimeout/2 {
+		lost = a.failed(failure.Timeout.New("the witness does not acknowledge"))
+	}
+	a.mu.Unlock()
+	switch {
+	case lost:
+		a.orphan()
+	case retry:
+		a.resend(0)
+	case lazy:
+		a.flush(true)
+	}
+}
+
+// over reports whether the log will never append again.
+func (a *appender) over() bool {
+	a.l.mu.Lock()
+	defer a.l.mu.Unlock()
+	return a.l.home.Sealed()
 }
 
 func (a *appender) orphan() {
+	if a.over() {
+		return
+	}
 	event.WitnessLost.Log(a.l.d.cfg.Log, slog.String("log", a.l.id.String()))
 	a.l.step(func(h *fate.Home) fate.Effects { return h.Orphan() })
 }
 
 // resend sends again what the witness has not acknowledged.
 func (a *appender) resend(from uint64) {
-	a.retry = nil
+	a.mu.Lock()
+	a.retryAt = time.Time{}
 	a.l.mu.Lock()
 	missing := a.l.home.Unacked(from)
 	a.l.mu.Unlock()
+	lost := false
 	for i, again := range missing {
 		again.WantAck = i == len(missing)-1
-		if !a.send(again) {
+		if lost = a.send(again); lost || !a.retryAt.IsZero() {
 			a.unsent(missing[i+1:])
-			return
+			break
 		}
 	}
-	a.sendNew(false)
+	a.mu.Unlock()
+	if lost {
+		a.orphan()
+		return
+	}
+	a.flush(false)
 }
 
 // unsent takes back what Unacked counted as sent.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -23,9 +23,8 @@
 
 // Peers carries frames to other instances; inner.Mesh does.
 type Peers interface {
-	Send(peer fate.Incarnation, f *inner.Frame) error
 	Post(peer fate.Incarnation, f *inner.Frame) error
-	Begin(peer fate.Incarnation, f *inner.Frame) (*inner.Pending, error)
+	Notify(peer fate.Incarnation, f *inner.Frame, done func(*inner.Frame, error)) error
 	Call(ctx context.Context, peer fate.Incarnation, f *inner.Frame) (*inner.Frame, error)
 }
 
@@ -169,7 +168,6 @@
 // Close ends everything at once. What is in flight is left to the witnesses.
 func (d *Dispatcher) Close() {
 	d.cancel()
-	d.homes.close()
 	d.slots.close()
 	d.upstreams.close()
 	d.running.Wait()
--- a/dispatch/homelog.go
+++ b/dispatch/homelog.go
@@ -19,9 +19,7 @@
 	d      *Dispatcher
 	id     fate.LogID
 	opened time.Time
-	wake   chan struct{} // the appender has something to do
-	done   chan struct{}
-	end    sync.Once
+	append appender
 
 	mu   sync.Mutex
 	home *fate.Home
@@ -45,18 +43,14 @@
 
 func newHomeLog(d *Dispatcher, id fate.LogID) *homeLog {
 	l := &homeLog{
-		d: d, id: id, opened: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}),
+		d: d, id: id, opened: time.Now(),
 		home: fate.NewHome(id, d.cfg.Keep), runs: map[fate.Key]*run{},
 	}
 	l.home.Tick(nowMs())
-	if id.Witness != "" {
-		d.running.Go(l.runAppender)
-	}
+	l.append.l = l
 	return l
 }
 
-func (l *homeLog) close() { l.end.Do(func() { close(l.done) }) }
-
 func (l *homeLog) active() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,6 +68,7 @@
 }
 
 func (l *homeLog) tick(now time.Time) {
+	l.append.tick(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.home.Tick(millis(now))
@@ -95,6 +90,7 @@
 type orders struct {
 	starts  []order
 	stops   []fate.Start
+	unused  []fate.Start
 	told    []delivery
 	ask     []fate.Key
 	tickets []string
@@ -124,7 +120,7 @@
 
 // prepare turns effects into orders. The lock is held.
 func (l *homeLog) prepare(e fate.Effects) orders {
-	o := orders{stops: e.Stops, ask: e.Ask}
+	o := orders{stops: e.Stops, unused: e.Unused, ask: e.Ask}
 	for _, s := range e.Starts {
 		o.starts = append(o.starts, order{Start: s, job: l.home.JobOf(s.Lease.Key), trace: l.traceOf(s.Lease.Key)})
 	}
@@ -178,20 +174,16 @@
 	if len(o.tickets) > 0 {
 		l.d.slots.withdraw(o.tickets)
 	}
+	for _, s := range o.unused {
+		l.d.slots.giveBack(placement.Usage{Upstream: s.Upstream, Count: 1})
+	}
 	for _, s := range o.stops {
 		go l.stopTask(s)
 	}
 	if len(o.ask) > 0 {
 		go l.askWitness(o.ask)
 	}
-	l.poke()
-}
-
-func (l *homeLog) poke() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	l.append.flush(false)
 }
 
 // submit takes a submission, or finds it, and returns its answer, or where it
@@ -302,7 +294,7 @@
 			if !used {
 				unused = append(unused, a)
 			}
-			all.Starts = append(all.Starts, e.Starts...)
+			all.Starts = append(all.Starts, e.Starts...) // Place has no other effects
 		}
 		return all
 	})
--- a/dispatch/homes.go
+++ b/dispatch/homes.go
@@ -187,11 +187,4 @@
 		}
 	}
 	h.mu.Unlock()
-	l.close()
-}
-
-func (h *homes) close() {
-	for _, l := range h.all() {
-		l.close()
-	}
 }
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -572,3 +572,14 @@
 		d.slots.load[p.ID] = poolLoad{free * p.slots / max(slotsSum, 1), queued * p.slots / max(slotsSum, 1)}
 	}
 }
+
+// Held returns how many places are in use by this instance's jobs.
+func (d *Dispatcher) Held() int {
+	d.slots.mu.Lock()
+	defer d.slots.mu.Unlock()
+	held := 0
+	for _, n := range d.slots.held {
+		held += n
+	}
+	return held
+}
--- a/entry/http.go
+++ b/entry/http.go
@@ -129,7 +129,7 @@
 	if s.WaitMs != nil {
 		wait = min(wait, time.Duration(*s.WaitMs)*time.Millisecond)
 	}
-	r, err := n.dispatch.Submit(c.Context(), dispatch.Call{
+	r, err := n.dispatch.Submit(n.stop, dispatch.Call{
 		Key: s.Key(), Job: job, Attempt: s.Attempt, Wait: wait, Trace: span.Parent(),
 	})
 	if err != nil {
@@ -195,7 +195,7 @@
 		return failure.Field(failure.InvalidInput, "wait_ms", "is a number from 0 to %d", api.MaxDeadlineMs)
 	}
 	n.metrics.Sent("poll")
-	r, err := n.dispatch.Submit(c.Context(), dispatch.Call{Key: key, Wait: time.Duration(wait) * time.Millisecond})
+	r, err := n.dispatch.Submit(n.stop, dispatch.Call{Key: key, Wait: time.Duration(wait) * time.Millisecond})
 	if err != nil {
 		return err
 	}
@@ -210,7 +210,7 @@
 		return err
 	}
 	n.metrics.Sent("cancel")
-	r, err := n.dispatch.Cancel(c.Context(), key)
+	r, err := n.dispatch.Cancel(n.stop, key)
 	if err != nil {
 		return err
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -222,10 +222,10 @@
 // Kill ends the instance at once, as its death would.
 func (n *Node) Kill() {
 	n.closeOnce.Do(func() {
-		n.cancel()
-		n.platform.Close()
 		_ = n.callers.Close()
 		n.conns.Close()
+		n.cancel()
+		n.platform.Close()
 		_ = n.inner.Close()
 		n.dispatch.Close()
 		n.mesh.Close()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -269,3 +269,6 @@
 func (n *Node) KnowsLeaving(upstream string) bool {
 	return lo.Contains(n.dispatch.LeavingUpstreams(), upstream)
 }
+
+// Held returns how many places at upstreams this instance's jobs hold.
+func (n *Node) Held() int { return n.dispatch.Held() }
--- a/experiment/cluster.go
+++ b/experiment/cluster.go
@@ -330,3 +330,23 @@
 	}
 	c.Platform.Close()
 }
+
+// idleWait is how long places may stay held after the last job's fate: tasks
+// of failed jobs run on for a while.
+const idleWait = 10 * time.Second
+
+// Leaked waits until nothing is held any more, and returns how many places are
+// held all the same.
+func (c *Cluster) Leaked() int {
+	deadline := time.Now().Add(idleWait)
+	for {
+		held := 0
+		for _, n := range c.Nodes() {
+			held += n.Held()
+		}
+		if held == 0 || time.Now().After(deadline) {
+			return held
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/experiment/failure_test.go
+++ b/experiment/failure_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
+	"maps"
+	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -16,6 +20,9 @@
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/tracing"
+
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 )
 
 // quick makes failures be noticed soon.
@@ -385,3 +392,123 @@
 		t.Errorf("task state %s", answer.Tasks[0].State)
 	}
 }
+
+// An upstream may answer after its lease has ended: the task ran once, and its
+// result is as good.
+func TestAnswerAfterTheLease(t *testing.T) {
+	c := small(t, func(s *Spec) {
+		quick(s)
+		s.Dispatch.Lease = 20 * time.Millisecond
+	})
+	job := tasks(4, 200*time.Millisecond)
+	for i := range job.Tasks {
+		job.Tasks[i].RunMs = 1
+	}
+	for _, u := range c.Upstreams {
+		u.Faults.Deaf.Store(true) // renewals die too
+	}
+	answer, err := callers(t, c).Do(context.Background(), job)
+	wantComplete(t, answer, err, 4)
+	checkStarts(t, c)
+}
+
+// A caller that hangs up takes nothing with it: the job ends, and a
+// resubmission gets its answer.
+func TestCallerHangsUp(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(4, 100*time.Millisecond))
+	home, _ := homeOf(t, s)
+	conn, err := net.Dial("tcp", c.Node(home).CallersAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := json.Marshal(api.Submission{Session: s.Key().Session, Sequence: 1, Attempt: 1, Service: "desk", DeadlineMs: 20000, Tasks: tasks(4, 100*time.Millisecond).Tasks})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: e\r\nContent-Length: %d\r\n\r\n%s", api.PathJobs, len(body), body)
+	await(t, "every task to start", func() bool { return c.startsOf(s.Key()) == 4 })
+	_ = conn.Close()
+	answer, err := s.SendTo(context.Background(), c.Addresses()[0])
+	wantComplete(t, answer, err, 4)
+	if n := c.startsOf(s.Key()); n != 4 {
+		t.Errorf("%d starts", n)
+	}
+}
+
+// A request that is cut off, or too large, is refused with a problem that
+// names its field, and starts nothing.
+func TestBadRequests(t *testing.T) {
+	c := small(t, nil)
+	address := c.Addresses()[0]
+	for name, r := range map[string]struct {
+		body          string
+		status        int
+		code, inField string
+	}{
+		"cut off":       {`{"session":"a.1~~1~c.1","tasks":[{"payload"`, http.StatusBadRequest, "invalid_input", "tasks[0].payload"},
+		"too large":     {`{"session":"` + strings.Repeat("x", api.MaxBody) + `"}`, http.StatusRequestEntityTooLarge, "too_large", "body"},
+		"other session": {`{"session":"a.1~~1~c.1","sequence":1,"attempt":1,"service":"desk","tasks":[{}]}`, http.StatusOK, "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req, err := http.NewRequest(http.MethodPost, "http://"+address+api.PathJobs, strings.NewReader(r.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Expect", "100-continue") // or the refusal of a large body may come as a reset
+			res, err := (&http.Client{Transport: &http.Transport{ExpectContinueTimeout: 10 * time.Second}}).Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = res.Body.Close() }()
+			var p api.Problem
+			if err := json.NewDecoder(res.Body).Decode(&p); err != nil {
+				t.Fatal(err)
+			}
+			if res.StatusCode != r.status || p.Code != r.code || p.Field != r.inField {
+				t.Errorf("status %d, problem %+v", res.StatusCode, p)
+			}
+			if r.status != http.StatusOK && res.Header.Get("Content-Type") != api.ContentProblem {
+				t.Errorf("content type %s", res.Header.Get("Content-Type"))
+			}
+		})
+	}
+	if starts, _ := c.Recorder.Starts(); starts != 0 {
+		t.Errorf("%d starts", starts)
+	}
+}
+
+// One trace spans the caller, the entry that was called, the home and each
+// upstream, across processes.
+func TestOneTraceAcrossHops(t *testing.T) {
+	spans := tracetest.NewInMemoryExporter()
+	tracer := tracing.FromExporter(spans, tracing.Config{Ratio: 1, Service: "test"})
+	c := small(t, func(s *Spec) { s.Tracer = tracer })
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(3, time.Millisecond))
+	home, _ := homeOf(t, s)
+	other := c.Names()[0]
+	if other == home {
+		other = c.Names()[1]
+	}
+	answer, err := s.SendTo(context.Background(), c.Node(other).CallersAddress())
+	wantComplete(t, answer, err, 3)
+	if err := tracer.Flush(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	names, traces := map[string]int{}, map[string]bool{}
+	for _, span := range spans.GetSpans() {
+		names[span.Name]++
+		traces[span.SpanContext.TraceID().String()] = true
+	}
+	want := map[string]int{"caller": 1, "entry": 1, "forward": 1, "home": 1, "upstream": 3}
+	if !maps.Equal(names, want) || len(traces) != 1 {
+		t.Errorf("spans %v in %d traces", names, len(traces))
+	}
+	for _, start := range c.Recorder.Of(s.Key().String() + "/") {
+		if len(start.Trace) < 36 || !traces[start.Trace[3:35]] {
+			t.Errorf("the upstream got trace %q", start.Trace)
+		}
+	}
+}
--- a/experiment/history_test.go
+++ b/experiment/history_test.go
@@ -88,6 +88,9 @@
 		t.Error("one key was told two fates")
 	}
 	checkStarts(t, c)
+	if leaked := c.Leaked(); leaked > 0 {
+		t.Errorf("%d places are held though no job runs", leaked)
+	}
 	told := map[fate.Kind]int{}
 	for _, op := range h.history {
 		kind := op.Output.(fate.Kind)
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -414,6 +415,9 @@
 	p.GoodputShare = r.goodMs / (slots * float64(took.Milliseconds()))
 	_, twice := r.c.Recorder.Starts()
 	p.DuplicateStarts = int64(len(twice))
+	if leaked := r.c.Leaked(); leaked > 0 {
+		p.Violations = append(p.Violations, strconv.Itoa(leaked)+" places are held though no job runs")
+	}
 	for _, task := range twice {
 		p.Violations = append(p.Violations, "started twice: "+task)
 	}
--- a/experiment/throughput_test.go
+++ b/experiment/throughput_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"runtime"
 	"sync"
 	"testing"
@@ -11,6 +12,8 @@
 	"github.com/sedgehatch/sedgehatch/client"
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/upstream"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // idle is a fleet of one entry, or two, whose upstreams answer at once.
@@ -77,3 +80,85 @@
 		}
 	})
 }
+
+// BenchmarkAddedLatency compares a job of one task that ends at once with the
+// same start sent to the upstream directly, turn by turn.
+func BenchmarkAddedLatency(b *testing.B) {
+	for name, entries := range map[string]int{"alone": 1, "witness": 2} {
+		b.Run(name, func(b *testing.B) {
+			c := idle(b, entries)
+			direct := upstream.NewClient("u", c.Upstreams[0].Address(), 4, nil)
+			defer direct.Close()
+			cl, err := c.Client("desk")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer cl.Close()
+			job := client.Job{Service: "desk", Deadline: 20 * time.Second, Tasks: make([]api.Task, 1)}
+			through := hdrhistogram.New(1, maxMicros, significance)
+			straight := hdrhistogram.New(1, maxMicros, significance)
+			timed := func(h *hdrhistogram.Histogram, call func() error) {
+				began := time.Now()
+				if err := call(); err != nil {
+					b.Fatal(err)
+				}
+				_ = h.RecordValue(time.Since(began).Microseconds())
+			}
+			for n := 0; b.Loop(); n++ {
+				timed(through, func() error {
+					_, err := cl.Do(context.Background(), job)
+					return err
+				})
+				timed(straight, func() error {
+					_, err := direct.Start(&upstream.Start{Lease: fmt.Sprintf("d/%p/%d/0", c, n), LeaseMs: 1000, Service: "desk", Task: &fate.Task{}, Patience: time.Second})
+					return err
+				})
+			}
+			b.ReportMetric(float64(through.ValueAtQuantile(50)-straight.ValueAtQuantile(50)), "added-us-p50")
+			b.ReportMetric(float64(through.ValueAtQuantile(99)-straight.ValueAtQuantile(99)), "added-us-p99")
+		})
+	}
+}
+
+// The bounds that a change must not pass. They are counts; the figures that
+// they were set from are in docs/design/measurements.md.
+const (
+	maxAllocsPerTask   = 100
+	maxMessagesPerTask = 2.6
+)
+
+// TestBounds holds the allocations and messages of a task, callers and
+// upstreams included, in jobs of 50 on two entries.
+func TestBounds(t *testing.T) {
+	c := small(t, func(s *Spec) {
+		s.Zones = []ZoneSpec{{"a", 2, 8}}
+		s.Slots = 64
+		s.Heartbeat = 500 * time.Millisecond
+	})
+	cl := callers(t, c)
+	const perJob, jobs = 50, 40
+	job := tasks(perJob, 0)
+	run := func() {
+		for range jobs {
+			answer, err := cl.Do(context.Background(), job)
+			wantComplete(t, answer, err, perJob)
+		}
+	}
+	run() // connections, logs and histories are there from now on
+	sent, _ := c.Messages()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+	now, _ := c.Messages()
+	subtract(now, sent)
+	for _, kind := range []string{"heartbeat", "platform", "slot_sync"} {
+		delete(now, kind) // these go with time, not with tasks
+	}
+	allocs := float64(after.Mallocs-before.Mallocs) / (perJob * jobs)
+	messages := float64(sum(now)) / (perJob * jobs)
+	t.Logf("%.1f allocations and %.3f messages a task: %v", allocs, messages, now)
+	if allocs > maxAllocsPerTask || messages > maxMessagesPerTask {
+		t.Errorf("%.1f allocations, bound %d; %.3f messages, bound %g", allocs, maxAllocsPerTask, messages, maxMessagesPerTask)
+	}
+}
--- a/fate/fate.go
+++ b/fate/fate.go
@@ -138,6 +138,7 @@
 type Effects struct {
 	Starts  []Start  // send these to their upstreams
 	Stops   []Start  // these need not run on: their job has its fate
+	Unused  []Start  // these places were given, and nothing will start there
 	Answers []Answer // tell these
 	Ask     []Key    // ask the witness for the fate of these: the log is sealed
 }
@@ -145,6 +146,7 @@
 func (e *Effects) add(o Effects) {
 	e.Starts = append(e.Starts, o.Starts...)
 	e.Stops = append(e.Stops, o.Stops...)
+	e.Unused = append(e.Unused, o.Unused...)
 	e.Answers = append(e.Answers, o.Answers...)
 	e.Ask = append(e.Ask, o.Ask...)
 }
--- a/fate/home.go
+++ b/fate/home.go
@@ -446,7 +446,8 @@
 		return
 	}
 	j.verdict = verdict
-	h.stop(j, e)
+	j.stop(e)
+	j.retract(e)
 	if h.alone() || !h.mayBeKnown(j) {
 		h.withhold(j)
 		h.tell(j, e)
@@ -498,7 +499,7 @@
 	return list
 }
 
-func (h *Home) stop(j *homeJob, e *Effects) {
+func (j *homeJob) stop(e *Effects) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.phase == started {
@@ -507,6 +508,18 @@
 	}
 }
 
+// retract takes back the places of tasks whose permit is not acknowledged. They
+// never start here.
+func (j *homeJob) retract(e *Effects) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.phase == asked {
+			t.phase = waiting
+			e.Unused = append(e.Unused, Start{Lease{j.key, i, t.attempt}, t.upstream})
+		}
+	}
+}
+
 // tell makes the verdict of j sayable and lets go of what it no longer needs.
 func (h *Home) tell(j *homeJob, e *Effects) {
 	if j.verdict == nil || j.told {
@@ -577,6 +590,7 @@
 // cannot know it, and this home will not start it.
 func (h *Home) neverReached(j *homeJob, e *Effects) {
 	j.verdict = &Answer{Key: j.key, Kind: NotRun, Reason: ReasonWitnessLost}
+	j.retract(e)
 	h.tell(j, e)
 }
 
@@ -586,6 +600,7 @@
 	}
 	j.atWitness = true
 	j.verdict = nil
+	j.retract(e)
 	e.Ask = append(e.Ask, j.key)
 }
 
--- a/fate/home_test.go
+++ b/fate/home_test.go
@@ -178,3 +178,25 @@
 		}
 	}
 }
+
+// A place whose task will not start comes back, however the job ends.
+func TestPlacesOfTasksThatNeverStartComeBack(t *testing.T) {
+	for name, end := range map[string]func(*Home) Effects{
+		"cancelled": func(h *Home) Effects { return h.GiveUp(one, ReasonCancelled) },
+		"sealed":    (*Home).Seal,
+		"orphaned":  (*Home).Orphan,
+	} {
+		for _, sent := range []bool{false, true} {
+			h := NewHome(homeLogID, bound)
+			mustSubmit(t, h, one, jobOf(2), Accepted)
+			h.Place(one, 0, "u")
+			if sent {
+				h.NextAppend(false)
+			}
+			e := end(h)
+			if len(e.Unused) != 1 || e.Unused[0].Upstream != "u" {
+				t.Errorf("%s, sent %v: places back %v", name, sent, e.Unused)
+			}
+		}
+	}
+}
--- a/inner/link.go
+++ b/inner/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -22,57 +23,87 @@
 	mu     sync.Mutex
 	ready  *sync.Cond
 	queued []byte
-	closed bool
+	spare  []byte // to queue in next
+	// writing is true while somebody writes to the stream.
+	writing bool
+	closed  bool
+	// handling counts the readers of this instance that handle a frame.
+	handling *atomic.Int32
 }
 
-func newLane(stream net.Conn) *lane {
-	l := &lane{stream: stream}
+func newLane(stream net.Conn, handling *atomic.Int32) *lane {
+	l := &lane{stream: stream, handling: handling}
 	l.ready = sync.NewCond(&l.mu)
 	return l
 }
 
-// send queues f. Frames that are queued together are written together.
+// send queues f. Frames that are queued together are written together. Where
+// nobody writes, a small frame is written at once by its sender, which saves
+// waking the writer. But no reader ever writes, or two instances that wait for
+// each other to read could stand still: while any reader of this instance
+// handles a frame, all is left to the writers.
 func (l *lane) send(f *Frame) error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if l.closed {
+		l.mu.Unlock()
 		return failure.Unreachable.New("the connection is closed")
 	}
 	if len(l.queued) > maxQueued {
+		l.mu.Unlock()
 		return failure.Unreachable.New("the peer reads too slowly: %d bytes wait", len(l.queued))
 	}
 	queued, err := AppendFrame(l.queued, f)
 	if err != nil {
+		l.mu.Unlock()
 		return err
 	}
 	l.queued = queued
-	l.ready.Signal()
+	if l.writing || len(queued) > directWrite || l.handling.Load() > 0 {
+		l.ready.Signal()
+		l.mu.Unlock()
+		return nil
+	}
+	l.writeQueued()
 	return nil
 }
 
-// write writes what is queued until the lane closes.
+// directWrite bounds what a sender writes itself, in bytes.
+const directWrite = 16 << 10
+
+// writeQueued writes what is queued. The lock is held, and free on return.
+func (l *lane) writeQueued() {
+	batch := l.queued
+	l.queued = l.spare[:0]
+	l.spare = nil
+	l.writing = true
+	l.mu.Unlock()
+	_, err := l.stream.Write(batch)
+	l.mu.Lock()
+	l.writing = false
+	if cap(batch) <= readBuffer {
+		l.spare = batch
+	}
+	if len(l.queued) > 0 {
+		l.ready.Signal()
+	}
+	l.mu.Unlock()
+	if err != nil {
+		l.close()
+	}
+}
+
+// write writes what senders leave to it until the lane closes.
 func (l *lane) write() {
-	var spare []byte
 	for {
 		l.mu.Lock()
-		for len(l.queued) == 0 && !l.closed {
+		for (len(l.queued) == 0 || l.writing) && !l.closed {
 			l.ready.Wait()
 		}
 		if l.closed {
 			l.mu.Unlock()
 			return
 		}
-		batch := l.queued
-		l.queued = spare[:0]
-		l.mu.Unlock()
-		if _, err := l.stream.Write(batch); err != nil {
-			l.close()
-			return
-		}
-		spare = batch
-		if cap(spare) > readBuffer {
-			spare = nil
-		}
+		l.writeQueued()
 	}
 }
 
@@ -102,21 +133,22 @@
 
 // link is one open connection to a peer.
 type link struct {
-	session *yamux.Session
-	lanes   [laneCount]*lane
-	peer    fate.Incarnation
-	zone    string
+	session  *yamux.Session
+	lanes    [laneCount]*lane
+	handling *atomic.Int32
+	peer     fate.Incarnation
+	zone     string
 
 	mu    sync.Mutex
-	calls map[uint64]chan *Frame
+	calls map[uint64]func(*Frame) // by id; nil stands for a broken connection
 	next  uint64
 	down  bool
 }
 
-func newLink(session *yamux.Session, streams [laneCount]net.Conn, hello *Hello) *link {
-	k := &link{session: session, peer: fate.Incarnation(hello.GetIncarnation()), zone: hello.GetZone(), calls: map[uint64]chan *Frame{}}
+func newLink(session *yamux.Session, streams [laneCount]net.Conn, hello *Hello, handling *atomic.Int32) *link {
+	k := &link{session: session, handling: handling, peer: fate.Incarnation(hello.GetIncarnation()), zone: hello.GetZone(), calls: map[uint64]func(*Frame){}}
 	for i, s := range streams {
-		k.lanes[i] = newLane(s)
+		k.lanes[i] = newLane(s, handling)
 	}
 	return k
 }
@@ -141,25 +173,40 @@
 		if err != nil {
 			return
 		}
+		k.handling.Add(1)
 		if f.GetReply() {
 			k.answered(f)
 		} else {
 			take(f)
 		}
+		k.handling.Add(-1)
 	}
 }
 
-// expect registers a call and returns its id and where its reply will come.
-func (k *link) expect() (uint64, chan *Frame, error) {
+// expect registers what takes the reply of a call, and returns the call's id.
+func (k *link) expect(take func(*Frame)) (uint64, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.down {
-		return 0, nil, failure.Unreachable.New("the connection to %s is closed", k.peer)
+		return 0, failure.Unreachable.New("the connection to %s is closed", k.peer)
 	}
 	k.next++
-	reply := make(chan *Frame, 1)
-	k.calls[k.next] = reply
-	return k.next, reply, nil
+	k.calls[k.next] = take
+	return k.next, nil
+}
+
+// call sends f and hands its reply to take.
+func (k *link) call(f *Frame, take func(*Frame)) error {
+	id, err := k.expect(take)
+	if err != nil {
+		return err
+	}
+	f.Id = id
+	if err := k.send(f); err != nil {
+		k.forget(id)
+		return err
+	}
+	return nil
 }
 
 func (k *link) forget(id uint64) {
@@ -170,18 +217,18 @@
 
 func (k *link) answered(f *Frame) {
 	k.mu.Lock()
-	reply := k.calls[f.GetId()]
+	take := k.calls[f.GetId()]
 	delete(k.calls, f.GetId())
 	k.mu.Unlock()
-	if reply != nil {
-		reply <- f
+	if take != nil {
+		take(f)
 	}
 }
 
 func (k *link) close() {
 	k.mu.Lock()
 	calls := k.calls
-	k.calls = map[uint64]chan *Frame{}
+	k.calls = map[uint64]func(*Frame){}
 	first := !k.down
 	k.down = true
 	k.mu.Unlock()
@@ -192,7 +239,7 @@
 		l.close()
 	}
 	_ = k.session.Close()
-	for _, reply := range calls {
-		close(reply)
+	for _, take := range calls {
+		take(nil)
 	}
 }
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -59,6 +60,7 @@
 	accepted map[*link]struct{}
 	closed   bool
 	running  sync.WaitGroup
+	handling atomic.Int32 // readers that handle a frame
 }
 
 // dialed is the connection to one peer, or the last failure to open it.
@@ -158,7 +160,7 @@
 		}
 		writeFrame(s, &Frame{Body: &Frame_Hello{m.hello()}})
 	}
-	return newLink(session, streams, hello), nil
+	return newLink(session, streams, hello, &m.handling), nil
 }
 
 func writeFrame(w io.Writer, f *Frame) {
@@ -280,7 +282,7 @@
 		}
 		hello = f.GetHello()
 	}
-	k := newLink(session, streams, hello)
+	k := newLink(session, streams, hello, &m.handling)
 	if k.peer.Instance() != instance {
 		return nil, failure.Unreachable.New("%s answers where %s was expected", k.peer, instance)
 	}
@@ -334,15 +336,53 @@
 // Post is Send, but never waits for a connection to be opened: without one the
 // error is Unreachable, and one is opened for later.
 func (m *Mesh) Post(peer fate.Incarnation, f *Frame) error {
+	k, err := m.opened(peer)
+	if err != nil {
+		return err
+	}
+	m.cfg.Count(KindOf(f))
+	return k.send(f)
+}
+
+// Notify sends f as a call, as Post does, and hands its reply to done, or the
+// errors of Wait but for Timeout. Done must not block: replies behind it wait.
+func (m *Mesh) Notify(peer fate.Incarnation, f *Frame, done func(*Frame, error)) error {
+	k, err := m.opened(peer)
+	if err != nil {
+		return err
+	}
+	m.cfg.Count(KindOf(f))
+	return k.call(f, func(reply *Frame) { done(replyOf(peer, reply)) })
+}
+
+// opened returns the connection to one incarnation, if it is open.
+func (m *Mesh) opened(peer fate.Incarnation) (*link, error) {
 	m.mu.Lock()
 	d := m.links[peer.Instance()]
+	closed := m.closed
 	m.mu.Unlock()
-	if k := d.open(); k != nil && k.peer == peer {
-		m.cfg.Count(KindOf(f))
-		return k.send(f)
+	k := d.open()
+	if k != nil && k.peer != peer {
+		return nil, failure.Gone.New("%s is gone: its instance is %s now", peer, k.peer)
+	}
+	if k == nil && !closed {
+		go func() { _, _ = m.connect(peer.Instance()) }()
 	}
-	go func() { _, _ = m.connect(peer.Instance()) }()
-	return failure.Unreachable.New("no connection to %s is open yet", peer)
+	if k == nil {
+		return nil, failure.Unreachable.New("no connection to %s is open yet", peer)
+	}
+	return k, nil
+}
+
+// replyOf reads a reply; nil is a connection that broke before it came.
+func replyOf(peer fate.Incarnation, reply *Frame) (*Frame, error) {
+	if reply == nil {
+		return nil, failure.Lost.New("the connection to %s broke", peer)
+	}
+	if reply.GetProblem() != nil {
+		return nil, ToError(reply.GetProblem())
+	}
+	return reply, nil
 }
 
 // open returns the connection if it is open and nobody is opening it.
@@ -372,31 +412,20 @@
 	if err != nil {
 		return nil, err
 	}
-	id, reply, err := k.expect()
-	if err != nil {
-		return nil, err
-	}
-	f.Id = id
 	m.cfg.Count(KindOf(f))
-	if err := k.send(f); err != nil {
-		k.forget(id)
+	reply := make(chan *Frame, 1)
+	if err := k.call(f, func(r *Frame) { reply <- r }); err != nil {
 		return nil, err
 	}
-	return &Pending{peer, k, id, reply}, nil
+	return &Pending{peer, k, f.GetId(), reply}, nil
 }
 
 // Wait returns the reply. The errors are Lost, when the connection broke
 // before it came, Timeout, and whatever typed error the peer replied.
 func (p *Pending) Wait(ctx context.Context) (*Frame, error) {
 	select {
-	case answer, ok := <-p.reply:
-		if !ok {
-			return nil, failure.Lost.New("the connection to %s broke", p.peer)
-		}
-		if answer.GetProblem() != nil {
-			return nil, ToError(answer.GetProblem())
-		}
-		return answer, nil
+	case reply := <-p.reply:
+		return replyOf(p.peer, reply)
 	case <-ctx.Done():
 		p.link.forget(p.id)
 		return nil, failure.Timeout.New("%s did not reply in time", p.peer)
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -34,7 +34,6 @@
 	Straggle     atomic.Int64 // run times are multiplied by this, when above 1
 	Leaving      atomic.Bool  // new starts are refused
 	Deaf         atomic.Bool  // lookups and stops die unanswered
-	Lapse        atomic.Bool  // leases end at their time whatever is renewed
 }
 
 // UpstreamConfig describes an upstream.
@@ -65,7 +64,7 @@
 	info    api.LeaseInfo
 	over    chan struct{} // closed at the end
 	stop    chan struct{}
-	until   time.Time
+	until   time.Time // what was promised; a task that outlives it runs on
 	stopped bool
 }
 
--- a/tracing/tracing.go
+++ b/tracing/tracing.go
@@ -31,6 +31,7 @@
 	tracer trace.Tracer
 	active bool
 	stop   func(context.Context) error
+	flush  func(context.Context) error
 }
 
 // Off returns a tracer that makes no spans.
@@ -58,7 +59,7 @@
 		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(cfg.Ratio))),
 		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", cfg.Service))),
 	)
-	return &Tracer{tracer: provider.Tracer("sedgehatch"), active: true, stop: provider.Shutdown}
+	return &Tracer{tracer: provider.Tracer("sedgehatch"), active: true, stop: provider.Shutdown, flush: provider.ForceFlush}
 }
 
 func exporter(ctx context.Context, cfg Config) (sdktrace.SpanExporter, error) {
@@ -81,7 +82,15 @@
 	return failure.Field(failure.InvalidInput, field, "cannot be used: %v", err)
 }
 
-// Close writes out what is left.
+// Flush writes out the spans that have ended.
+func (t *Tracer) Flush(ctx context.Context) error {
+	if t.flush == nil {
+		return nil
+	}
+	return t.flush(ctx)
+}
+
+// Close writes out what is left, and ends the tracer.
 func (t *Tracer) Close(ctx context.Context) error { return t.stop(ctx) }
 
 // Span is one hop. A nil Span is one that is not recorded.
