Shares of services, reservation for large tasks, pace, doubt, honest admission

Change: serving goes to the service with least of its share (weight and quota_slots in the settings, each pool holding its part of a fleet-wide bound); waits count the tail and 75% of the time to the deadline; failures count by how likely they are by chance; slowness is the tasks that should have ended against those that did; an upstream is kept free for a large task that waited 2 s.

--- a/dispatch/brokers.go
+++ b/dispatch/brokers.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -18,6 +19,8 @@
 	d     *Dispatcher
 	mu    sync.RWMutex
 	pools map[string]*brokerPool
+	// shares are the parts of services in the fleet.
+	shares atomic.Pointer[map[string]placement.Share]
 }
 
 // brokerPool is one placement.Broker: a shard with its own lock.
@@ -34,6 +37,7 @@
 func (b *brokers) init(d *Dispatcher) {
 	b.d = d
 	b.pools = map[string]*brokerPool{}
+	b.shares.Store(&map[string]placement.Share{})
 }
 
 // pool returns the broker of a pool, and makes it on first use. Whoever asks
@@ -51,6 +55,7 @@
 	if b.pools[id] == nil {
 		p = &brokerPool{id: id, broker: placement.NewBroker(b.d.cfg.Broker, b.quietUntil()), homes: map[fate.Incarnation]bool{}}
 		p.broker.SetUpstreams(b.upstreamsOf(b.d.view.Load(), id), nowMs())
+		p.broker.SetShares(b.sharesOf(b.d.view.Load(), id))
 		b.pools[id] = p
 	}
 	return b.pools[id]
@@ -93,9 +98,36 @@
 	}
 	b.mu.Unlock()
 	for _, p := range mine {
-		list := b.upstreamsOf(v, p.id)
-		b.run(p, func(k *placement.Broker) []placement.Grant { return k.SetUpstreams(list, nowMs()) })
+		list, shares := b.upstreamsOf(v, p.id), b.sharesOf(v, p.id)
+		b.run(p, func(k *placement.Broker) []placement.Grant {
+			k.SetShares(shares)
+			return k.SetUpstreams(list, nowMs())
+		})
+	}
+}
+
+// sharesOf returns the parts of services in a pool. A bound on slots is that of
+// the fleet: each pool holds its part of it, so that no counter spans the fleet.
+func (b *brokers) sharesOf(v *View, id string) map[string]placement.Share {
+	p, fleet := v.pools[id], 0
+	for _, o := range v.pools {
+		fleet += o.slots
 	}
+	if p == nil || fleet == 0 {
+		return nil
+	}
+	return lo.MapValues(*b.shares.Load(), func(s placement.Share, _ string) placement.Share {
+		if s.Slots > 0 {
+			s.Slots = max((s.Slots*p.slots+fleet/2)/fleet, 1)
+		}
+		return s
+	})
+}
+
+// SetShares takes what services may have of the fleet.
+func (d *Dispatcher) SetShares(shares map[string]placement.Share) {
+	d.brokers.shares.Store(&shares)
+	d.brokers.rebind(d.view.Load())
 }
 
 // run gives a broker one input and sends what it grants.
@@ -121,7 +153,7 @@
 // held.
 func (p *brokerPool) message(g *placement.Grant) *inner.SlotGrant {
 	m := &inner.SlotGrant{
-		Pool: p.id, Ticket: g.Ticket, Sequence: g.Sequence, Refused: string(g.Refused), RetryAfterMs: uint32(g.RetryAfterMs),
+		Pool: p.id, Ticket: g.Ticket, Service: g.Service, Sequence: g.Sequence, Refused: string(g.Refused), RetryAfterMs: uint32(g.RetryAfterMs),
 		Hurry: p.broker.Queued() > 0, Free: uint32(p.broker.Free()), Queued: uint32(p.broker.Queued()),
 	}
 	for _, place := range g.Places {
@@ -184,7 +216,7 @@
 
 func (b *brokers) sync(home fate.Incarnation, m *inner.SlotSync) {
 	held := lo.Map(m.GetHeld(), func(h *inner.Place, _ int) placement.Place {
-		return placement.Place{Upstream: h.GetUpstream(), Count: int(h.GetCount())}
+		return placement.Place{Upstream: h.GetUpstream(), Service: h.GetService(), Count: int(h.GetCount())}
 	})
 	waiting := lo.Map(m.GetWaiting(), func(r *inner.SlotRequest, _ int) placement.Request { return toRequest(home, r) })
 	b.run(b.pool(m.GetPool()), func(k *placement.Broker) []placement.Grant {
--- a/dispatch/homelog.go
+++ b/dispatch/homelog.go
@@ -33,6 +33,7 @@
 	tickets    []string
 	retryAfter uint32 // milliseconds, after a refusal
 	span       *tracing.Span
+	service    string
 }
 
 // told is an answer on its way to a waiter.
@@ -90,7 +91,7 @@
 type orders struct {
 	starts  []order
 	stops   []fate.Start
-	unused  []fate.Start
+	unused  []placement.Usage
 	told    []delivery
 	ask     []fate.Key
 	tickets []string
@@ -120,7 +121,12 @@
 
 // prepare turns effects into orders. The lock is held.
 func (l *homeLog) prepare(e fate.Effects) orders {
-	o := orders{stops: e.Stops, unused: e.Unused, ask: e.Ask}
+	o := orders{stops: e.Stops, ask: e.Ask}
+	for _, u := range e.Unused {
+		if r := l.runs[u.Lease.Key]; r != nil {
+			o.unused = append(o.unused, placement.Usage{Upstream: u.Upstream, Service: r.service, Count: 1})
+		}
+	}
 	for _, s := range e.Starts {
 		o.starts = append(o.starts, order{Start: s, job: l.home.JobOf(s.Lease.Key), trace: l.traceOf(s.Lease.Key)})
 	}
@@ -174,8 +180,8 @@
 	if len(o.tickets) > 0 {
 		l.d.slots.withdraw(o.tickets)
 	}
-	for _, s := range o.unused {
-		l.d.slots.giveBack(placement.Usage{Upstream: s.Upstream, Count: 1})
+	for _, u := range o.unused {
+		l.d.slots.giveBack(u)
 	}
 	for _, s := range o.stops {
 		go l.stopTask(s)
@@ -199,6 +205,7 @@
 	wait := make(chan told, 1)
 	r.waiters = append(r.waiters, wait)
 	if admission == fate.Accepted {
+		r.service = job.Service
 		r.deadline = time.AfterFunc(time.Until(time.UnixMilli(job.DeadlineMs)), func() { l.giveUp(key, fate.ReasonDeadline, 0) })
 	}
 	l.mu.Unlock()
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -19,7 +19,7 @@
 	mu      sync.Mutex
 	number  uint64
 	tickets map[string]*ticket
-	held    map[string]int // places in use, by upstream
+	held    map[heldKey]int // places in use
 	returns map[string]*returning
 	load    map[string]poolLoad
 	seen    map[string]seen // the last grant of each pool
@@ -34,6 +34,9 @@
 	sequence uint64
 }
 
+// heldKey says where places are held, and for which service.
+type heldKey struct{ upstream, service string }
+
 // ticket is a request for places that is not filled yet.
 type ticket struct {
 	id       string
@@ -65,7 +68,7 @@
 func (s *slots) init(d *Dispatcher) {
 	s.d = d
 	s.tickets = map[string]*ticket{}
-	s.held = map[string]int{}
+	s.held = map[heldKey]int{}
 	s.returns = map[string]*returning{}
 	s.load = map[string]poolLoad{}
 	s.seen = map[string]seen{}
@@ -279,20 +282,20 @@
 	if m.GetTicket() != "" {
 		s.load[m.GetPool()] = poolLoad{int(m.GetFree()), int(m.GetQueued())}
 	}
-	list, spare := s.assign(t, m.GetPlaces())
+	list, spare := s.assign(t, m)
 	if t != nil && (len(t.tasks) == 0 || m.GetRefused() != "") {
 		delete(s.tickets, t.id)
 	}
 	s.mu.Unlock()
 	for _, upstream := range spare {
-		s.giveBack(placement.Usage{Upstream: upstream, Count: 1})
+		s.giveBack(placement.Usage{Upstream: upstream, Service: m.GetService(), Count: 1})
 	}
 	if t == nil {
 		return
 	}
 	if len(list) > 0 {
 		for _, a := range t.log.place(t.key, list) {
-			s.giveBack(placement.Usage{Upstream: a.upstream, Needs: t.needs, Count: 1})
+			s.giveBack(placement.Usage{Upstream: a.upstream, Service: t.service, Needs: t.needs, Count: 1})
 		}
 	}
 	if m.GetRefused() != "" {
@@ -301,10 +304,10 @@
 }
 
 // assign gives the places to tasks of t. The lock is held.
-func (s *slots) assign(t *ticket, places []*inner.Place) (list []assignment, spare []string) {
-	for _, p := range places {
+func (s *slots) assign(t *ticket, m *inner.SlotGrant) (list []assignment, spare []string) {
+	for _, p := range m.GetPlaces() {
+		s.held[heldKey{p.GetUpstream(), m.GetService()}] += int(p.GetCount())
 		for range p.GetCount() {
-			s.held[p.GetUpstream()]++
 			if t == nil || len(t.tasks) == 0 {
 				spare = append(spare, p.GetUpstream())
 				continue
@@ -343,9 +346,10 @@
 func (s *slots) giveBack(u placement.Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.held[u.Upstream] -= u.Count
-	if s.held[u.Upstream] <= 0 {
-		delete(s.held, u.Upstream)
+	key := heldKey{u.Upstream, u.Service}
+	s.held[key] -= u.Count
+	if s.held[key] <= 0 {
+		delete(s.held, key)
 	}
 	pool, known := s.d.view.Load().poolOf[u.Upstream]
 	if !known || s.closed {
@@ -537,20 +541,20 @@
 // heldAt returns the places held at a pool: those in use, and those that the
 // next release gives back. The lock is held.
 func (s *slots) heldAt(v *View, pool string) []*inner.Place {
-	counts := map[string]int{}
-	for upstream, n := range s.held {
-		if v.poolOf[upstream] == pool {
-			counts[upstream] += n
+	counts := map[heldKey]int{}
+	for key, n := range s.held {
+		if v.poolOf[key.upstream] == pool {
+			counts[key] += n
 		}
 	}
 	if r := s.returns[pool]; r != nil {
 		for _, u := range r.usages {
-			counts[u.Upstream] += u.Count
+			counts[heldKey{u.Upstream, u.Service}] += u.Count
 		}
 	}
 	list := make([]*inner.Place, 0, len(counts))
-	for upstream, n := range counts {
-		list = append(list, &inner.Place{Upstream: upstream, Count: uint32(n)})
+	for key, n := range counts {
+		list = append(list, &inner.Place{Upstream: key.upstream, Service: key.service, Count: uint32(n)})
 	}
 	return list
 }
--- a/dispatch/witnesses.go
+++ b/dispatch/witnesses.go
@@ -136,6 +136,7 @@
 		return
 	}
 	r := l.runOf(key, in.Job.Trace)
+	r.service = in.Job.Service
 	r.deadline = time.AfterFunc(time.Until(time.UnixMilli(in.Job.DeadlineMs)), func() { l.giveUp(key, fate.ReasonDeadline, 0) })
 	o := l.prepare(l.home.Adopt(key, in))
 	l.mu.Unlock()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/placement"
 	"github.com/sedgehatch/sedgehatch/settings"
 )
 
@@ -46,12 +47,25 @@
 			return false
 		}
 		if n.settings.CompareAndSwap(now, next) {
+			n.dispatch.SetShares(n.shares(tree))
 			event.SettingsApplied.Log(n.log, slog.Uint64("revision", head.Revision))
 			return true
 		}
 	}
 }
 
+// shares returns what each service that the settings name may have of the fleet.
+func (n *Node) shares(tree *settings.Tree) map[string]placement.Share {
+	shares := map[string]placement.Share{}
+	for _, service := range tree.Named(settings.LevelService) {
+		path := n.path(service, "")
+		shares[service] = placement.Share{
+			Weight: float64(tree.Int(path, settings.KeyWeight)), Slots: int(tree.Int(path, settings.KeyQuotaSlots)),
+		}
+	}
+	return shares
+}
+
 // Revision returns the revision of the settings that is in force here.
 func (n *Node) Revision() uint64 { return n.settings.Load().revision }
 
--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"os"
 	"slices"
@@ -78,6 +79,7 @@
 	MemoryMB   uint64    `ini:"memory_mb"`
 	DeadlineMs int64     `ini:"deadline_ms"` // before scaling
 	Resubmit   float64   `ini:"resubmit"`
+	QuotaSlots int       `ini:"quota_slots"`
 	CancelAt   []float64 `ini:"cancel_at"` // seconds
 	Burst      float64   `ini:"burst"`
 	BurstAt    float64   `ini:"burst_at"`
@@ -240,10 +242,21 @@
 			Broker: broker, ReleaseDelay: time.Duration(s.Cluster.ReleaseMs) * time.Millisecond,
 			LostAfter: 2 * time.Second, WitnessTimeout: 2 * heartbeat,
 		},
-		Settings: "[fleet]\nwitness = " + s.Cluster.Witness + "\n",
+		Settings: "[fleet]\nwitness = " + s.Cluster.Witness + "\n" + s.quotas(),
 	}
 }
 
+// quotas returns the settings of services that have a quota.
+func (s *Scenario) quotas() string {
+	text := ""
+	for _, v := range s.Service {
+		if v.QuotaSlots > 0 {
+			text += fmt.Sprintf("[service %s]\nquota_slots = %d\n", v.Name, v.QuotaSlots)
+		}
+	}
+	return text
+}
+
 func (s *Scenario) load(network *Network, c *Cluster) Load {
 	slots := float64(len(c.Upstreams) * c.Spec.Slots)
 	load := Load{Seed: s.Load.Seed, Duration: time.Duration(s.Load.Seconds * float64(time.Second))}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -47,6 +47,7 @@
 // Place is a number of slots at one upstream.
 type Place struct {
 	Upstream string
+	Service  string // whose they are, in a sync
 	Count    int
 }
 
@@ -63,6 +64,7 @@
 type Grant struct {
 	Home         string
 	Ticket       string
+	Service      string
 	Sequence     uint64 // counts the grants to this home, refusals aside
 	Places       []Place
 	Refused      Refusal
@@ -75,7 +77,7 @@
 	Needs    Needs
 	Service  string
 	Count    int
-	RunMs    float64 // sum over the tasks that finished
+	RunMs    float64 // sum over the tasks that ran; zero where none did
 	Failed   int
 	HoldMs   int64 // the upstream was busy: leave these places alone so long
 	Leaving  bool  // the upstream said that it is leaving
@@ -92,11 +94,14 @@
 	taken  Needs
 	health health
 	listed bool
+	// reserved is the ticket that this upstream is kept free for, or nil.
+	reserved *ticket
 }
 
 type ticketKey struct{ home, ticket string }
 
-type heldKey struct{ home, upstream string }
+// heldKey says who holds places, where and for what.
+type heldKey struct{ home, upstream, service string }
 
 // orphan is a number of places that come back at a time.
 type orphan struct {
@@ -106,6 +111,48 @@
 	at       int64
 }
 
+// use is what one service has of the pool, and what it may have.
+type use struct {
+	used  int
+	share Share
+}
+
+// Share is a service's part of a pool.
+type Share struct {
+	Weight float64 // against the other services that wait; zero is 1
+	Slots  int     // the most that it may have; zero is no bound
+}
+
+func (b *Broker) useOf(service string) *use {
+	u := b.uses[service]
+	if u == nil {
+		u = &use{}
+		b.uses[service] = u
+	}
+	return u
+}
+
+// SetShares replaces the parts of services; those not named weigh 1.
+func (b *Broker) SetShares(shares map[string]Share) {
+	for _, u := range b.uses {
+		u.share = Share{}
+	}
+	for service, share := range shares {
+		b.useOf(service).share = share
+	}
+}
+
+// standing is how much a service has for its weight: the least goes first.
+func (u *use) standing() float64 {
+	if u.share.Weight > 0 {
+		return float64(u.used+1) / u.share.Weight
+	}
+	return float64(u.used + 1)
+}
+
+// atBound reports whether the service has all that it may have.
+func (u *use) atBound() bool { return u.share.Slots > 0 && u.used >= u.share.Slots }
+
 // Broker hands out the places of one pool. It is not safe for concurrent use.
 type Broker struct {
 	cfg      BrokerConfig
@@ -116,8 +163,12 @@
 	queued   int // tasks
 	held     map[heldKey]*holding
 	homes    map[string]*grants
+	uses     map[string]*use // by service
 	orphans  []orphan
 	services *estimates
+	meanMs   float64 // run time of the pool's tasks of late
+	overhead float64 // how long places are taken, against the run times of tasks
+	judged   int64   // Unix milliseconds, when paces were last compared
 	// quietUntil is when a new broker may begin to grant.
 	quietUntil int64
 }
@@ -133,7 +184,7 @@
 func NewBroker(cfg BrokerConfig, quietUntil int64) *Broker {
 	return &Broker{
 		cfg: cfg, places: map[string]*place{}, tickets: map[ticketKey]*ticket{},
-		held: map[heldKey]*holding{}, homes: map[string]*grants{}, quietUntil: quietUntil, services: newEstimates(),
+		held: map[heldKey]*holding{}, homes: map[string]*grants{}, uses: map[string]*use{}, quietUntil: quietUntil, services: newEstimates(), meanMs: unknownRunMs, overhead: 1,
 	}
 }
 
@@ -183,7 +234,7 @@
 func (b *Broker) slots() int {
 	slots := 0
 	for _, p := range b.sorted {
-		if !p.Leaving && !p.health.ejected {
+		if !p.Leaving && !p.health.ejected && !p.health.isSlow(&b.cfg.Health) {
 			slots += p.Slots
 		}
 	}
@@ -205,8 +256,9 @@
 	taken Needs
 }
 
-func (b *Broker) take(home string, p *place, n Needs, count int) {
-	key := heldKey{home, p.ID}
+func (b *Broker) take(home string, p *place, service string, n Needs, count int) {
+	key := heldKey{home, p.ID, service}
+	b.useOf(service).used += count
 	h := b.held[key]
 	if h == nil {
 		h = &holding{}
@@ -231,6 +283,8 @@
 	if h.count <= 0 {
 		delete(b.held, key)
 	}
+	u := b.useOf(key.service)
+	u.used = max(u.used-count, 0)
 	return freed
 }
 
@@ -258,7 +312,7 @@
 		return nil
 	}
 	if wait, full := b.wait(&r, now); full {
-		return []Grant{{Home: r.Home, Ticket: r.Ticket, Refused: RefusedOverloaded, RetryAfterMs: wait}}
+		return []Grant{{Home: r.Home, Ticket: r.Ticket, Service: r.Service, Refused: RefusedOverloaded, RetryAfterMs: wait}}
 	}
 	t := &ticket{Request: r, arrived: now}
 	b.tickets[key] = t
@@ -267,19 +321,24 @@
 	return nil
 }
 
+// admitShare is the part of the time to its deadline that a job may be expected
+// to take. Under overload every job that is admitted is near this bound, and
+// estimates err both ways.
+const admitShare = 0.75
+
 // wait estimates how long r would wait, in milliseconds, and whether that is
 // too long.
 func (b *Broker) wait(r *Request, now int64) (int64, bool) {
-	run := b.services.run(r.Service, r.RunMs)
+	run, tail := b.services.run(r.Service, r.RunMs)
 	missing := b.queued + r.Count - b.Free()
 	if missing <= 0 {
 		return 0, false
 	}
 	waitMs := int64(run)
 	if slots := b.slots(); slots > 0 {
-		waitMs = int64(float64(missing) * run / float64(slots))
+		waitMs = int64(float64(missing) * run * b.overhead / float64(slots))
 	}
-	late := r.DeadlineMs > 0 && now+waitMs+int64(run) > r.DeadlineMs
+	late := r.DeadlineMs > 0 && float64(waitMs)+tail > admitShare*float64(r.DeadlineMs-now)
 	return max(waitMs, 1), late || b.queued+r.Count > b.cfg.MaxQueued
 }
 
@@ -312,9 +371,11 @@
 	if p == nil {
 		return
 	}
+	p.health.pace.running(p.used, b.meanMs, now)
+	p.health.pace.ended += float64(u.Count)
 	b.learn(p, u, now)
 	p.Leaving = p.Leaving || u.Leaving
-	key := heldKey{home, u.Upstream}
+	key := heldKey{home, u.Upstream, u.Service}
 	h := b.held[key]
 	if h == nil {
 		return
@@ -331,20 +392,36 @@
 // learn takes what the tasks of a usage were like.
 func (b *Broker) learn(p *place, u *Usage, now int64) {
 	finished := u.Count - u.Failed
-	if u.HoldMs > 0 {
-		finished = 0
+	if u.HoldMs > 0 || u.RunMs == 0 {
+		finished = 0 // the places were not used
 	}
-	if finished > 0 && u.RunMs > 0 {
+	if finished > 0 {
 		mean := u.RunMs / float64(finished)
-		p.health.ran(mean / b.services.seen(u.Service, mean, finished))
+		b.services.seen(u.Service, mean, finished)
+		b.meanMs += smoothing * (mean - b.meanMs)
+		p.health.succeeded(now, mean)
 	}
-	if finished > 0 {
-		p.health.succeeded()
+	for range finished {
+		b.services.ended(u.Service, false)
 	}
 	for range u.Failed {
-		if p.health.failed(&b.cfg.Health) && b.mayEject(p, now) {
-			p.health.eject(now, &b.cfg.Health)
-		}
+		b.failed(p, u, now)
+	}
+}
+
+// failed counts a failure against an upstream: as many in a row as chance does
+// not explain eject it, and a first one of a service that hardly ever fails
+// casts doubt.
+func (b *Broker) failed(p *place, u *Usage, now int64) {
+	if u.HoldMs == 0 { // it ran
+		b.services.ended(u.Service, true)
+	}
+	p.health.inRow++
+	p.health.failed = now
+	p.health.doubted = b.services.rarely(u.Service)
+	needed := b.services.inRow(u.Service)
+	if needed > 0 && p.health.inRow >= max(needed, b.cfg.Health.FailuresToEject) && b.mayEject(p, now) {
+		p.health.eject(now, &b.cfg.Health)
 	}
 }
 
@@ -392,29 +469,76 @@
 		}
 		return true
 	})
+	b.judgePaces(now)
 	return b.serve(now)
 }
 
-// serve grants what can be granted.
+// judgeEveryMs is how often paces are compared.
+const judgeEveryMs = 50
+
+// judgePaces compares the pace of each upstream with that of the pool.
+func (b *Broker) judgePaces(now int64) {
+	if now-b.judged < judgeEveryMs {
+		return
+	}
+	b.judged = now
+	pool := pace{}
+	for _, p := range b.sorted {
+		p.health.pace.running(p.used, b.meanMs, now)
+		pool.expected += p.health.pace.expected
+		pool.ended += p.health.pace.ended
+	}
+	for _, p := range b.sorted {
+		p.health.slow = p.health.pace.ratio() / pool.ratio()
+	}
+	b.overhead = min(max(pool.ratio(), 1), maxOverhead)
+}
+
+// maxOverhead bounds how much longer than its task's run time a place may seem
+// to be taken.
+const maxOverhead = 2
+
+// serve grants what can be granted: again and again to the service that has
+// least of its share, and within it in the order of the configuration.
 func (b *Broker) serve(now int64) []Grant {
 	if b.queued == 0 || now < b.quietUntil {
 		return nil
 	}
-	b.arrange(now)
+	round := b.newRound(now)
+	for t := round.next(); t != nil; t = round.next() {
+		p := b.choose(t, now)
+		if p == nil {
+			round.skip(t)
+			continue
+		}
+		b.give(t, p, now)
+		round.gave(t, p.ID)
+	}
+	return b.collect(round, now)
+}
+
+func (b *Broker) give(t *ticket, p *place, now int64) {
+	p.health.pace.running(p.used, b.meanMs, now)
+	b.take(t.Home, p, t.Service, t.Needs, 1)
+	t.Count--
+	b.queued--
+	if p.health.isSlow(&b.cfg.Health) {
+		p.health.probed = now
+	}
+}
+
+// collect turns a round into grants, in the order of the queue.
+func (b *Broker) collect(r *round, now int64) []Grant {
 	var list []Grant
-	var done []*ticket
-	for _, t := range b.queue {
-		if g := b.fill(t, now); len(g.Places) > 0 {
+	for _, t := range r.order {
+		if g := r.grants[t]; g != nil {
 			g.Sequence = b.granted(t.Home, now)
-			list = append(list, g)
+			list = append(list, *g)
 		}
 		if t.Count == 0 {
-			done = append(done, t)
+			b.remove(t)
 		}
 	}
-	for _, t := range done {
-		b.remove(t)
-	}
 	return list
 }
 
@@ -445,22 +569,22 @@
 }
 
 func (b *Broker) syncHeld(home string, held []Place) {
-	now := map[string]int{}
+	now := map[heldKey]int{}
 	for _, h := range held {
-		now[h.Upstream] += h.Count
+		now[heldKey{home, h.Upstream, h.Service}] += h.Count
 	}
 	for key, h := range b.held {
-		if over := h.count - now[key.upstream]; key.home == home && over > 0 {
+		if over := h.count - now[key]; key.home == home && over > 0 {
 			b.placeOf(key.upstream).vacate(b.giveUp(key, over), over)
 		}
 	}
-	for upstream, count := range now {
+	for key, count := range now {
 		missing := count
-		if h := b.held[heldKey{home, upstream}]; h != nil {
+		if h := b.held[key]; h != nil {
 			missing -= h.count
 		}
 		if missing > 0 {
-			b.take(home, b.placeOf(upstream), Needs{}, missing)
+			b.take(home, b.placeOf(key.upstream), key.service, Needs{}, missing)
 		}
 	}
 }
@@ -485,44 +609,6 @@
 	return refused
 }
 
-// agingMs is how long a ticket waits before it goes ahead of smaller ones.
-const agingMs = 2000
-
-func (b *Broker) arrange(now int64) {
-	if b.cfg.Order != OrderLeastRemaining {
-		return
-	}
-	slices.SortStableFunc(b.queue, func(x, y *ticket) int {
-		oldX, oldY := now-x.arrived > agingMs, now-y.arrived > agingMs
-		switch {
-		case oldX && oldY:
-			return cmp.Compare(x.arrived, y.arrived)
-		case oldX:
-			return -1
-		case oldY:
-			return 1
-		default:
-			return cmp.Compare(x.Count, y.Count)
-		}
-	})
-}
-
-// fill gives t as many places as there are.
-func (b *Broker) fill(t *ticket, now int64) Grant {
-	g := Grant{Home: t.Home, Ticket: t.Ticket}
-	for t.Count > 0 {
-		p := b.choose(&t.Request, now)
-		if p == nil {
-			break
-		}
-		b.take(t.Home, p, t.Needs, 1)
-		t.Count--
-		b.queued--
-		g.add(p.ID)
-	}
-	return g
-}
-
 func (g *Grant) add(upstream string) {
 	for i := range g.Places {
 		if g.Places[i].Upstream == upstream {
@@ -530,7 +616,7 @@
 			return
 		}
 	}
-	g.Places = append(g.Places, Place{upstream, 1})
+	g.Places = append(g.Places, Place{Upstream: upstream, Count: 1})
 }
 
 // What is added to the score of an upstream, a share of slots in use.
@@ -539,15 +625,15 @@
 	awayCost = 0.13 // it is in another zone than the home: about one slot of 8
 )
 
-// choose returns the upstream with the lowest score for a task of r, or nil.
-func (b *Broker) choose(r *Request, now int64) *place {
+// choose returns the upstream with the lowest score for a task of t, or nil.
+func (b *Broker) choose(t *ticket, now int64) *place {
 	var best *place
 	var lowest float64
 	for _, p := range b.sorted {
-		if !b.usable(p, now) || slices.Contains(r.Avoid, p.Zone) || !p.taken.plus(r.Needs).Within(p.Capacity) {
+		if !b.usable(p, t, now) || !p.taken.plus(t.Needs).Within(p.Capacity) {
 			continue
 		}
-		if score := b.score(p, r); best == nil || score < lowest {
+		if score := b.score(p, &t.Request); best == nil || score < lowest {
 			best, lowest = p, score
 		}
 	}
@@ -555,7 +641,7 @@
 }
 
 func (b *Broker) score(p *place, r *Request) float64 {
-	score := float64(p.used+1) / float64(p.Slots) * p.health.factor(&b.cfg.Health)
+	score := float64(p.used+1) / float64(p.Slots)
 	if r.Needs.Accelerators == 0 && p.Capacity.Accelerators > 0 {
 		score += sparing
 	}
@@ -565,14 +651,33 @@
 	return score
 }
 
-// usable reports whether p may get a task: an ejected upstream gets a single
-// probe once its time is over.
-func (b *Broker) usable(p *place, now int64) bool {
-	if !p.listed || p.Leaving || p.used >= p.Slots {
+// usable reports whether p may get a task of t now.
+func (b *Broker) usable(p *place, t *ticket, now int64) bool {
+	switch {
+	case !p.listed || p.Leaving || p.used >= p.Slots:
+		return false
+	case slices.Contains(t.Avoid, p.Zone):
 		return false
+	case p.reserved != nil && p.reserved != t:
+		return false
+	case p.health.ejected:
+		return now >= p.health.until && p.used == 0 // a single probe
+	case p.health.doubted:
+		return p.used == 0
+	case p.health.isSlow(&b.cfg.Health):
+		return b.worthIt(p, t, now)
+	default:
+		return true
 	}
-	if p.health.ejected {
-		return now >= p.health.until && p.used == 0
+}
+
+// worthIt reports whether a task should go to a slow upstream: to see whether
+// it still is slow, or where waiting would take longer.
+func (b *Broker) worthIt(p *place, t *ticket, now int64) bool {
+	if p.used == 0 && now-p.health.probed >= slowProbeMs {
+		return true
 	}
-	return true
+	run, _ := b.services.run(t.Service, t.RunMs)
+	wait := float64(b.queued) * run / float64(max(b.slots(), 1))
+	return wait > (p.health.slow-1)*run
 }
--- a/placement/health.go
+++ b/placement/health.go
@@ -1,10 +1,9 @@
 package placement
 
-import "math"
-
 // HealthConfig bounds how upstreams are ejected.
 type HealthConfig struct {
-	// FailuresToEject is how many tasks in a row must fail.
+	// FailuresToEject is how many tasks in a row must fail, at least; more where
+	// the service's tasks fail more often anyway.
 	FailuresToEject int
 	// MaxEjected is the largest share of a pool that may be ejected.
 	MaxEjected float64
@@ -16,53 +15,78 @@
 }
 
 // DefaultHealth is what applies where settings say nothing.
-var DefaultHealth = HealthConfig{FailuresToEject: 3, MaxEjected: 0.34, FirstMs: 500, MaxMs: 30000, SlowFactor: 1.5}
+var DefaultHealth = HealthConfig{FailuresToEject: 2, MaxEjected: 0.34, FirstMs: 2000, MaxMs: 60000, SlowFactor: 2}
 
 // health is what a broker has seen of one upstream.
 type health struct {
-	inRow   int     // failures in a row
-	slow    float64 // how its run times compare to those of the pool; 1 is alike
-	samples int
+	inRow   int // failures in a row
+	pace    pace
+	slow    float64 // how much slower than its pool it is; 1 is alike, 0 not known
 	ejected bool
 	until   int64 // Unix milliseconds, when it may be probed
 	times   int   // ejections in a row
+	failed  int64 // Unix milliseconds, of the last failure
+	doubted bool  // the last task failed: one at a time until one succeeds
+	probed  int64 // Unix milliseconds, when a slow one was last given a task
 }
 
-// minSamples is how many tasks must be seen before an upstream counts as slow.
-const minSamples = 5
-
 // smoothing is the weight of a new sample in a moving mean.
 const smoothing = 0.1
 
-func (h *health) ran(ratio float64) {
-	if h.samples == 0 {
-		h.slow = 1
-	}
-	h.samples++
-	h.slow += smoothing * (math.Min(ratio, 20) - h.slow)
+// slowProbeMs is how often a slow upstream is given a task, to see whether it
+// still is.
+const slowProbeMs = 2000
+
+// pace compares the tasks that should have ended with those that did. It
+// notices an upstream that ends nothing as well as one that ends late, and
+// needs no task to end for that.
+type pace struct {
+	expected float64
+	ended    float64
+	since    int64 // Unix milliseconds, up to when expected counts
 }
 
-// factor is what the load of this upstream counts for when places are chosen.
-func (h *health) factor(cfg *HealthConfig) float64 {
-	if h.samples < minSamples || h.slow < cfg.SlowFactor {
-		return 1
+const (
+	// paceMemory is how many expected ends count; older ones fade.
+	paceMemory = 32
+	// pacePrior stands for ends as expected, before there are any.
+	pacePrior = 3
+)
+
+// running lets time pass with used slots whose tasks take meanMs.
+func (p *pace) running(used int, meanMs float64, now int64) {
+	if p.since > 0 && now > p.since {
+		p.expected += float64(used) * float64(now-p.since) / max(meanMs, 1)
+	}
+	p.since = max(now, p.since)
+	if p.expected > paceMemory {
+		p.expected /= 2
+		p.ended /= 2
 	}
-	return h.slow
 }
 
-// succeeded ends an ejection.
-func (h *health) succeeded() {
+func (p *pace) ratio() float64 { return (p.expected + pacePrior) / (p.ended + pacePrior) }
+
+// isSlow reports whether the upstream is slower than its pool by far.
+func (h *health) isSlow(cfg *HealthConfig) bool {
+	return h.slow >= cfg.SlowFactor
+}
+
+// reportDelayMs is how late news of a task's end may be.
+const reportDelayMs = 60
+
+// succeeded takes a task that ended well after runMs. It ends an ejection,
+// unless the task had started before the last failure.
+func (h *health) succeeded(now int64, runMs float64) {
+	if now-int64(runMs)-reportDelayMs < h.failed {
+		return
+	}
 	h.inRow = 0
+	h.doubted = false
 	h.ejected = false
 	h.times = 0
 }
 
-// failed counts a failure, and reports whether the upstream should be ejected.
-func (h *health) failed(cfg *HealthConfig) bool {
-	h.inRow++
-	return h.inRow >= cfg.FailuresToEject
-}
-
 func (h *health) eject(now int64, cfg *HealthConfig) {
 	h.ejected = true
 	length := min(cfg.FirstMs<<min(h.times, 16), cfg.MaxMs)
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -30,6 +30,8 @@
 	KeyKeepMB       = "keep_answers_mb"
 	KeyMaxQueued    = "max_queued_tasks"
 	KeyMaxInFlight  = "max_in_flight_jobs"
+	KeyWeight       = "weight"
+	KeyQuotaSlots   = "quota_slots"
 	KeyTraceRatio   = "trace_ratio"
 	KeyReleaseDelay = "release_delay_ms"
 )
@@ -41,6 +43,8 @@
 	{KeyKeepMB, "8", "MB", "1 to 64", "How much the kept answers of one log may take. Fleet level only.", within(1, 64)},
 	{KeyMaxQueued, "20000", "tasks", "1 to 1000000", "How many tasks may wait at one broker. Fleet level only.", within(1, 1000000)},
 	{KeyMaxInFlight, "0", "jobs", "0 to 1000000; 0 is no limit", "How many jobs of one service, or caller, an entry takes at a time.", within(0, 1000000)},
+	{KeyWeight, "1", "", "1 to 1000", "A service's part of the slots against the others, where work waits.", within(1, 1000)},
+	{KeyQuotaSlots, "0", "slots", "0 to 1000000; 0 is no bound", "The most slots of the fleet that a service has at a time.", within(0, 1000000)},
 	{KeyTraceRatio, "0", "", "0 to 1", "The share of jobs that are traced though their callers do not ask.", share},
 	{KeyReleaseDelay, "40", "ms", "1 to 1000", "How long free places wait for company on their way back to a broker. Fleet level only.", within(1, 1000)},
 }
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -206,3 +207,15 @@
 }
 
 func formatRevision(revision uint64) string { return strconv.FormatUint(revision, 10) }
+
+// Named returns the names that a level has nodes for, sorted.
+func (t *Tree) Named(level Level) []string {
+	var names []string
+	for n := range t.nodes {
+		if n.Level == level {
+			names = append(names, n.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
