--- a/cli/bench.go
+++ b/cli/bench.go
@@ -58,7 +58,7 @@
 		Description: "Each combination of the flags runs each scenario once, one after another.",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "policy", Usage: "`ORDER` of waiting work: fifo, least_remaining; may be repeated"},
-			&cli.StringSliceFlag{Name: "placing", Usage: "`WAY` of sharing upstreams: broker, static, probe; may be repeated"},
+			&cli.StringSliceFlag{Name: "placing", Usage: "`WAY` of sharing upstreams: broker, static, guess, probe; may be repeated"},
 			&cli.StringSliceFlag{Name: "witness", Usage: "`SCOPE` of the witness: none, zone, region; may be repeated"},
 			&cli.Float64SliceFlag{Name: "load", Usage: "`SHARE` of all slots that is offered; may be repeated"},
 			&cli.Float64Flag{Name: "seconds", Usage: "run each for so long instead"},
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -56,12 +56,30 @@
 	// granted together.
 	Gather       time.Duration
 	Broker       placement.BrokerConfig
+	Placing      Placing
 	DialUpstream upstream.Dial
 	Metrics      *metrics.Set
 	Tracer       *tracing.Tracer
 	Log          *slog.Logger
 }
 
+// Placing is how entries share upstreams. All but PlacingBroker are there to be
+// compared with.
+type Placing string
+
+// The ways to share upstreams.
+const (
+	// PlacingBroker has one broker for each pool, that knows its slots exactly.
+	PlacingBroker Placing = "broker"
+	// PlacingStatic gives each entry upstreams of its own.
+	PlacingStatic Placing = "static"
+	// PlacingGuess has each entry place on all upstreams as if it were alone.
+	PlacingGuess Placing = "guess"
+	// PlacingProbe asks two upstreams drawn at random for each task, and takes
+	// the first that is free.
+	PlacingProbe Placing = "probe"
+)
+
 // Defaults of Config.
 const (
 	DefaultShards         = 4
@@ -90,6 +108,9 @@
 	or(&c.LazyAppend, DefaultLazyAppend)
 	or(&c.ReleaseDelay, DefaultReleaseDelay)
 	or(&c.Gather, DefaultGather)
+	if c.Placing == "" {
+		c.Placing = PlacingBroker
+	}
 	if c.Shards == 0 {
 		c.Shards = DefaultShards
 	}
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -49,6 +50,7 @@
 	service  string
 	deadline int64
 	tried    map[string]bool // pools that refused
+	twin     string          // the ticket for the same task at another upstream, when probing
 }
 
 // returning is what goes back to the broker of one pool with the next release.
@@ -119,16 +121,11 @@
 func (s *slots) spread(t *ticket) {
 	view := s.d.view.Load()
 	s.mu.Lock()
-	shares := s.shares(view, t)
-	parts := make([]*ticket, 0, len(shares))
-	rest := t.tasks
-	for _, share := range shares {
-		part := *t
-		part.pool = share.pool
-		part.tasks, rest = rest[:share.count:share.count], rest[share.count:]
-		s.number++
-		part.id = strconv.FormatUint(s.number, 36)
-		parts = append(parts, &part)
+	var parts []*ticket
+	if s.d.cfg.Placing == PlacingProbe {
+		parts = s.probes(view, t)
+	} else {
+		parts = s.parts(view, t)
 	}
 	s.mu.Unlock()
 	if len(parts) == 0 {
@@ -140,6 +137,46 @@
 	}
 }
 
+// parts splits t over pools. The lock is held.
+func (s *slots) parts(view *View, t *ticket) []*ticket {
+	var parts []*ticket
+	rest := t.tasks
+	for _, share := range s.shares(view, t) {
+		part := s.part(t, share.pool, rest[:share.count:share.count])
+		rest = rest[share.count:]
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// part returns a ticket for some tasks of t at one pool. The lock is held.
+func (s *slots) part(t *ticket, pool string, tasks []int) *ticket {
+	part := *t
+	part.pool, part.tasks = pool, tasks
+	s.number++
+	part.id = strconv.FormatUint(s.number, 36)
+	return &part
+}
+
+// probes makes two tickets for each task, at upstreams drawn at random. The
+// lock is held.
+func (s *slots) probes(view *View, t *ticket) []*ticket {
+	pools := s.candidates(view, t)
+	var parts []*ticket
+	for _, task := range t.tasks {
+		if len(pools) < 2 {
+			break
+		}
+		first := rand.IntN(len(pools))
+		second := (first + 1 + rand.IntN(len(pools)-1)) % len(pools)
+		a := s.part(t, pools[first].ID, []int{task})
+		b := s.part(t, pools[second].ID, []int{task})
+		a.twin, b.twin = b.id, a.id
+		parts = append(parts, a, b)
+	}
+	return parts
+}
+
 // noPoolRetryMs is when to come back where every pool refused or none is known.
 const noPoolRetryMs = 1000
 
@@ -184,7 +221,8 @@
 	var pools []*poolView
 	for _, id := range v.order {
 		p := v.pools[id]
-		if p.broker != "" && !t.tried[id] && placement.CanEver(p.Upstreams, t.needs) {
+		static := s.d.cfg.Placing == PlacingStatic && p.broker != s.d.cfg.Self
+		if p.broker != "" && !static && !t.tried[id] && placement.CanEver(p.Upstreams, t.needs) {
 			pools = append(pools, p)
 		}
 	}
@@ -293,6 +331,9 @@
 	if t == nil {
 		return
 	}
+	if len(list) > 0 && t.twin != "" {
+		s.withdraw([]string{t.twin})
+	}
 	if len(list) > 0 {
 		for _, a := range t.log.place(t.key, list) {
 			s.giveBack(placement.Usage{Upstream: a.upstream, Service: t.service, Needs: t.needs, Count: 1})
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -11,6 +12,8 @@
 	"github.com/sedgehatch/sedgehatch/upstream"
 
 	"log/slog"
+
+	"github.com/samber/lo"
 )
 
 // Member is an entry that is alive and not leaving.
@@ -53,7 +56,7 @@
 	slots  int
 }
 
-func (v *View) index() {
+func (v *View) index(placing Placing, self string) {
 	incarnations := map[string]fate.Incarnation{}
 	for _, m := range v.Members {
 		v.entries = append(v.entries, m.Entry)
@@ -73,8 +76,8 @@
 	}
 	v.pools = map[string]*poolView{}
 	v.poolOf = map[string]string{}
-	for _, p := range placement.Pools(usable) {
-		pv := &poolView{Pool: p, broker: incarnations[placement.BrokerOf(&p, v.entries)]}
+	for _, p := range poolsOf(placing, usable, v.entries, self) {
+		pv := &poolView{Pool: p.Pool, broker: incarnations[p.broker]}
 		for _, u := range p.Upstreams {
 			v.poolOf[u.ID] = p.ID
 			pv.slots += u.Slots
@@ -84,6 +87,49 @@
 	}
 }
 
+// brokered is a pool and the instance that is its broker.
+type brokered struct {
+	placement.Pool
+	broker string
+}
+
+// poolsOf groups upstreams and chooses brokers.
+func poolsOf(placing Placing, upstreams []placement.Upstream, entries []placement.Entry, self string) []brokered {
+	if placing == PlacingStatic || placing == PlacingProbe {
+		return singles(placing, upstreams, entries)
+	}
+	var list []brokered
+	for _, p := range placement.Pools(upstreams) {
+		b := brokered{p, placement.BrokerOf(&p, entries)}
+		if placing == PlacingGuess {
+			b.broker = self
+		}
+		list = append(list, b)
+	}
+	return list
+}
+
+// singles makes each upstream a pool of its own, or, with static shares, part
+// of the pool of one entry.
+func singles(placing Placing, upstreams []placement.Upstream, entries []placement.Entry) []brokered {
+	owners := slices.SortedFunc(slices.Values(entries), func(a, b placement.Entry) int { return cmp.Compare(a.Instance, b.Instance) })
+	sorted := slices.SortedFunc(slices.Values(upstreams), func(a, b placement.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	byID := map[string]*brokered{}
+	for i, u := range sorted {
+		one := placement.Pool{ID: "single/" + u.ID, Region: u.Region, Zone: u.Zone}
+		b := brokered{one, placement.BrokerOf(&one, entries)}
+		if placing == PlacingStatic && len(owners) > 0 {
+			b.broker = owners[i%len(owners)].Instance
+			b.Pool = placement.Pool{ID: "static/" + b.broker, Region: u.Region}
+		}
+		if byID[b.ID] == nil {
+			byID[b.ID] = &b
+		}
+		byID[b.ID].Upstreams = append(byID[b.ID].Upstreams, u)
+	}
+	return lo.Map(slices.Sorted(maps.Keys(byID)), func(id string, _ int) brokered { return *byID[id] })
+}
+
 // cutOff reports whether a zone has entries but none of them is heard.
 func (v *View) cutOff(zone string) bool {
 	return v.Staffed[zone] && !slices.ContainsFunc(v.entries, func(e placement.Entry) bool { return e.Zone == zone })
@@ -105,7 +151,7 @@
 
 // SetView takes what is now known of the fleet.
 func (d *Dispatcher) SetView(v View) {
-	v.index()
+	v.index(d.cfg.Placing, d.cfg.Self.Instance())
 	before := d.view.Swap(&v)
 	d.upstreams.set(v.Upstreams)
 	d.brokers.rebind(&v)
--- a/experiment/scenario.go
+++ b/experiment/scenario.go
@@ -239,7 +239,7 @@
 		Heartbeat: heartbeat, Network: network,
 		Membership: membership.Config{SuspectMs: 3 * s.Cluster.HeartbeatMs, DeadMs: 6 * s.Cluster.HeartbeatMs},
 		Dispatch: dispatch.Config{
-			Broker: broker, ReleaseDelay: time.Duration(s.Cluster.ReleaseMs) * time.Millisecond,
+			Broker: broker, Placing: dispatch.Placing(s.Cluster.Placing), ReleaseDelay: time.Duration(s.Cluster.ReleaseMs) * time.Millisecond,
 			LostAfter: 2 * time.Second, WitnessTimeout: 2 * heartbeat,
 		},
 		Settings: "[fleet]\nwitness = " + s.Cluster.Witness + "\n" + s.quotas(),
