Settings spread by peers; an entry starts from its peers while the platform is down

Cause: every entry watched the platform, whose call budget must not grow with the fleet, and one that started during an outage knew nothing. Seeds in an entry's file let it start from peers; alone it says no_settings and serves nothing. Polling of the list shares out over the zone.

--- a/api/problem.go
+++ b/api/problem.go
@@ -38,6 +38,7 @@
 	failure.Code(failure.Overloaded.NewWithNoMessage()):   http.StatusTooManyRequests,
 	failure.Code(failure.NeverFits.NewWithNoMessage()):    http.StatusUnprocessableEntity,
 	failure.Code(failure.Stopping.NewWithNoMessage()):     http.StatusServiceUnavailable,
+	failure.Code(failure.NoSettings.NewWithNoMessage()):   http.StatusServiceUnavailable,
 	failure.Code(failure.Unreachable.NewWithNoMessage()):  http.StatusServiceUnavailable,
 	failure.Code(failure.Timeout.NewWithNoMessage()):      http.StatusGatewayTimeout,
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -14,6 +14,7 @@
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/tracing"
 
+	"github.com/samber/lo"
 	"gopkg.in/ini.v1"
 )
 
@@ -29,9 +30,12 @@
 	Tracing                    tracing.Config
 	Grace                      time.Duration // of a planned stop
 	Heartbeat                  time.Duration
-	PollInstances              time.Duration // of the platform's list
-	Membership                 membership.Config
-	Dispatch                   dispatch.Config
+	// Seeds are hosts and ports of peers, to start from while the platform is
+	// down.
+	Seeds         []string
+	PollInstances time.Duration // of the platform's list
+	Membership    membership.Config
+	Dispatch      dispatch.Config
 }
 
 // option is one key of the file.
@@ -93,6 +97,11 @@
 	return err == nil && f >= 0 && f <= 1
 }
 
+func seeds(c *Config, v string) bool {
+	c.Seeds = strings.FieldsFunc(v, func(r rune) bool { return r == ',' || r == ' ' })
+	return lo.EveryBy(c.Seeds, isAddress)
+}
+
 const (
 	nameRule    = "1 to 64 letters, digits, '-', '_' or '.'"
 	addressRule = "an IP number and a port, such as 127.0.0.1:7400"
@@ -114,6 +123,7 @@
 	{"tracing", "endpoint", "", true, addressRule, text(func(c *Config) *string { return &c.Tracing.Endpoint }, isAddress)},
 	{"tracing", "ratio", "0", false, "0 to 1", ratio},
 	{"stop", "grace_ms", "30000", false, "0 to 600000", duration(func(c *Config) *time.Duration { return &c.Grace }, 0, 600000)},
+	{"peers", "seeds", "", true, "IP numbers and ports of peers, comma separated", seeds},
 	{"peers", "heartbeat_ms", "500", false, "20 to 10000", duration(func(c *Config) *time.Duration { return &c.Heartbeat }, 20, 10000)},
 	{"peers", "suspect_ms", "1600", false, "40 to 60000", millisInto(func(c *Config) *int64 { return &c.Membership.SuspectMs }, 40, 60000)},
 	{"peers", "dead_ms", "3000", false, "60 to 120000", millisInto(func(c *Config) *int64 { return &c.Membership.DeadMs }, 60, 120000)},
--- a/entry/http.go
+++ b/entry/http.go
@@ -88,6 +88,9 @@
 	if err := api.CheckName("caller", open.Caller); err != nil {
 		return err
 	}
+	if err := n.needSettings(); err != nil {
+		return err
+	}
 	scope := n.settings.Load().tree.Get(n.path("", open.Caller), settings.KeyWitness).Text
 	session, life, err := n.dispatch.OpenSession(open.Caller, placement.Scope(scope))
 	if err != nil {
@@ -108,6 +111,9 @@
 		return err
 	}
 	n.metrics.Sent("submit")
+	if err := n.needSettings(); err != nil {
+		return err
+	}
 	tree := n.settings.Load().tree
 	path := n.path(s.Service, s.Session.Caller())
 	release, err := n.flights.enter(tree, path, s.Attempt)
--- a/entry/node.go
+++ b/entry/node.go
@@ -59,6 +59,7 @@
 	viewChanged chan struct{}
 	settings    atomic.Pointer[applied]
 	leaving     atomic.Bool
+	learning    atomic.Bool  // settings are being fetched from a peer
 	inFlight    atomic.Int64 // calls of callers that wait for an answer
 	flights     flights
 	stop        context.Context
@@ -69,6 +70,7 @@
 
 // applied is a revision of the settings that is in force here.
 type applied struct {
+	known    bool // false until the platform or a peer has told any
 	revision uint64
 	value    string // as the platform holds it, for peers that are behind
 	tree     *settings.Tree
@@ -176,6 +178,7 @@
 	n.running.Go(n.heartbeats)
 	n.running.Go(n.keepView)
 	n.running.Go(n.watchSettings)
+	n.running.Go(n.startFromPeers)
 	n.running.Go(func() {
 		if err := n.app.Listener(n.conns.Listener(n.callers)); err != nil && n.stop.Err() == nil {
 			event.ServeFailed.Log(n.log, slog.String("error", err.Error()))
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -29,6 +29,10 @@
 		n.heard(from, hb)
 		return
 	}
+	if f.GetLearn() != nil {
+		reply(n.known())
+		return
+	}
 	n.dispatch.Frame(from, f, reply)
 }
 
@@ -41,6 +45,9 @@
 	changes := n.table.Heard(from, load, time.Now().UnixMilli())
 	n.mu.Unlock()
 	n.changed(changes)
+	if load.Revision > n.Revision() || !n.settings.Load().known {
+		go n.learnSettings(from)
+	}
 	n.dispatch.SetLoad(from, int(load.Free), int(load.Queued))
 	for _, id := range hb.GetLeavingUpstreams() {
 		n.dispatch.UpstreamLeaving(id)
@@ -198,10 +205,8 @@
 // pollInstances reads the platform's list, and goes on from the last one when
 // the platform is silent.
 func (n *Node) pollInstances() {
-	ticker := time.NewTicker(n.cfg.PollInstances)
-	defer ticker.Stop()
 	down := false
-	for {
+	for n.stop.Err() == nil {
 		list, err := n.platform.Instances()
 		if (err != nil) != down && n.stop.Err() == nil {
 			down = err != nil
@@ -210,14 +215,16 @@
 		if err == nil {
 			n.takeList(list)
 		}
-		select {
-		case <-n.stop.Done():
-			return
-		case <-ticker.C:
-		}
+		n.pause(n.pollPause())
 	}
 }
 
+// pollPause grows with the zone, so that the platform's calls do not.
+func (n *Node) pollPause() time.Duration {
+	share := (len(n.zonePeers()) + 1) / watchersPerZone
+	return n.cfg.PollInstances * time.Duration(max(share, 1))
+}
+
 func (n *Node) logPlatform(err error) {
 	if err != nil {
 		event.PlatformLost.Log(n.log, slog.String("error", err.Error()))
@@ -231,6 +238,9 @@
 		mine := i.Role == api.RoleEntry && i.ID != n.cfg.Instance
 		return membership.Listing{Instance: i.ID, Address: i.Address, Region: i.Region, Zone: i.Zone, Rack: i.Rack, Leaving: i.Leaving}, mine
 	})
+	if list == nil {
+		list = []api.PlatformInstance{} // the platform knows none, which is something
+	}
 	n.mu.Lock()
 	same := n.listed != nil && sameList(n.listed, list)
 	n.listed = list
--- a/experiment/cluster.go
+++ b/experiment/cluster.go
@@ -72,9 +72,15 @@
 	if s.PollList == 0 {
 		s.PollList = 500 * time.Millisecond
 	}
+	s.Log = s.quietLog()
+}
+
+// quietLog returns the spec's logger, or one that drops all.
+func (s *Spec) quietLog() *slog.Logger {
 	if s.Log == nil {
-		s.Log = slog.New(slog.DiscardHandler)
+		return slog.New(slog.DiscardHandler)
 	}
+	return s.Log
 }
 
 // Cluster is a running fleet in one process.
@@ -159,6 +165,11 @@
 	if before, again := c.ports[name]; again {
 		cfg.ListenCallers, cfg.ListenInner = before.ListenCallers, before.ListenInner
 	}
+	for other, listens := range c.ports {
+		if other != name {
+			cfg.Seeds = append(cfg.Seeds, listens.ListenInner)
+		}
+	}
 	n, err := entry.New(cfg, c.hooks(name), c.Spec.Log)
 	if err != nil {
 		return nil, err
@@ -350,3 +361,12 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// Running returns how many tasks run at the upstreams now.
+func (c *Cluster) Running() int {
+	running := 0
+	for _, u := range c.Upstreams {
+		running += u.Running()
+	}
+	return running
+}
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -26,6 +26,9 @@
 	Overloaded = namespace.NewType("overloaded")
 	// Stopping means that this instance takes no new work.
 	Stopping = namespace.NewType("stopping")
+	// NoSettings means that this instance knows no settings yet, and serves
+	// nothing before it does.
+	NoSettings = namespace.NewType("no_settings")
 	// SessionEnded means that the session takes no more jobs; open another.
 	SessionEnded = namespace.NewType("session_ended")
 	// NeverFits means that no upstream could ever run the task.
@@ -50,7 +53,7 @@
 
 // portable are the types that pass between processes unchanged.
 var portable = lo.KeyBy([]*errorx.Type{
-	InvalidInput, TooLarge, NotFound, Conflict, Overloaded, Stopping, SessionEnded,
+	InvalidInput, TooLarge, NotFound, Conflict, Overloaded, Stopping, NoSettings, SessionEnded,
 	NeverFits, Unreachable, Lost, Gone, Refused, Timeout, Protocol,
 }, func(t *errorx.Type) string { return shortName(t.FullName()) })
 
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -71,6 +72,12 @@
 	failed time.Time
 }
 
+// atAddress marks the name of a peer of which only the address is known.
+const atAddress = "@"
+
+// AtAddress names whoever listens at an address.
+func AtAddress(address string) fate.Incarnation { return fate.Incarnation(atAddress + address) }
+
 // NewMesh returns a mesh without connections.
 func NewMesh(cfg Config) *Mesh {
 	if cfg.Dial == nil {
@@ -233,7 +240,11 @@
 }
 
 func (m *Mesh) dial(instance string) (*link, error) {
-	address, known := m.cfg.Directory.Address(instance)
+	address, byAddress := strings.CutPrefix(instance, atAddress)
+	known := byAddress
+	if !byAddress {
+		address, known = m.cfg.Directory.Address(instance)
+	}
 	if !known {
 		return nil, failure.Unreachable.New("no address is known for instance %s", instance)
 	}
@@ -283,7 +294,7 @@
 		hello = f.GetHello()
 	}
 	k := newLink(session, streams, hello, &m.handling)
-	if k.peer.Instance() != instance {
+	if k.peer.Instance() != instance && !strings.HasPrefix(instance, atAddress) {
 		return nil, failure.Unreachable.New("%s answers where %s was expected", k.peer, instance)
 	}
 	return k, nil
@@ -292,7 +303,7 @@
 // to returns the connection to one incarnation; one without a boot id is
 // whichever incarnation the instance is now.
 func (m *Mesh) to(peer fate.Incarnation) (*link, error) {
-	if _, _, exact := cutBoot(peer); !exact {
+	if _, _, exact := cutBoot(peer); !exact || strings.HasPrefix(string(peer), atAddress) {
 		return m.connect(string(peer))
 	}
 	k, err := m.connect(peer.Instance())
@@ -509,6 +520,8 @@
 		return "slot_withdraw"
 	case *Frame_SlotSync:
 		return "slot_sync"
+	case *Frame_Learn, *Frame_Known:
+		return "learn"
 	case *Frame_Problem:
 		return "problem"
 	default:
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// Running returns how many tasks run now.
+func (u *Upstream) Running() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.running
+}
+
 // Close ends the upstream abruptly: running tasks die with it.
 func (u *Upstream) Close() {
 	u.mu.Lock()
