--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -217,6 +218,8 @@
 	return append(list, share{least.ID, missing})
 }
 
+// candidates returns the pools that may take t, the nearest and emptiest first.
+// The lock is held.
 func (s *slots) candidates(v *View, t *ticket) []*poolView {
 	var pools []*poolView
 	for _, id := range v.order {
@@ -374,9 +377,11 @@
 	s.mu.Lock()
 	delete(s.tickets, t.id)
 	again := *t
-	s.mu.Unlock()
+	again.tried = maps.Clone(t.tried) // other tickets of the job have it too
 	again.tried[t.pool] = true
-	if len(s.candidates(s.d.view.Load(), &again)) == 0 {
+	elsewhere := len(s.candidates(s.d.view.Load(), &again)) > 0
+	s.mu.Unlock()
+	if !elsewhere {
 		t.log.giveUp(t.key, fate.ReasonOverloaded, retryAfterMs)
 		return
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -124,13 +124,17 @@
 	n.log = n.log.With(slog.String("instance", cfg.Instance))
 	n.stop, n.cancel = context.WithCancel(context.Background())
 	n.settings.Store(&applied{tree: settings.Empty()})
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
 	n.mesh = inner.NewMesh(inner.Config{
-		Fleet: cfg.Fleet, Self: n.self, Zone: cfg.Zone, Directory: n, Handler: n,
+		Fleet: cfg.Fleet, Self: n.self, Region: cfg.Region, Zone: cfg.Zone, Rack: cfg.Rack,
+		Address: n.inner.Addr().String(), Directory: n, Handler: n, Met: n.met,
 		Dial: hooks.DialInner, Count: n.metrics.Sent,
 	})
 	n.dispatch = dispatch.New(n.dispatchConfig(hooks), n.mesh)
 	n.app = n.newApp()
-	return n, n.listen()
+	return n, nil
 }
 
 func (n *Node) dispatchConfig(hooks Hooks) dispatch.Config {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -23,6 +23,16 @@
 	return n.table.Address(instance)
 }
 
+// met takes what a peer says of itself.
+func (n *Node) met(h *inner.Hello) {
+	who := fate.Incarnation(h.GetIncarnation())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.Met(membership.Listing{
+		Instance: who.Instance(), Address: h.GetAddress(), Region: h.GetRegion(), Zone: h.GetZone(), Rack: h.GetRack(),
+	})
+}
+
 // Frame takes a frame of another instance.
 func (n *Node) Frame(from fate.Incarnation, f *inner.Frame, reply func(*inner.Frame)) {
 	if hb := f.GetHeartbeat(); hb != nil {
@@ -282,3 +292,6 @@
 
 // Held returns how many places at upstreams this instance's jobs hold.
 func (n *Node) Held() int { return n.dispatch.Held() }
+
+// InnerBytes returns the bytes that this instance has sent to others.
+func (n *Node) InnerBytes() int64 { return n.mesh.Sent() }
--- a/experiment/cluster.go
+++ b/experiment/cluster.go
@@ -207,13 +207,17 @@
 	}
 }
 
+// store returns the settings at the platform.
+func (c *Cluster) store() *settings.Store {
+	return settings.NewStore(platform.NewClient(c.Platform.Address(), nil, nil), func() int64 { return time.Now().UnixMilli() })
+}
+
 // putSettings makes the spec's settings the first revision.
 func (c *Cluster) putSettings() error {
 	if c.Spec.Settings == "" {
 		return nil
 	}
-	store := settings.NewStore(platform.NewClient(c.Platform.Address(), nil, nil), func() int64 { return time.Now().UnixMilli() })
-	_, _, err := store.Change(0, "experiment", func(*settings.Tree) (*settings.Tree, []error) { return settings.Parse(c.Spec.Settings) })
+	_, _, err := c.store().Change(0, "experiment", func(*settings.Tree) (*settings.Tree, []error) { return settings.Parse(c.Spec.Settings) })
 	return err
 }
 
@@ -370,3 +374,18 @@
 	}
 	return running
 }
+
+// quietMembership fits many entries on one machine, where silence may mean that
+// the machine is busy.
+var quietMembership = membership.Config{SuspectMs: 5000, DeadMs: 10000}
+
+// listIdle lists upstreams that do not run, to see what knowing them costs.
+func (c *Cluster) listIdle(count int) {
+	for i := range count {
+		zone := c.Spec.Zones[i%len(c.Spec.Zones)].Name
+		c.Platform.List(api.PlatformInstance{
+			ID: fmt.Sprintf("idle-%d", i), Role: api.RoleUpstream, Address: "127.0.0.1:1", Zone: zone,
+			CPU: 64, MemoryMB: 128 << 10, Slots: 8, Connections: 64,
+		})
+	}
+}
--- a/inner/link.go
+++ b/inner/link.go
@@ -27,12 +27,17 @@
 	// writing is true while somebody writes to the stream.
 	writing bool
 	closed  bool
-	// handling counts the readers of this instance that handle a frame.
-	handling *atomic.Int32
+	traffic *traffic
 }
 
-func newLane(stream net.Conn, handling *atomic.Int32) *lane {
-	l := &lane{stream: stream, handling: handling}
+// traffic is what the lanes of one instance count together.
+type traffic struct {
+	handling atomic.Int32 // readers that handle a frame
+	sent     atomic.Int64 // bytes of frames
+}
+
+func newLane(stream net.Conn, traffic *traffic) *lane {
+	l := &lane{stream: stream, traffic: traffic}
 	l.ready = sync.NewCond(&l.mu)
 	return l
 }
@@ -57,8 +62,9 @@
 		l.mu.Unlock()
 		return err
 	}
+	l.traffic.sent.Add(int64(len(queued) - len(l.queued)))
 	l.queued = queued
-	if l.writing || len(queued) > directWrite || l.handling.Load() > 0 {
+	if l.writing || len(queued) > directWrite || l.traffic.handling.Load() > 0 {
 		l.ready.Signal()
 		l.mu.Unlock()
 		return nil
@@ -133,11 +139,11 @@
 
 // link is one open connection to a peer.
 type link struct {
-	session  *yamux.Session
-	lanes    [laneCount]*lane
-	handling *atomic.Int32
-	peer     fate.Incarnation
-	zone     string
+	session *yamux.Session
+	lanes   [laneCount]*lane
+	traffic *traffic
+	peer    fate.Incarnation
+	zone    string
 
 	mu    sync.Mutex
 	calls map[uint64]func(*Frame) // by id; nil stands for a broken connection
@@ -145,10 +151,10 @@
 	down  bool
 }
 
-func newLink(session *yamux.Session, streams [laneCount]net.Conn, hello *Hello, handling *atomic.Int32) *link {
-	k := &link{session: session, handling: handling, peer: fate.Incarnation(hello.GetIncarnation()), zone: hello.GetZone(), calls: map[uint64]func(*Frame){}}
+func newLink(session *yamux.Session, streams [laneCount]net.Conn, hello *Hello, traffic *traffic) *link {
+	k := &link{session: session, traffic: traffic, peer: fate.Incarnation(hello.GetIncarnation()), zone: hello.GetZone(), calls: map[uint64]func(*Frame){}}
 	for i, s := range streams {
-		k.lanes[i] = newLane(s, handling)
+		k.lanes[i] = newLane(s, traffic)
 	}
 	return k
 }
@@ -173,13 +179,13 @@
 		if err != nil {
 			return
 		}
-		k.handling.Add(1)
+		k.traffic.handling.Add(1)
 		if f.GetReply() {
 			k.answered(f)
 		} else {
 			take(f)
 		}
-		k.handling.Add(-1)
+		k.traffic.handling.Add(-1)
 	}
 }
 
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -8,7 +8,6 @@
 	"net"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,12 +37,16 @@
 type Config struct {
 	Fleet       string
 	Self        fate.Incarnation
+	Region      string
 	Zone        string
+	Rack        string
+	Address     string // of this instance's inner listener
 	Directory   Directory
 	Handler     Handler
 	Dial        Dialer            // nil is TCP
 	DialTimeout time.Duration     // zero is DefaultDialTimeout
 	Count       func(kind string) // counts each frame that is sent; may be nil
+	Met         func(*Hello)      // takes what each peer says of itself; may be nil
 }
 
 // DefaultDialTimeout bounds opening a connection, the hello included.
@@ -61,7 +64,7 @@
 	accepted map[*link]struct{}
 	closed   bool
 	running  sync.WaitGroup
-	handling atomic.Int32 // readers that handle a frame
+	traffic  traffic
 }
 
 // dialed is the connection to one peer, or the last failure to open it.
@@ -89,6 +92,9 @@
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = DefaultDialTimeout
 	}
+	if cfg.Met == nil {
+		cfg.Met = func(*Hello) {}
+	}
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
@@ -167,7 +173,8 @@
 		}
 		writeFrame(s, &Frame{Body: &Frame_Hello{m.hello()}})
 	}
-	return newLink(session, streams, hello, &m.handling), nil
+	m.cfg.Met(hello)
+	return newLink(session, streams, hello, &m.traffic), nil
 }
 
 func writeFrame(w io.Writer, f *Frame) {
@@ -177,7 +184,10 @@
 }
 
 func (m *Mesh) hello() *Hello {
-	return &Hello{Fleet: m.cfg.Fleet, Version: Version, Incarnation: string(m.cfg.Self), Zone: m.cfg.Zone}
+	return &Hello{
+		Fleet: m.cfg.Fleet, Version: Version, Incarnation: string(m.cfg.Self),
+		Region: m.cfg.Region, Zone: m.cfg.Zone, Rack: m.cfg.Rack, Address: m.cfg.Address,
+	}
 }
 
 // check returns the typed refusal of a stranger, or nil.
@@ -293,7 +303,8 @@
 		}
 		hello = f.GetHello()
 	}
-	k := newLink(session, streams, hello, &m.handling)
+	m.cfg.Met(hello)
+	k := newLink(session, streams, hello, &m.traffic)
 	if k.peer.Instance() != instance && !strings.HasPrefix(instance, atAddress) {
 		return nil, failure.Unreachable.New("%s answers where %s was expected", k.peer, instance)
 	}
@@ -452,6 +463,9 @@
 	return p.Wait(ctx)
 }
 
+// Sent returns the bytes of frames that this instance has sent.
+func (m *Mesh) Sent() int64 { return m.traffic.sent.Load() }
+
 // Drop closes the connection to an instance, so that calls to it end at once.
 func (m *Mesh) Drop(instance string) {
 	m.mu.Lock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -96,6 +96,19 @@
 	return nil
 }
 
+// Met takes what an instance says of itself, where the list does not have it
+// yet.
+func (t *Table) Met(l Listing) {
+	p := t.peers[l.Instance]
+	if p == nil {
+		t.peers[l.Instance] = &Peer{Listing: l, State: Listed}
+		return
+	}
+	if p.Address == "" {
+		p.Listing = l
+	}
+}
+
 // Heard takes a heartbeat. A new incarnation of an instance ends the one
 // before it at once; a late heartbeat of one that was replaced is not taken.
 func (t *Table) Heard(from fate.Incarnation, load Load, now int64) []Change {
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -411,20 +411,25 @@
 
 // failed counts a failure against an upstream: as many in a row as chance does
 // not explain eject it, and a first one of a service that hardly ever fails
-// casts doubt.
+// casts doubt. Being out of one home's reach says less.
 func (b *Broker) failed(p *place, u *Usage, now int64) {
-	if u.HoldMs == 0 { // it ran
-		b.services.ended(u.Service, true)
-	}
 	p.health.inRow++
 	p.health.failed = now
-	p.health.doubted = b.services.rarely(u.Service)
-	needed := b.services.inRow(u.Service)
+	needed := unreachedInRow
+	if ran := u.HoldMs == 0; ran {
+		b.services.ended(u.Service, true)
+		p.health.doubted = b.services.rarely(u.Service)
+		needed = b.services.inRow(u.Service)
+	}
 	if needed > 0 && p.health.inRow >= max(needed, b.cfg.Health.FailuresToEject) && b.mayEject(p, now) {
 		p.health.eject(now, &b.cfg.Health)
 	}
 }
 
+// unreachedInRow is how many starts in a row must not reach an upstream before
+// it is ejected.
+const unreachedInRow = 6
+
 // mayEject keeps the ejected share of the pool bounded. Failures of what ran
 // on when an upstream was ejected do not prolong that; those of a probe do.
 func (b *Broker) mayEject(p *place, now int64) bool {
