--- a/api/upstream.go
+++ b/api/upstream.go
@@ -7,7 +7,7 @@
 	PathTasks      = "/v1/tasks"            // POST: start a task and wait for its end
 	PathLease      = "/v1/lease"            // GET ?id=&wait_ms=: look a lease up
 	PathRenew      = "/v1/lease/renew"      // POST ?id=&lease_ms=
-	PathStop       = "/v1/lease/stop"       // POST ?id=: stop, and bar if never seen
+	PathStop       = "/v1/lease/stop"       // POST ?id=&id=: stop, and bar what was never seen
 	PathCheckpoint = "/v1/lease/checkpoint" // POST ?id=
 	PathThrottle   = "/v1/lease/throttle"   // POST ?id=&share=
 	PathUsage      = "/v1/usage"            // GET
--- a/dispatch/frames.go
+++ b/dispatch/frames.go
@@ -56,6 +56,9 @@
 		Key: inner.ToKey(m.GetKey()), Job: inner.ToJob(m.GetJob()), Attempt: m.GetAttempt(),
 		Wait: min(time.Duration(m.GetWaitMs())*time.Millisecond, maxWait), Trace: m.GetTrace(),
 	}
+	if m.GetSeal() {
+		d.sealFor(c.Key)
+	}
 	r, err := d.answer(c, m.GetAsWitness())
 	if err != nil {
 		replyWith(reply, err)
@@ -78,3 +81,14 @@
 		return Result{}, failure.Gone.New("%s is no member of log %s", d.cfg.Self, log)
 	}
 }
+
+// sealFor seals the log of a key whose home has given the log up.
+func (d *Dispatcher) sealFor(key fate.Key) {
+	log, err := key.Session.Log()
+	if err != nil {
+		return
+	}
+	if l := d.witnesses.get(log); l != nil {
+		d.takeOver(l)
+	}
+}
--- a/dispatch/homelog.go
+++ b/dispatch/homelog.go
@@ -183,9 +183,7 @@
 	for _, u := range o.unused {
 		l.d.slots.giveBack(u)
 	}
-	for _, s := range o.stops {
-		go l.stopTask(s)
-	}
+	l.d.stopTasks(o.stops)
 	if len(o.ask) > 0 {
 		go l.askWitness(o.ask)
 	}
@@ -363,17 +361,20 @@
 	}
 }
 
+// learn asks the witness, which may be there after all where it was taken for
+// lost.
 func (l *homeLog) learn(key fate.Key) (fate.Answer, bool) {
 	l.mu.Lock()
 	orphaned := l.home.Orphaned()
 	l.mu.Unlock()
+	wait := maxWait
 	if orphaned {
-		return fate.Answer{}, false
+		wait = l.d.cfg.WitnessTimeout
 	}
-	ctx, cancel := context.WithTimeout(l.d.stop, maxWait)
+	ctx, cancel := context.WithTimeout(l.d.stop, wait)
 	defer cancel()
 	f := &inner.Frame{Body: &inner.Frame_Submit{Submit: &inner.Submit{
-		Key: inner.FromKey(key), AsWitness: true, WaitMs: uint32(maxWait.Milliseconds()),
+		Key: inner.FromKey(key), AsWitness: true, Seal: true, WaitMs: uint32(wait.Milliseconds()),
 	}}}
 	reply, err := l.d.peers.Call(ctx, l.id.Witness, f)
 	if err != nil || !fate.Kind(reply.GetAnswer().GetKind()).Final() {
--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -14,6 +14,7 @@
 	"github.com/sedgehatch/sedgehatch/upstream"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/samber/lo"
 	"go.opentelemetry.io/otel/attribute"
 )
 
@@ -238,7 +239,11 @@
 	}
 	d.cfg.Metrics.Sent("stop")
 	d.cfg.Metrics.Waste("stop")
-	return client.Stop(lease)
+	infos, err := client.Stop(lease)
+	if err != nil {
+		return api.LeaseInfo{}, err
+	}
+	return infos[0], nil
 }
 
 func concluded(info *api.LeaseInfo) (inquiry, bool) {
@@ -254,13 +259,17 @@
 	}
 }
 
-// stopTask stops a task whose job has its fate already.
-func (l *homeLog) stopTask(s fate.Start) {
-	client := l.d.upstreams.get(s.Upstream)
-	if client == nil {
-		return
+// stopTasks stops tasks whose job has its fate already, in one message for each
+// upstream.
+func (d *Dispatcher) stopTasks(starts []fate.Start) {
+	for id, group := range lo.GroupBy(starts, func(s fate.Start) string { return s.Upstream }) {
+		client := d.upstreams.get(id)
+		if client == nil {
+			continue
+		}
+		d.cfg.Metrics.Sent("stop")
+		d.cfg.Metrics.Waste("stop")
+		leases := lo.Map(group, func(s fate.Start, _ int) string { return s.Lease.String() })
+		go func() { _, _ = client.Stop(leases...) }()
 	}
-	l.d.cfg.Metrics.Sent("stop")
-	l.d.cfg.Metrics.Waste("stop")
-	_, _ = client.Stop(s.Lease.String())
 }
--- a/experiment/failure_test.go
+++ b/experiment/failure_test.go
@@ -512,3 +512,87 @@
 		}
 	}
 }
+
+// An upstream that the platform lists as leaving gets nothing new within 2 s,
+// though it would still take it.
+func TestListedLeaving(t *testing.T) {
+	c := small(t, quick)
+	cl := callers(t, c)
+	leaving := c.Upstreams[0].Instance()
+	leaving.Leaving = true
+	c.Platform.List(leaving)
+	until := time.Now().Add(2 * time.Second)
+	for {
+		s := prepare(t, cl, tasks(40, time.Millisecond))
+		answer, err := s.Submit(context.Background())
+		wantComplete(t, answer, err, 40)
+		used := false
+		for _, start := range c.Recorder.Of(s.Key().String() + "/") {
+			used = used || start.Upstream == leaving.ID
+		}
+		if !used {
+			return
+		}
+		if time.Now().After(until) {
+			t.Fatal("a leaving upstream still gets tasks")
+		}
+	}
+}
+
+// A home that is cut off from its witness, and from callers on the other side,
+// goes on with what it has started; the other side asks the witness, which
+// takes over. Neither tells what the other contradicts, nor starts a task that
+// the other started, and after the cut they agree.
+func TestHomeCutOff(t *testing.T) {
+	network := NewNetwork(func(_, _ string) time.Duration { return 0 })
+	c := small(t, func(s *Spec) {
+		quick(s)
+		s.Network = network
+		s.Settings = "[fleet]\nwitness = region\n"
+		s.Slots = 4
+	})
+	cl := callers(t, c)
+	s := prepare(t, cl, tasks(60, 150*time.Millisecond))
+	home, witness := homeOf(t, s)
+	if c.zones[home] == c.zones[witness] {
+		t.Fatalf("home %s and witness %s are in one zone", home, witness)
+	}
+	first := make(chan api.Answer, 1)
+	go func() {
+		answer, _ := s.SendTo(context.Background(), c.Node(home).CallersAddress())
+		first <- answer
+	}()
+	await(t, "tasks to run while others wait", func() bool { return c.startsOf(s.Key()) >= 24 })
+	network.Cut("a", "b")
+	second, err := s.SendTo(context.Background(), c.Node(witness).CallersAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	network.Heal()
+	told := []fate.Kind{second.Fate, (<-first).Fate}
+	if err := c.AwaitMembers(len(c.Names()), 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for _, address := range c.Addresses() {
+		answer, err := s.SendTo(context.Background(), address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		told = append(told, answer.Fate)
+	}
+	final := fate.Kind("")
+	for _, kind := range told {
+		if kind == fate.Unknown {
+			continue
+		}
+		if final != "" && kind != final {
+			t.Errorf("one key was told %v", told)
+		}
+		final = kind
+	}
+	if final == fate.NotRun {
+		t.Errorf("told %v after %d starts", told, c.startsOf(s.Key()))
+	}
+	t.Logf("told %v", told)
+	checkStarts(t, c)
+}
--- a/experiment/throughput_test.go
+++ b/experiment/throughput_test.go
@@ -14,6 +14,7 @@
 	"github.com/sedgehatch/sedgehatch/upstream"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"gopkg.in/ini.v1"
 )
 
 // idle is a fleet of one entry, or two, whose upstreams answer at once.
@@ -95,6 +96,7 @@
 			}
 			defer cl.Close()
 			job := client.Job{Service: "desk", Deadline: 20 * time.Second, Tasks: make([]api.Task, 1)}
+			looked := hdrhistogram.New(1, maxMicros, significance)
 			through := hdrhistogram.New(1, maxMicros, significance)
 			straight := hdrhistogram.New(1, maxMicros, significance)
 			timed := func(h *hdrhistogram.Histogram, call func() error) {
@@ -109,23 +111,35 @@
 					_, err := cl.Do(context.Background(), job)
 					return err
 				})
+				// With a lookup before the first attempt, as the paper's check
+				// would be if it were not kept for resubmissions.
+				timed(looked, func() error {
+					s, err := cl.Prepare(context.Background(), job)
+					if err != nil {
+						return err
+					}
+					_, _ = cl.State(context.Background(), s.Key(), 0)
+					_, err = s.Submit(context.Background())
+					return err
+				})
 				timed(straight, func() error {
 					_, err := direct.Start(&upstream.Start{Lease: fmt.Sprintf("d/%p/%d/0", c, n), LeaseMs: 1000, Service: "desk", Task: &fate.Task{}, Patience: time.Second})
 					return err
 				})
 			}
 			b.ReportMetric(float64(through.ValueAtQuantile(50)-straight.ValueAtQuantile(50)), "added-us-p50")
+			b.ReportMetric(float64(looked.ValueAtQuantile(50)-straight.ValueAtQuantile(50)), "added-us-p50-lookup-first")
 			b.ReportMetric(float64(through.ValueAtQuantile(99)-straight.ValueAtQuantile(99)), "added-us-p99")
 		})
 	}
 }
 
-// The bounds that a change must not pass. They are counts; the figures that
-// they were set from are in docs/design/measurements.md.
-const (
-	maxAllocsPerTask   = 100
-	maxMessagesPerTask = 2.6
-)
+// bounds are what bench/bounds.ini holds.
+type bounds struct {
+	Allocations float64 `ini:"allocations"`
+	Messages    float64 `ini:"messages"`
+	Wasted      float64 `ini:"wasted"`
+}
 
 // TestBounds holds the allocations and messages of a task, callers and
 // upstreams included, in jobs of 50 on two entries.
@@ -145,20 +159,30 @@
 		}
 	}
 	run() // connections, logs and histories are there from now on
-	sent, _ := c.Messages()
+	var bound bounds
+	file, err := ini.Load("../bench/bounds.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := file.Section("task").StrictMapTo(&bound); err != nil || bound.Allocations == 0 {
+		t.Fatal(bound, err)
+	}
+	sent, wastedBefore := c.Messages()
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	run()
 	runtime.ReadMemStats(&after)
-	now, _ := c.Messages()
+	now, wasted := c.Messages()
 	subtract(now, sent)
+	subtract(wasted, wastedBefore)
 	for _, kind := range []string{"heartbeat", "platform", "slot_sync"} {
 		delete(now, kind) // these go with time, not with tasks
 	}
 	allocs := float64(after.Mallocs-before.Mallocs) / (perJob * jobs)
 	messages := float64(sum(now)) / (perJob * jobs)
-	t.Logf("%.1f allocations and %.3f messages a task: %v", allocs, messages, now)
-	if allocs > maxAllocsPerTask || messages > maxMessagesPerTask {
-		t.Errorf("%.1f allocations, bound %d; %.3f messages, bound %g", allocs, maxAllocsPerTask, messages, maxMessagesPerTask)
+	waste := float64(sum(wasted)) / (perJob * jobs)
+	t.Logf("a task: %.1f allocations, %.3f messages, %.4f wasted; %v", allocs, messages, waste, now)
+	if allocs > bound.Allocations || messages > bound.Messages || waste > bound.Wasted {
+		t.Errorf("a bound is passed: %+v", bound)
 	}
 }
--- a/fate/home.go
+++ b/fate/home.go
@@ -1,20 +1,9 @@
 package fate
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/sedgehatch/sedgehatch/failure"
 )
 
-// appendWindow is how many appends may be on their way without an
-// acknowledgement before further permits wait for the next one.
-const appendWindow = 4
-
-// quietAppends is how many appends may go unacknowledged before the home asks
-// for an acknowledgement only to free its memory.
-const quietAppends = 64
-
 type phase uint8
 
 const (
@@ -53,14 +42,6 @@
 	exclusive bool
 }
 
-// outgoing is an append that is not acknowledged.
-type outgoing struct {
-	Append
-	// sends counts the times that it may have left. Zero proves that the witness
-	// cannot know what it says.
-	sends int
-}
-
 // Home runs the jobs of one permit log. It is not safe for concurrent use.
 type Home struct {
 	id       LogID
@@ -88,9 +69,6 @@
 // Active returns the number of submissions without a fate.
 func (h *Home) Active() int { return h.active }
 
-// Sealed reports whether the log starts nothing more.
-func (h *Home) Sealed() bool { return h.sealed }
-
 // Close makes the log take no new submission. Those that it has go on.
 func (h *Home) Close() { h.closed = true }
 
@@ -231,140 +209,6 @@
 	return e, true
 }
 
-// record returns the pending record of j, and makes it where there is none.
-func (h *Home) record(j *homeJob) *Record {
-	r := h.pending[j.key]
-	if r != nil {
-		return r
-	}
-	r = &Record{Key: j.key}
-	if !j.named {
-		r.Job = j.job
-	}
-	h.pending[j.key] = r
-	h.order = append(h.order, j.key)
-	return r
-}
-
-// NextAppend returns the next message for the witness, or nil. Without lazy it
-// holds back while nothing waits for an acknowledgement. It counts as sent
-// unless Unsent says otherwise.
-func (h *Home) NextAppend(lazy bool) *Append {
-	if len(h.order) == 0 || h.sealed || (!h.urgent && !lazy) || h.awaited() >= appendWindow {
-		return nil
-	}
-	h.sequence++
-	a := &outgoing{sends: 1, Append: Append{Log: h.id, Sequence: h.sequence, WantAck: h.urgent || len(h.unacked) >= quietAppends}}
-	for _, key := range h.order {
-		r := h.pending[key]
-		if r == nil {
-			continue
-		}
-		if j := h.jobs[key]; j != nil {
-			j.named = true
-		}
-		a.Records = append(a.Records, *r)
-	}
-	clear(h.pending)
-	h.order = h.order[:0]
-	h.urgent = false
-	h.unacked = append(h.unacked, a)
-	return &a.Append
-}
-
-// Unsent takes the proof that no byte of an append left the last time.
-func (h *Home) Unsent(sequence uint64) {
-	for _, a := range h.unacked {
-		if a.Sequence == sequence {
-			a.sends--
-		}
-	}
-}
-
-// mayBeKnown reports whether the witness may know of j.
-func (h *Home) mayBeKnown(j *homeJob) bool {
-	if j.acked {
-		return true
-	}
-	return slices.ContainsFunc(h.unacked, func(a *outgoing) bool { return a.sends > 0 && a.holds(j.key) })
-}
-
-func (a *outgoing) holds(key Key) bool {
-	return slices.ContainsFunc(a.Records, func(r Record) bool { return r.Key == key })
-}
-
-// withhold takes j out of all that was not sent: its fate is told without the
-// witness, which must not learn of it later.
-func (h *Home) withhold(j *homeJob) {
-	delete(h.pending, j.key)
-	for _, a := range h.unacked {
-		a.Records = slices.DeleteFunc(a.Records, func(r Record) bool { return r.Key == j.key })
-	}
-}
-
-func (h *Home) awaited() int {
-	n := 0
-	for _, a := range h.unacked {
-		if a.WantAck {
-			n++
-		}
-	}
-	return n
-}
-
-// Unacked returns the appends from sequence on, to send again in order after
-// the connection to the witness was lost. They count as sent, as in NextAppend.
-func (h *Home) Unacked(from uint64) []Append {
-	var list []Append
-	for _, a := range h.unacked {
-		if a.Sequence >= from {
-			a.sends++
-			list = append(list, a.Append)
-		}
-	}
-	return list
-}
-
-// Ack takes the witness's acknowledgement of every append up to sequence.
-func (h *Home) Ack(sequence uint64) Effects {
-	var e Effects
-	for len(h.unacked) > 0 && h.unacked[0].Sequence <= sequence {
-		a := h.unacked[0]
-		h.unacked = h.unacked[1:]
-		for i := range a.Records {
-			e.add(h.acked(&a.Records[i]))
-		}
-	}
-	return e
-}
-
-func (h *Home) acked(r *Record) Effects {
-	var e Effects
-	j := h.jobs[r.Key]
-	if j == nil {
-		return e
-	}
-	j.acked = true
-	if j.told || j.atWitness || h.sealed {
-		return e
-	}
-	if r.Verdict != nil {
-		h.tell(j, &e)
-		return e
-	}
-	if j.verdict != nil {
-		return e // decided without these tasks
-	}
-	for _, p := range r.Permits {
-		t := &j.tasks[p.Task]
-		if t.phase == asked && t.attempt == p.Attempt {
-			t.phase = started
-			e.Starts = append(e.Starts, Start{Lease{r.Key, p.Task, p.Attempt}, p.Upstream})
-		}
-	}
-	return e
-}
-
 // Finish takes the outcome of a started task; TaskUnknown where nobody can
 // tell. It reports false for one that is late, repeated or not awaited.
 func (h *Home) Finish(lease Lease, o Outcome) (Effects, bool) {
@@ -423,213 +267,9 @@
 	return e, true
 }
 
-func (h *Home) complete(j *homeJob, e *Effects) {
-	j.verdict = &Answer{Key: j.key, Kind: Complete, Tasks: outcomes(j)}
-	h.tell(j, e)
-}
-
-// GiveUp ends a submission early: cancelled, past its deadline or refused.
-func (h *Home) GiveUp(key Key, reason Reason) Effects {
-	var e Effects
-	j := h.jobs[key]
-	if j != nil && j.verdict == nil && !j.atWitness {
-		h.decide(j, reason, &e)
-	}
-	return e
-}
-
-// decide gives j a fate other than complete, and tells it once it is recorded.
-func (h *Home) decide(j *homeJob, reason Reason, e *Effects) {
-	verdict := verdictOf(j, reason)
-	if h.mustAsk(j, verdict) {
-		h.leaveToWitness(j, e)
-		return
-	}
-	j.verdict = verdict
-	j.stop(e)
-	j.retract(e)
-	if h.alone() || !h.mayBeKnown(j) {
-		h.withhold(j)
-		h.tell(j, e)
-		return
-	}
-	if h.sealed {
-		h.tell(j, e)
-		return
-	}
-	h.record(j).Verdict = j.verdict
-	h.urgent = true
-}
-
-// mustAsk reports whether a verdict needs a witness that will not record it.
-// A task that its upstream says has failed needs none: no one can say complete.
-func (h *Home) mustAsk(j *homeJob, v *Answer) bool {
-	return h.sealed && h.mayBeKnown(j) && v.Reason != ReasonTaskFailed
-}
-
-func verdictOf(j *homeJob, reason Reason) *Answer {
-	v := &Answer{Key: j.key, Kind: Failed, Reason: reason, Tasks: outcomes(j)}
-	ran, mayComplete := false, j.adopted && !j.exclusive
-	for i := range v.Tasks {
-		ran = ran || v.Tasks[i].State != TaskNotRun
-		mayComplete = mayComplete && v.Tasks[i].State != TaskFailed
-	}
-	switch {
-	case !ran:
-		v.Kind, v.Tasks = NotRun, nil
-	case mayComplete:
-		v.Kind, v.Tasks = Unknown, nil
-	}
-	return v
-}
-
-func outcomes(j *homeJob) []Outcome {
-	list := make([]Outcome, len(j.tasks))
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		switch t.phase {
-		case over:
-			list[i] = t.outcome
-		case started, inherited:
-			list[i].State = TaskUnknown
-		default:
-			list[i].State = TaskNotRun
-		}
-	}
-	return list
-}
-
-func (j *homeJob) stop(e *Effects) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.phase == started {
-			e.Stops = append(e.Stops, Start{Lease{j.key, i, t.attempt}, t.upstream})
-		}
-	}
-}
-
-// retract takes back the places of tasks whose permit is not acknowledged. They
-// never start here.
-func (j *homeJob) retract(e *Effects) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.phase == asked {
-			t.phase = waiting
-			e.Unused = append(e.Unused, Start{Lease{j.key, i, t.attempt}, t.upstream})
-		}
-	}
-}
-
-// tell makes the verdict of j sayable and lets go of what it no longer needs.
-func (h *Home) tell(j *homeJob, e *Effects) {
-	if j.verdict == nil || j.told {
-		return
-	}
-	j.told = true
-	j.job = nil
-	h.active--
-	e.Answers = append(e.Answers, *j.verdict)
-	h.forget(h.kept.add(j.key, sizeOf(j.verdict.Tasks)))
-}
-
-func (h *Home) forget(keys []Key) {
-	for _, key := range keys {
-		delete(h.jobs, key)
-	}
-}
-
 // Tick tells the time, in Unix milliseconds, and lets go of old answers.
 func (h *Home) Tick(now int64) { h.forget(h.kept.tick(now)) }
 
-// Seal takes the news that the witness sealed the log: nothing more starts
-// here. Tasks that started go on; jobs that need more are the witness's.
-func (h *Home) Seal() Effects {
-	var e Effects
-	if h.sealed {
-		return e
-	}
-	h.sealed = true
-	for _, key := range slices.SortedFunc(maps.Keys(h.jobs), compareKeys) {
-		j := h.jobs[key]
-		if j == nil {
-			continue // let go for the one before
-		}
-		switch {
-		case j.told:
-		case !h.mayBeKnown(j):
-			h.neverReached(j, &e)
-		case j.verdict != nil || !allStarted(j):
-			h.leaveToWitness(j, &e)
-		}
-		if !j.told {
-			j.acked = true // from now on it counts as known
-		}
-	}
-	h.dropPending()
-	return e
-}
-
-// Orphan takes the news that the witness is lost. It has the effects of Seal,
-// but there is nobody to ask: the runtime tells unknown for what Ask names.
-func (h *Home) Orphan() Effects {
-	h.orphaned = true
-	return h.Seal()
-}
-
-// Orphaned reports whether the witness is lost.
-func (h *Home) Orphaned() bool { return h.orphaned }
-
-func (h *Home) dropPending() {
-	clear(h.pending)
-	h.order = nil
-	h.unacked = nil
-	h.urgent = false
-}
-
-// neverReached tells not run of a job that no append has named: the witness
-// cannot know it, and this home will not start it.
-func (h *Home) neverReached(j *homeJob, e *Effects) {
-	j.verdict = &Answer{Key: j.key, Kind: NotRun, Reason: ReasonWitnessLost}
-	j.retract(e)
-	h.tell(j, e)
-}
-
-func (h *Home) leaveToWitness(j *homeJob, e *Effects) {
-	if j.atWitness {
-		return
-	}
-	j.atWitness = true
-	j.verdict = nil
-	j.retract(e)
-	e.Ask = append(e.Ask, j.key)
-}
-
-// Learned takes the fate that the witness told for a key named in Ask. An
-// answer of unknown is passed on but not kept: a later call may learn more.
-func (h *Home) Learned(answer Answer) Effects {
-	var e Effects
-	j := h.jobs[answer.Key]
-	if j == nil || !j.atWitness || j.told {
-		return e
-	}
-	if answer.Kind == Unknown {
-		e.Answers = append(e.Answers, answer)
-		return e
-	}
-	j.verdict = &answer
-	h.tell(j, &e)
-	return e
-}
-
-func allStarted(j *homeJob) bool {
-	for i := range j.tasks {
-		if p := j.tasks[i].phase; p == waiting || p == asked {
-			return false
-		}
-	}
-	return true
-}
-
 // Awaits reports whether the outcome of a started task still matters.
 func (h *Home) Awaits(lease Lease) bool {
 	_, t := h.running(lease)
--- /dev/null
+++ b/placement/share.go
@@ -0,0 +1,43 @@
+package placement
+
+// use is what one service has of the pool, and what it may have.
+type use struct {
+	used  int
+	share Share
+}
+
+// Share is a service's part of a pool.
+type Share struct {
+	Weight float64 // against the other services that wait; zero is 1
+	Slots  int     // the most that it may have; zero is no bound
+}
+
+func (b *Broker) useOf(service string) *use {
+	u := b.uses[service]
+	if u == nil {
+		u = &use{}
+		b.uses[service] = u
+	}
+	return u
+}
+
+// SetShares replaces the parts of services; those not named weigh 1.
+func (b *Broker) SetShares(shares map[string]Share) {
+	for _, u := range b.uses {
+		u.share = Share{}
+	}
+	for service, share := range shares {
+		b.useOf(service).share = share
+	}
+}
+
+// standing is how much a service has for its weight: the least goes first.
+func (u *use) standing() float64 {
+	if u.share.Weight > 0 {
+		return float64(u.used+1) / u.share.Weight
+	}
+	return float64(u.used + 1)
+}
+
+// atBound reports whether the service has all that it may have.
+func (u *use) atBound() bool { return u.share.Slots > 0 && u.used >= u.share.Slots }
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -145,7 +145,7 @@
 	case api.PathLease:
 		u.lookup(ctx)
 	case api.PathStop:
-		u.stopLease(ctx)
+		u.stopLeases(ctx)
 	case api.PathRenew:
 		u.renew(ctx)
 	case api.PathCheckpoint, api.PathThrottle:
@@ -379,30 +379,42 @@
 	u.answer(ctx, l)
 }
 
-func (u *Upstream) stopLease(ctx *fasthttp.RequestCtx) {
-	id := string(ctx.QueryArgs().Peek("id"))
+// stopLeases stops every lease that is named, and answers for each in turn.
+func (u *Upstream) stopLeases(ctx *fasthttp.RequestCtx) {
+	var leases []*lease
+	for _, id := range ctx.QueryArgs().PeekMulti("id") {
+		leases = append(leases, u.stopOne(string(id)))
+	}
+	infos := make([]api.LeaseInfo, 0, len(leases))
+	for _, l := range leases {
+		select {
+		case <-l.over:
+		case <-u.done:
+			drop(ctx)
+			return
+		}
+		u.mu.Lock()
+		infos = append(infos, l.info)
+		u.mu.Unlock()
+	}
+	writeJSON(ctx, infos)
+}
+
+// stopOne stops a running lease, and bars one that was never seen.
+func (u *Upstream) stopOne(id string) *lease {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	l := u.leases[id]
 	if l == nil {
 		l = &lease{info: api.LeaseInfo{Lease: id, State: api.LeaseBarred}, over: make(chan struct{})}
 		close(l.over)
 		u.leases[id] = l
 	}
-	running := l.info.State == api.LeaseRunning
-	if running && !l.stopped {
+	if l.info.State == api.LeaseRunning && !l.stopped {
 		l.stopped = true
 		close(l.stop)
 	}
-	u.mu.Unlock()
-	if running {
-		select {
-		case <-l.over:
-		case <-u.done:
-			drop(ctx)
-			return
-		}
-	}
-	u.answer(ctx, l)
+	return l
 }
 
 func (u *Upstream) renew(ctx *fasthttp.RequestCtx) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -204,25 +204,30 @@
 	return info, err
 }
 
-// Stop stops the task of a lease. One that was never seen is barred: a start
-// of it that is still on its way will be refused.
-func (c *Client) Stop(lease string) (api.LeaseInfo, error) {
-	return c.control1(api.PathStop, url.Values{"id": {lease}})
+// Stop stops the tasks of leases, in one message. One that was never seen is
+// barred: a start of it that is still on its way will be refused.
+func (c *Client) Stop(leases ...string) ([]api.LeaseInfo, error) {
+	var infos []api.LeaseInfo
+	err := c.exchange(fasthttp.MethodPost, api.PathStop, url.Values{"id": leases}, controlTimeout, &infos)
+	if err == nil && len(infos) != len(leases) {
+		err = failure.Protocol.New("upstream %s answered %d of %d leases", c.ID, len(infos), len(leases))
+	}
+	return infos, err
 }
 
 // Renew extends a lease.
 func (c *Client) Renew(lease string, leaseMs int64) (api.LeaseInfo, error) {
-	return c.control1(api.PathRenew, url.Values{"id": {lease}, "lease_ms": {strconv.FormatInt(leaseMs, 10)}})
+	return c.change(api.PathRenew, url.Values{"id": {lease}, "lease_ms": {strconv.FormatInt(leaseMs, 10)}})
 }
 
 // Checkpoint makes the upstream save a task's progress.
 func (c *Client) Checkpoint(lease string) (api.LeaseInfo, error) {
-	return c.control1(api.PathCheckpoint, url.Values{"id": {lease}})
+	return c.change(api.PathCheckpoint, url.Values{"id": {lease}})
 }
 
 // Throttle limits a task to a share of its cores, within 0 and 1.
 func (c *Client) Throttle(lease string, share float64) (api.LeaseInfo, error) {
-	return c.control1(api.PathThrottle, url.Values{"id": {lease}, "share": {strconv.FormatFloat(share, 'g', -1, 64)}})
+	return c.change(api.PathThrottle, url.Values{"id": {lease}, "share": {strconv.FormatFloat(share, 'g', -1, 64)}})
 }
 
 // Usage returns the upstream's report of what its tasks used.
@@ -239,7 +244,8 @@
 	return info, err
 }
 
-func (c *Client) control1(path string, query url.Values) (api.LeaseInfo, error) {
+// change makes a call that changes one lease.
+func (c *Client) change(path string, query url.Values) (api.LeaseInfo, error) {
 	var info api.LeaseInfo
 	err := c.exchange(fasthttp.MethodPost, path, query, controlTimeout, &info)
 	return info, err
