Planned stops that nobody notices; admission within a service's share

Change: an instance that leaves is witness to nothing new, and goes once no home needs it; logs whose witness leaves take no new jobs; only a dead home's places come back; idle connections go with the first that is found dead; waits are worked out within what a service may have. Head and body of a yamux frame are one write.

--- a/client/client.go
+++ b/client/client.go
@@ -324,6 +324,7 @@
 		req.SetBodyRaw(raw)
 	}
 	if err := c.http.Do(req, res); err != nil {
+		c.http.CloseIdleConnections() // others to a lost entry are dead as well
 		return failure.Lost.Wrap(err, "entry %s gave no answer", entry)
 	}
 	return read(entry, res, into)
--- a/dispatch/homelog.go
+++ b/dispatch/homelog.go
@@ -87,6 +87,13 @@
 	return l.active() == 0
 }
 
+// retire makes the log take no new jobs. Those that it has go on.
+func (l *homeLog) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.home.Close()
+}
+
 // orders is what has to be done once the lock is free.
 type orders struct {
 	starts  []order
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -156,12 +156,7 @@
 	d.upstreams.set(v.Upstreams)
 	d.brokers.rebind(&v)
 	d.slots.rebind(before, &v)
-	for _, m := range before.Members {
-		now, there := v.member(m.Instance)
-		if m.Incarnation != d.cfg.Self && (!there || now.Incarnation != m.Incarnation) {
-			d.brokers.homeGone(m.Incarnation)
-		}
-	}
+	d.homes.retireLogs(&v)
 }
 
 // UpstreamLeaving makes an upstream get no new tasks from now on, ahead of the
--- a/dispatch/witnesses.go
+++ b/dispatch/witnesses.go
@@ -41,6 +41,9 @@
 	if id.Witness != w.d.cfg.Self {
 		return failure.Refused.New("%s is not the witness of log %s", w.d.cfg.Self, id)
 	}
+	if w.d.leaving.Load() {
+		return failure.Stopping.New("instance %s is leaving", w.d.cfg.Self.Instance())
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.logs[id] == nil {
@@ -197,3 +200,30 @@
 	}
 	return fate.Answer{}, false
 }
+
+// Witnessed returns the number of submissions of other homes that still need
+// this instance as their witness.
+func (d *Dispatcher) Witnessed() int {
+	d.witnesses.mu.RLock()
+	defer d.witnesses.mu.RUnlock()
+	n := 0
+	for _, l := range d.witnesses.logs {
+		l.mu.Lock()
+		n += l.witness.Pending()
+		l.mu.Unlock()
+	}
+	return n
+}
+
+// retireLogs makes the logs whose witness is no member any more, because it
+// leaves or is not heard, take no more jobs: new work goes to other logs.
+func (h *homes) retireLogs(v *View) {
+	for _, l := range h.all() {
+		if l.id.Witness == "" {
+			continue
+		}
+		if m, there := v.member(l.id.Witness.Instance()); !there || m.Incarnation != l.id.Witness {
+			l.retire()
+		}
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -205,6 +205,7 @@
 	n.beat()
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Grace)
 	defer cancel()
+	n.settle(ctx)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	drained := true
@@ -224,7 +225,20 @@
 	return drained
 }
 
-func (n *Node) idle() bool { return n.dispatch.Active() == 0 && n.inFlight.Load() == 0 }
+// settle gives peers two heartbeats' time to hear that this instance leaves,
+// before they may find it gone.
+func (n *Node) settle(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(2 * n.cfg.Heartbeat):
+	}
+}
+
+// idle reports whether nobody needs this instance any more: no caller, no job,
+// and no home that has it as witness.
+func (n *Node) idle() bool {
+	return n.inFlight.Load() == 0 && n.dispatch.Active() == 0 && n.dispatch.Witnessed() == 0
+}
 
 // Kill ends the instance at once, as its death would.
 func (n *Node) Kill() {
--- a/experiment/failure_test.go
+++ b/experiment/failure_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -596,3 +597,35 @@
 	t.Logf("told %v", told)
 	checkStarts(t, c)
 }
+
+// Every entry is stopped and started again under load: no caller notices.
+func TestRollingRestart(t *testing.T) {
+	c := small(t, quick)
+	stop := make(chan struct{})
+	var work sync.WaitGroup
+	var jobs atomic.Int64
+	for range 4 {
+		cl := callers(t, c)
+		work.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				answer, err := cl.Do(context.Background(), tasks(6, 20*time.Millisecond))
+				if err != nil || answer.Fate != fate.Complete {
+					t.Errorf("answer %s %s, %v", answer.Fate, answer.Reason, err)
+				}
+				jobs.Add(1)
+			}
+		})
+	}
+	rollingRestart(c, nil, nil)
+	close(stop)
+	work.Wait()
+	checkStarts(t, c)
+	if jobs.Load() == 0 {
+		t.Error("nothing was tried")
+	}
+}
--- a/fate/witness.go
+++ b/fate/witness.go
@@ -147,6 +147,15 @@
 	return keys
 }
 
+// Pending returns the number of submissions whose home may still need this
+// witness: none once the log is sealed.
+func (w *Witness) Pending() int {
+	if w.sealed {
+		return 0
+	}
+	return len(w.Open())
+}
+
 // Recall returns the fate of key as this witness alone can tell it, or what it
 // holds of a submission that has none yet. Unsealed, it tells only recorded
 // fates: for the rest both results are nil, and the home has to be asked.
--- a/inner/introduce.go
+++ b/inner/introduce.go
@@ -31,7 +31,7 @@
 
 func (m *Mesh) accept(conn net.Conn) {
 	_ = conn.SetDeadline(time.Now().Add(m.cfg.DialTimeout))
-	session, err := yamux.Server(conn, muxConfig())
+	session, err := yamux.Server(&joined{Conn: conn}, muxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -143,7 +143,7 @@
 }
 
 func (m *Mesh) introduce(conn net.Conn, instance string) (*link, error) {
-	session, err := yamux.Client(conn, muxConfig())
+	session, err := yamux.Client(&joined{Conn: conn}, muxConfig())
 	if err != nil {
 		return nil, failure.Unreachable.Wrap(err, "instance %s cannot be reached", instance)
 	}
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -203,7 +203,7 @@
 	t := &ticket{Request: r, arrived: now}
 	b.tickets[key] = t
 	b.queue = append(b.queue, t)
-	b.queued += r.Count
+	b.waits(t, r.Count)
 	return nil
 }
 
@@ -216,18 +216,58 @@
 // too long.
 func (b *Broker) wait(r *Request, now int64) (int64, bool) {
 	run, tail := b.services.run(r.Service, r.RunMs)
-	missing := b.queued + r.Count - b.Free()
-	if missing <= 0 {
-		return 0, false
-	}
-	waitMs := int64(run)
-	if slots := b.slots(); slots > 0 {
-		waitMs = int64(float64(missing) * run * b.overhead / float64(slots))
-	}
+	waitMs := int64(max(b.waitIn(b.queued+r.Count-b.Free(), run, b.slots()), b.waitOf(r, run)))
 	late := r.DeadlineMs > 0 && float64(waitMs)+tail > admitShare*float64(r.DeadlineMs-now)
 	return max(waitMs, 1), late || b.queued+r.Count > b.cfg.MaxQueued
 }
 
+// waitIn estimates how long it takes until missing places have come back among
+// slots, in milliseconds.
+func (b *Broker) waitIn(missing int, run float64, slots int) float64 {
+	switch {
+	case missing <= 0:
+		return 0
+	case slots <= 0:
+		return run
+	default:
+		return float64(missing) * run * b.overhead / float64(slots)
+	}
+}
+
+// waitOf is the wait within what r's service may have: its bound, and its part
+// against the others that wait, or more where those leave it.
+func (b *Broker) waitOf(r *Request, run float64) float64 {
+	u := b.useOf(r.Service)
+	slots := b.slots()
+	mine := max(b.partOf(u, slots), slots-b.usedByOthers(u))
+	if u.share.Slots > 0 {
+		mine = min(mine, u.share.Slots)
+	}
+	return b.waitIn(u.queued+r.Count-max(mine-u.used, 0), run, mine)
+}
+
+func (b *Broker) usedByOthers(u *use) int {
+	used := 0
+	for _, o := range b.uses {
+		if o != u {
+			used += o.used
+		}
+	}
+	return used
+}
+
+// partOf is the part of slots that u's weight gives it against the services
+// that wait.
+func (b *Broker) partOf(u *use, slots int) int {
+	weights := u.weight()
+	for _, o := range b.uses {
+		if o != u && o.queued > 0 {
+			weights += o.weight()
+		}
+	}
+	return int(float64(slots) * u.weight() / weights)
+}
+
 // Withdraw takes back what still waits of a home's tickets.
 func (b *Broker) Withdraw(home string, tickets []string) {
 	for _, name := range tickets {
@@ -237,9 +277,15 @@
 	}
 }
 
+// waits counts tasks of t that wait from now on, or no longer do.
+func (b *Broker) waits(t *ticket, count int) {
+	b.queued += count
+	b.useOf(t.Service).queued += count
+}
+
 func (b *Broker) remove(t *ticket) {
 	delete(b.tickets, ticketKey{t.Home, t.Ticket})
-	b.queued -= t.Count
+	b.waits(t, -t.Count)
 	b.queue = slices.DeleteFunc(b.queue, func(q *ticket) bool { return q == t })
 }
 
@@ -313,7 +359,7 @@
 	p.health.pace.running(p.used, b.meanMs, now)
 	b.take(t.Home, p, t.Service, t.Needs, 1)
 	t.Count--
-	b.queued--
+	b.waits(t, -1)
 	if p.health.isSlow(&b.cfg.Health) {
 		p.health.probed = now
 	}
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -49,6 +49,9 @@
 		return told(s.b.HomeGone(arg(t, d, "home", "h"), s.now))
 	case "sync":
 		return told(s.sync(t, d))
+	case "shares":
+		s.b.SetShares(shares(t, d))
+		return told(s.b.Tick(s.now))
 	case "tick":
 		return told(s.b.Tick(s.now))
 	case "state":
@@ -92,7 +95,7 @@
 		Home: arg(t, d, "home", "h"), Ticket: arg(t, d, "ticket", "t"), Count: num(t, d, "count", 1),
 		Needs:      Needs{CPU: float64(num(t, d, "cpu", 0)), Accelerators: uint32(num(t, d, "accelerators", 0))},
 		RunMs:      float64(num(t, d, "run", 100)),
-		DeadlineMs: int64(num(t, d, "deadline", 0)), Zone: arg(t, d, "zone", "z"), Service: "s",
+		DeadlineMs: int64(num(t, d, "deadline", 0)), Zone: arg(t, d, "zone", "z"), Service: arg(t, d, "service", "s"),
 	}
 	if d.HasArg("avoid") {
 		r.Avoid = []string{arg(t, d, "avoid", "")}
@@ -102,11 +105,25 @@
 
 func (s *story) usage(t *testing.T, d *datadriven.TestData) Usage {
 	return Usage{
-		Upstream: arg(t, d, "upstream", "u"), Count: num(t, d, "count", 1), Service: "s",
+		Upstream: arg(t, d, "upstream", "u"), Count: num(t, d, "count", 1), Service: arg(t, d, "service", "s"),
 		RunMs: float64(num(t, d, "run", 0)), Failed: num(t, d, "failed", 0), HoldMs: int64(num(t, d, "hold", 0)),
 	}
 }
 
+// shares reads a line for each service: name, weight, slots.
+func shares(t *testing.T, d *datadriven.TestData) map[string]Share {
+	all := map[string]Share{}
+	for line := range strings.Lines(d.Input) {
+		var name string
+		var share Share
+		if _, err := fmt.Sscan(line, &name, &share.Weight, &share.Slots); err != nil {
+			t.Fatal(err)
+		}
+		all[name] = share
+	}
+	return all
+}
+
 // sync reads the places held, a line each: upstream, count.
 func (s *story) sync(t *testing.T, d *datadriven.TestData) []Grant {
 	var held []Place
--- a/placement/share.go
+++ b/placement/share.go
@@ -2,8 +2,9 @@
 
 // use is what one service has of the pool, and what it may have.
 type use struct {
-	used  int
-	share Share
+	used   int
+	queued int // tasks that wait
+	share  Share
 }
 
 // Share is a service's part of a pool.
@@ -31,13 +32,15 @@
 	}
 }
 
-// standing is how much a service has for its weight: the least goes first.
-func (u *use) standing() float64 {
+func (u *use) weight() float64 {
 	if u.share.Weight > 0 {
-		return float64(u.used+1) / u.share.Weight
+		return u.share.Weight
 	}
-	return float64(u.used + 1)
+	return 1
 }
 
+// standing is how much a service has for its weight: the least goes first.
+func (u *use) standing() float64 { return float64(u.used+1) / u.weight() }
+
 // atBound reports whether the service has all that it may have.
 func (u *use) atBound() bool { return u.share.Slots > 0 && u.used >= u.share.Slots }
--- a/placement/sync.go
+++ b/placement/sync.go
@@ -63,7 +63,7 @@
 	for _, r := range waiting {
 		named[r.Ticket] = true
 		if t := b.tickets[ticketKey{home, r.Ticket}]; t != nil {
-			b.queued += r.Count - t.Count
+			b.waits(t, r.Count-t.Count)
 			t.Count = r.Count
 			continue
 		}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -120,6 +120,7 @@
 	defer fasthttp.ReleaseResponse(res)
 	s.write(req, c.Address)
 	if err := c.tasks.Do(req, res); err != nil {
+		c.tasks.CloseIdleConnections() // others to a lost upstream are dead as well
 		return Reply{}, classify(c.ID, err)
 	}
 	return readReply(c.ID, res)
