--- /dev/null
+++ b/tracing/tracing_test.go
@@ -0,0 +1,63 @@
+package tracing
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+)
+
+// TestExports holds that spans reach a file, and a receiver of OTLP over HTTP.
+func TestExports(t *testing.T) {
+	received := make(chan string, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case received <- r.Method + " " + r.URL.Path:
+		default:
+		}
+	}))
+	defer server.Close()
+	file := filepath.Join(t.TempDir(), "spans.json")
+	for _, cfg := range []Config{
+		{File: file, Ratio: 1, Service: "test"},
+		{Endpoint: strings.TrimPrefix(server.URL, "http://"), Ratio: 1, Service: "test"},
+	} {
+		tracer, err := New(context.Background(), cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		parent := tracer.Start("", "caller")
+		child := tracer.Start(parent.Parent(), "entry")
+		if a, b := parent.Parent(), child.Parent(); len(a) != 55 || a[:36] != b[:36] {
+			t.Errorf("traces %q and %q", a, b)
+		}
+		child.End()
+		parent.End()
+		if err := tracer.Close(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := <-received; got != "POST /v1/traces" {
+		t.Errorf("the receiver got %s", got)
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil || !strings.Contains(string(raw), `"Name":"entry"`) {
+		t.Errorf("the file holds %q, %v", raw, err)
+	}
+}
+
+func TestOffAndWrong(t *testing.T) {
+	const given = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	if got := Off().Start(given, "entry").Parent(); got != given {
+		t.Errorf("a trace that is not recorded here became %q", got)
+	}
+	_, err := New(context.Background(), Config{File: t.TempDir()})
+	if failure.FieldOf(err) != "tracing.file" {
+		t.Errorf("error %v", err)
+	}
+}
