A stopped task says nothing of its upstream; doubt stays until a task succeeds

The tasks of a failed job that are stopped counted as failures of the upstreams they ran at, so that one black hole cast doubt on all. Change: a stopped task counts neither way; doubt lasts; an ejection begins at 5 s.

--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -53,7 +53,7 @@
 		l.rejected(o, usage, reply.Refusal)
 	default:
 		usage.RunMs = float64(time.Since(began).Microseconds()) / 1000
-		l.ended(o, usage, outcomeOf(reply.State, reply.Body))
+		l.ended(o, endedAs(usage, reply.State), outcomeOf(reply.State, reply.Body))
 	}
 }
 
@@ -119,12 +119,21 @@
 	}
 }
 
+// endedAs says in u how the task ended. One that was stopped says nothing of
+// its upstream.
+func endedAs(u placement.Usage, state api.LeaseState) placement.Usage {
+	switch state {
+	case api.LeaseFailed:
+		u.Failed = 1
+	case api.LeaseStopped:
+		u.RunMs = 0
+	}
+	return u
+}
+
 // ended takes the outcome of a task and gives its place back. The place goes
 // first, so that the next task need not wait for what the outcome sets off.
 func (l *homeLog) ended(o order, u placement.Usage, outcome fate.Outcome) {
-	if outcome.State == fate.TaskFailed {
-		u.Failed = 1
-	}
 	l.d.slots.giveBack(u)
 	if !l.finish(o.Lease, outcome) {
 		l.d.cfg.Metrics.Waste("result")
@@ -162,7 +171,7 @@
 		u.HoldMs = holdBusy.Milliseconds()
 		l.notStarted(o, u)
 	case leaseOver:
-		l.ended(o, u, inquiry.outcome)
+		l.ended(o, endedAs(u, inquiry.state), inquiry.outcome)
 	case leaseSilent:
 		event.UpstreamLost.Log(l.d.cfg.Log, slog.String("upstream", o.Upstream), slog.String("lease", o.Lease.String()))
 		u.HoldMs = holdUnreachable.Milliseconds()
@@ -191,6 +200,7 @@
 
 type inquiry struct {
 	verdict leaseVerdict
+	state   api.LeaseState // where it is over
 	outcome fate.Outcome
 }
 
@@ -249,9 +259,9 @@
 func concluded(info *api.LeaseInfo) (inquiry, bool) {
 	switch info.State {
 	case api.LeaseFinished:
-		return inquiry{leaseOver, outcomeOf(info.State, info.Result)}, true
+		return inquiry{leaseOver, info.State, outcomeOf(info.State, info.Result)}, true
 	case api.LeaseFailed, api.LeaseStopped:
-		return inquiry{leaseOver, outcomeOf(info.State, []byte(info.Error))}, true
+		return inquiry{leaseOver, info.State, outcomeOf(info.State, []byte(info.Error))}, true
 	case api.LeaseBarred:
 		return inquiry{verdict: leaseBarred}, true
 	default:
--- /dev/null
+++ b/dispatch/starter_test.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/sedgehatch/sedgehatch/api"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/placement"
+)
+
+// A task that was stopped, because its job was cancelled or has failed, must
+// not count against its upstream: one failed job would cast doubt on every
+// upstream that its other tasks ran at.
+func TestStoppedSaysNothingOfItsUpstream(t *testing.T) {
+	for state, want := range map[api.LeaseState]placement.Usage{
+		api.LeaseFinished: {RunMs: 5},
+		api.LeaseFailed:   {RunMs: 5, Failed: 1},
+		api.LeaseStopped:  {},
+	} {
+		if got := endedAs(placement.Usage{RunMs: 5}, state); got != want {
+			t.Errorf("%s: usage %+v", state, got)
+		}
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		state api.LeaseState
+		body  string
+		want  fate.TaskState
+	}{
+		{api.LeaseFinished, `{"free":true}`, fate.TaskFinished},
+		{api.LeaseFinished, `{"free":`, fate.TaskFailed},
+		{api.LeaseFailed, "why", fate.TaskFailed},
+		{api.LeaseStopped, "", fate.TaskFailed},
+	} {
+		if got := outcomeOf(c.state, []byte(c.body)); got.State != c.want {
+			t.Errorf("%s %s: %+v", c.state, c.body, got)
+		}
+	}
+}
--- a/placement/health.go
+++ b/placement/health.go
@@ -15,7 +15,7 @@
 }
 
 // DefaultHealth is what applies where settings say nothing.
-var DefaultHealth = HealthConfig{FailuresToEject: 2, MaxEjected: 0.34, FirstMs: 2000, MaxMs: 60000, SlowFactor: 2}
+var DefaultHealth = HealthConfig{FailuresToEject: 2, MaxEjected: 0.34, FirstMs: 5000, MaxMs: 60000, SlowFactor: 2}
 
 // health is what a broker has seen of one upstream.
 type health struct {
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -29,7 +29,7 @@
 	needed := unreachedInRow
 	if ran := u.HoldMs == 0; ran {
 		b.services.ended(u.Service, true)
-		p.health.doubted = b.services.rarely(u.Service)
+		p.health.doubted = p.health.doubted || b.services.rarely(u.Service)
 		needed = b.services.inRow(u.Service)
 	}
 	if needed > 0 && p.health.inRow >= max(needed, b.cfg.Health.FailuresToEject) && b.mayEject(p, now) {
