--- a/dispatch/brokers.go
+++ b/dispatch/brokers.go
@@ -56,6 +56,7 @@
 		p = &brokerPool{id: id, broker: placement.NewBroker(b.d.cfg.Broker, b.quietUntil()), homes: map[fate.Incarnation]bool{}}
 		p.broker.SetUpstreams(b.upstreamsOf(b.d.view.Load(), id), nowMs())
 		p.broker.SetShares(b.sharesOf(b.d.view.Load(), id))
+		p.broker.SetMaxQueued(b.d.tuning.Load().MaxQueued)
 		b.pools[id] = p
 	}
 	return b.pools[id]
@@ -101,6 +102,7 @@
 		list, shares := b.upstreamsOf(v, p.id), b.sharesOf(v, p.id)
 		b.run(p, func(k *placement.Broker) []placement.Grant {
 			k.SetShares(shares)
+			k.SetMaxQueued(b.d.tuning.Load().MaxQueued)
 			return k.SetUpstreams(list, nowMs())
 		})
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -128,6 +128,24 @@
 	}
 }
 
+// Tuning is what operators may change while an instance runs.
+type Tuning struct {
+	Keep         fate.Retention
+	MaxQueued    int
+	ReleaseDelay time.Duration
+}
+
+// Tuned returns the tuning that the instance was configured with.
+func (d *Dispatcher) Tuned() Tuning {
+	return Tuning{Keep: d.cfg.Keep, MaxQueued: d.cfg.Broker.MaxQueued, ReleaseDelay: d.cfg.ReleaseDelay}
+}
+
+// Tune puts t in force.
+func (d *Dispatcher) Tune(t Tuning) {
+	d.tuning.Store(&t)
+	d.brokers.rebind(d.view.Load())
+}
+
 // Dispatcher is one instance's share of the fleet's work: home, witness and
 // broker at once.
 type Dispatcher struct {
@@ -140,6 +158,7 @@
 	slots     slots
 	brokers   brokers
 	leaving   atomic.Bool
+	tuning    atomic.Pointer[Tuning]
 
 	stop    context.Context
 	cancel  context.CancelFunc
@@ -152,6 +171,7 @@
 	d := &Dispatcher{cfg: cfg, peers: peers}
 	d.stop, d.cancel = context.WithCancel(context.Background())
 	d.view.Store(&View{Others: -1})
+	d.tuning.Store(&Tuning{Keep: cfg.Keep, MaxQueued: cfg.Broker.MaxQueued, ReleaseDelay: cfg.ReleaseDelay})
 	d.upstreams.init(d)
 	d.homes.init(d)
 	d.witnesses.init(d)
--- a/dispatch/homelog.go
+++ b/dispatch/homelog.go
@@ -45,7 +45,7 @@
 func newHomeLog(d *Dispatcher, id fate.LogID) *homeLog {
 	l := &homeLog{
 		d: d, id: id, opened: time.Now(),
-		home: fate.NewHome(id, d.cfg.Keep), runs: map[fate.Key]*run{},
+		home: fate.NewHome(id, d.tuning.Load().Keep), runs: map[fate.Key]*run{},
 	}
 	l.home.Tick(nowMs())
 	l.append.l = l
@@ -72,6 +72,7 @@
 	l.append.tick(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.home.Keep(l.d.tuning.Load().Keep)
 	l.home.Tick(millis(now))
 	if now.Sub(l.opened) > 2*l.d.cfg.LogLife && l != l.d.homes.heir {
 		l.home.Close()
@@ -80,7 +81,7 @@
 
 // expired reports whether nothing of the log is needed any more.
 func (l *homeLog) expired(now time.Time) bool {
-	keep := time.Duration(l.d.cfg.Keep.AgeMs) * time.Millisecond
+	keep := time.Duration(l.d.tuning.Load().Keep.AgeMs) * time.Millisecond
 	if now.Sub(l.opened) < 2*l.d.cfg.LogLife+keep {
 		return false
 	}
--- a/dispatch/returns.go
+++ b/dispatch/returns.go
@@ -71,7 +71,7 @@
 
 // schedule makes the places of a pool go back before long. The lock is held.
 func (s *slots) schedule(pool string, r *returning) {
-	delay := s.d.cfg.ReleaseDelay
+	delay := s.d.tuning.Load().ReleaseDelay
 	if r.hurry || s.d.view.Load().brokers(pool, s.d.cfg.Self) {
 		delay = hurryDelay
 	}
--- a/dispatch/witnesses.go
+++ b/dispatch/witnesses.go
@@ -47,7 +47,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.logs[id] == nil {
-		l := &witnessLog{witness: fate.NewWitness(id, w.d.cfg.Keep), heard: time.Now()}
+		l := &witnessLog{witness: fate.NewWitness(id, w.d.tuning.Load().Keep), heard: time.Now()}
 		l.witness.Tick(nowMs())
 		w.logs[id] = l
 	}
@@ -70,11 +70,13 @@
 
 // tick lets go of old answers, and of logs that nobody can need.
 func (w *witnesses) tick(now time.Time) {
-	idle := 4*w.d.cfg.LogLife + time.Duration(w.d.cfg.Keep.AgeMs)*time.Millisecond
+	keep := w.d.tuning.Load().Keep
+	idle := 4*w.d.cfg.LogLife + time.Duration(keep.AgeMs)*time.Millisecond
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, l := range w.logs {
 		l.mu.Lock()
+		l.witness.Keep(keep)
 		l.witness.Tick(millis(now))
 		if now.Sub(l.heard) > idle {
 			delete(w.logs, id)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/api"
+	"github.com/sedgehatch/sedgehatch/dispatch"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -169,6 +170,7 @@
 			return false
 		}
 		if n.settings.CompareAndSwap(now, next) {
+			n.dispatch.Tune(n.tuning(tree))
 			n.dispatch.SetShares(n.shares(tree))
 			event.SettingsApplied.Log(n.log, slog.Uint64("revision", head.Revision))
 			n.beat() // peers that are behind fetch it
@@ -177,6 +179,23 @@
 	}
 }
 
+// tuning returns what the settings say of this instance; where they say
+// nothing, its own configuration stands.
+func (n *Node) tuning(tree *settings.Tree) dispatch.Tuning {
+	t := n.dispatch.Tuned()
+	path := n.path("", "")
+	given := func(key string, take func(int64)) {
+		if tree.Get(path, key).From.Level != settings.LevelDefault {
+			take(tree.Int(path, key))
+		}
+	}
+	given(settings.KeyKeepSeconds, func(v int64) { t.Keep.AgeMs = v * 1000 })
+	given(settings.KeyKeepMB, func(v int64) { t.Keep.Bytes = v << 20 })
+	given(settings.KeyMaxQueued, func(v int64) { t.MaxQueued = int(v) })
+	given(settings.KeyReleaseDelay, func(v int64) { t.ReleaseDelay = time.Duration(v) * time.Millisecond })
+	return t
+}
+
 // shares returns what each service that the settings name may have of the fleet.
 func (n *Node) shares(tree *settings.Tree) map[string]placement.Share {
 	shares := map[string]placement.Share{}
--- a/experiment/scenario_test.go
+++ b/experiment/scenario_test.go
@@ -1,21 +1,53 @@
 package experiment
 
 import (
-	"encoding/json"
-	"os"
+	"path/filepath"
 	"testing"
+
+	"github.com/sedgehatch/sedgehatch/failure"
 )
 
-func TestPlayFile(t *testing.T) {
-	path := os.Getenv("SEDGE_SCENARIO")
-	if path == "" {
-		t.Skip("names no scenario")
+// TestScenariosAreRight holds every scenario in bench against the checks.
+func TestScenariosAreRight(t *testing.T) {
+	files, err := filepath.Glob("../bench/*.ini")
+	if err != nil || len(files) < 15 {
+		t.Fatalf("%d files, %v", len(files), err)
+	}
+	for _, file := range files {
+		if filepath.Base(file) == "bounds.ini" {
+			continue
+		}
+		if _, err := LoadScenario(file); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestWrongScenario(t *testing.T) {
+	for name, text := range map[string]string{
+		"no service":   "[cluster]\nzones = a\n",
+		"unknown part": "[planet]\n",
+		"wrong number": "[cluster]\nzones = a\nslots = many\n[service s]\n",
+		"wrong fault":  "[cluster]\nzones = a\n[service s]\n[fault f]\nkind = rain\n",
+	} {
+		if _, err := ParseScenario("x.ini", []byte(text)); !failure.Is(err, failure.InvalidInput) || failure.FieldOf(err) == "" {
+			t.Errorf("%s: error %v", name, err)
+		}
 	}
-	s, err := LoadScenario(path)
+}
+
+// TestShortPlay plays one scenario with faults for a second, as a whole.
+func TestShortPlay(t *testing.T) {
+	s, err := LoadScenario("../bench/entry-loss.ini")
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.Load.Seconds, s.Faults[0].At, s.Faults[0].Factor = 1, 0.3, 1
 	r, err := s.Play()
-	b, _ := json.MarshalIndent(r, "", " ")
-	t.Logf("%s %v", b, err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Violations) > 0 || r.DuplicateStarts > 0 || r.Jobs == 0 || r.Losses.Entries != 1 {
+		t.Errorf("report %+v", r)
+	}
 }
--- a/fate/home.go
+++ b/fate/home.go
@@ -267,6 +267,9 @@
 	return e, true
 }
 
+// Keep bounds the answers that are kept from now on.
+func (h *Home) Keep(bound Retention) { h.kept.bound = bound }
+
 // Tick tells the time, in Unix milliseconds, and lets go of old answers.
 func (h *Home) Tick(now int64) { h.forget(h.kept.tick(now)) }
 
--- a/fate/witness.go
+++ b/fate/witness.go
@@ -125,6 +125,9 @@
 	return answer
 }
 
+// Keep bounds the answers that are kept from now on.
+func (w *Witness) Keep(bound Retention) { w.kept.bound = bound }
+
 // Tick tells the time, in Unix milliseconds, and lets go of old answers.
 func (w *Witness) Tick(now int64) {
 	for _, gone := range w.kept.tick(now) {
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -156,6 +156,9 @@
 	return b.serve(now)
 }
 
+// SetMaxQueued bounds the tasks that may wait.
+func (b *Broker) SetMaxQueued(tasks int) { b.cfg.MaxQueued = tasks }
+
 // Queued returns the number of tasks that wait.
 func (b *Broker) Queued() int { return b.queued }
 
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -39,14 +39,14 @@
 var schema = []Def{
 	{KeyWitness, "zone", "", "none, zone or region", "How far away the witness of a session's jobs is.", oneOf("none", "zone", "region")},
 	{KeyDeadlineMs, "30000", "ms", "1 to 600000", "The deadline of a job that names none.", within(1, 600000)},
-	{KeyKeepSeconds, "600", "s", "1 to 86400", "How long an answer is kept for resubmissions. Fleet level only.", within(1, 86400)},
-	{KeyKeepMB, "8", "MB", "1 to 64", "How much the kept answers of one log may take. Fleet level only.", within(1, 64)},
-	{KeyMaxQueued, "20000", "tasks", "1 to 1000000", "How many tasks may wait at one broker. Fleet level only.", within(1, 1000000)},
+	{KeyKeepSeconds, "600", "s", "1 to 86400", "How long an answer is kept for resubmissions. Not by service or caller.", within(1, 86400)},
+	{KeyKeepMB, "8", "MB", "1 to 64", "How much the kept answers of one log may take. Not by service or caller.", within(1, 64)},
+	{KeyMaxQueued, "20000", "tasks", "1 to 1000000", "How many tasks may wait at one broker. Not by service or caller.", within(1, 1000000)},
 	{KeyMaxInFlight, "0", "jobs", "0 to 1000000; 0 is no limit", "How many jobs of one service, or caller, an entry takes at a time.", within(0, 1000000)},
 	{KeyWeight, "1", "", "1 to 1000", "A service's part of the slots against the others, where work waits.", within(1, 1000)},
 	{KeyQuotaSlots, "0", "slots", "0 to 1000000; 0 is no bound", "The most slots of the fleet that a service has at a time.", within(0, 1000000)},
 	{KeyTraceRatio, "0", "", "0 to 1", "The share of jobs that are traced though their callers do not ask.", share},
-	{KeyReleaseDelay, "40", "ms", "1 to 1000", "How long free places wait for company on their way back to a broker. Fleet level only.", within(1, 1000)},
+	{KeyReleaseDelay, "40", "ms", "1 to 1000", "How long free places wait for company on their way back to a broker. Not by service or caller.", within(1, 1000)},
 }
 
 func oneOf(words ...string) func(string) bool {
