Membership: a peer's own word of its address goes before the list

Cause: read, not seen: with a lagging list that still has an instance's address of before, heartbeats to it are refused, and each refusal would have ended the incarnation that is heard from its new address. Change: what a peer says in its hello stands until it is dead.

--- a/membership/table.go
+++ b/membership/table.go
@@ -56,6 +56,7 @@
 	State       State
 	Load        Load
 	heard       int64
+	met         bool // the listing is the peer's own word, which goes before the list
 }
 
 // Change is a peer whose state changed.
@@ -86,7 +87,10 @@
 			p = &Peer{State: Listed}
 			t.peers[l.Instance] = p
 		}
-		p.Listing = l
+		if !p.met || p.State == Dead {
+			p.Listing = l
+			p.met = false
+		}
 	}
 	for name, p := range t.peers {
 		if !listed[name] && (p.State == Dead || p.State == Listed) {
@@ -96,17 +100,16 @@
 	return nil
 }
 
-// Met takes what an instance says of itself, where the list does not have it
-// yet.
+// Met takes what an instance says of itself. The list lags: it may not have the
+// instance yet, or an address that it had before.
 func (t *Table) Met(l Listing) {
 	p := t.peers[l.Instance]
 	if p == nil {
-		t.peers[l.Instance] = &Peer{Listing: l, State: Listed}
-		return
-	}
-	if p.Address == "" {
-		p.Listing = l
+		p = &Peer{State: Listed}
+		t.peers[l.Instance] = p
 	}
+	p.Listing = l
+	p.met = true
 }
 
 // Heard takes a heartbeat. A new incarnation of an instance ends the one
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -28,6 +28,11 @@
 					list = append(list, Listing{Instance: name, Address: name + ":1", Zone: "z"})
 				}
 				table.SetListed(list)
+			case "met":
+				table.Met(Listing{Instance: strings.TrimSpace(d.Input), Address: strings.TrimSpace(d.Input) + ":2", Zone: "z"})
+			case "address":
+				address, _ := table.Address(strings.TrimSpace(d.Input))
+				return address + "\n"
 			case "heard":
 				var who string
 				d.ScanArgs(t, "from", &who)
