One tuning for what operators set, one way to submit in the background

Change: shares are part of the tuning, describe serves both places, background returns the answer too, Total is gone. No behaviour and no assertion changes; TestWitnessLost now also looks at the error that it dropped.

--- a/dispatch/brokers.go
+++ b/dispatch/brokers.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -19,8 +18,6 @@
 	d     *Dispatcher
 	mu    sync.RWMutex
 	pools map[string]*brokerPool
-	// shares are the parts of services in the fleet.
-	shares atomic.Pointer[map[string]placement.Share]
 }
 
 // brokerPool is one placement.Broker: a shard with its own lock.
@@ -37,7 +34,6 @@
 func (b *brokers) init(d *Dispatcher) {
 	b.d = d
 	b.pools = map[string]*brokerPool{}
-	b.shares.Store(&map[string]placement.Share{})
 }
 
 // pool returns the broker of a pool, and makes it on first use. Whoever asks
@@ -54,9 +50,7 @@
 	defer b.mu.Unlock()
 	if b.pools[id] == nil {
 		p = &brokerPool{id: id, broker: placement.NewBroker(b.d.cfg.Broker, b.quietUntil()), homes: map[fate.Incarnation]bool{}}
-		p.broker.SetUpstreams(b.upstreamsOf(b.d.view.Load(), id), nowMs())
-		p.broker.SetShares(b.sharesOf(b.d.view.Load(), id))
-		p.broker.SetMaxQueued(b.d.tuning.Load().MaxQueued)
+		b.describe(p, b.d.view.Load())(p.broker)
 		b.pools[id] = p
 	}
 	return b.pools[id]
@@ -99,12 +93,18 @@
 	}
 	b.mu.Unlock()
 	for _, p := range mine {
-		list, shares := b.upstreamsOf(v, p.id), b.sharesOf(v, p.id)
-		b.run(p, func(k *placement.Broker) []placement.Grant {
-			k.SetShares(shares)
-			k.SetMaxQueued(b.d.tuning.Load().MaxQueued)
-			return k.SetUpstreams(list, nowMs())
-		})
+		b.run(p, b.describe(p, v))
+	}
+}
+
+// describe returns the input that tells a pool's broker of its upstreams, and
+// of what operators have set.
+func (b *brokers) describe(p *brokerPool, v *View) func(*placement.Broker) []placement.Grant {
+	list, shares, maxQueued := b.upstreamsOf(v, p.id), b.sharesOf(v, p.id), b.d.tuning.Load().MaxQueued
+	return func(k *placement.Broker) []placement.Grant {
+		k.SetShares(shares)
+		k.SetMaxQueued(maxQueued)
+		return k.SetUpstreams(list, nowMs())
 	}
 }
 
@@ -118,7 +118,7 @@
 	if p == nil || fleet == 0 {
 		return nil
 	}
-	return lo.MapValues(*b.shares.Load(), func(s placement.Share, _ string) placement.Share {
+	return lo.MapValues(b.d.tuning.Load().Shares, func(s placement.Share, _ string) placement.Share {
 		if s.Slots > 0 {
 			s.Slots = max((s.Slots*p.slots+fleet/2)/fleet, 1)
 		}
@@ -126,12 +126,6 @@
 	})
 }
 
-// SetShares takes what services may have of the fleet.
-func (d *Dispatcher) SetShares(shares map[string]placement.Share) {
-	d.brokers.shares.Store(&shares)
-	d.brokers.rebind(d.view.Load())
-}
-
 // run gives a broker one input and sends what it grants.
 func (b *brokers) run(p *brokerPool, input func(*placement.Broker) []placement.Grant) {
 	p.mu.Lock()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -133,6 +133,8 @@
 	Keep         fate.Retention
 	MaxQueued    int
 	ReleaseDelay time.Duration
+	// Shares are the parts of services in the fleet.
+	Shares map[string]placement.Share
 }
 
 // Tuned returns the tuning that the instance was configured with.
@@ -171,7 +173,8 @@
 	d := &Dispatcher{cfg: cfg, peers: peers}
 	d.stop, d.cancel = context.WithCancel(context.Background())
 	d.view.Store(&View{Others: -1})
-	d.tuning.Store(&Tuning{Keep: cfg.Keep, MaxQueued: cfg.Broker.MaxQueued, ReleaseDelay: cfg.ReleaseDelay})
+	tuned := d.Tuned()
+	d.tuning.Store(&tuned)
 	d.upstreams.init(d)
 	d.homes.init(d)
 	d.witnesses.init(d)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -171,7 +171,6 @@
 		}
 		if n.settings.CompareAndSwap(now, next) {
 			n.dispatch.Tune(n.tuning(tree))
-			n.dispatch.SetShares(n.shares(tree))
 			event.SettingsApplied.Log(n.log, slog.Uint64("revision", head.Revision))
 			n.beat() // peers that are behind fetch it
 			return true
@@ -183,6 +182,7 @@
 // nothing, its own configuration stands.
 func (n *Node) tuning(tree *settings.Tree) dispatch.Tuning {
 	t := n.dispatch.Tuned()
+	t.Shares = n.shares(tree)
 	path := n.path("", "")
 	given := func(key string, take func(int64)) {
 		if tree.Get(path, key).From.Level != settings.LevelDefault {
--- a/experiment/failure_test.go
+++ b/experiment/failure_test.go
@@ -103,12 +103,18 @@
 	}
 }
 
+// told is what came of a call.
+type told struct {
+	answer api.Answer
+	err    error
+}
+
 // background submits to one entry, and returns where its answer will come.
-func background(s *client.Submission, entry string) chan error {
-	done := make(chan error, 1)
+func background(s *client.Submission, entry string) chan told {
+	done := make(chan told, 1)
 	go func() {
-		_, err := s.SendTo(context.Background(), entry)
-		done <- err
+		answer, err := s.SendTo(context.Background(), entry)
+		done <- told{answer, err}
 	}()
 	return done
 }
@@ -121,7 +127,7 @@
 	lost := background(s, c.Node(home).CallersAddress())
 	await(t, "every task to start", func() bool { return c.startsOf(s.Key()) == 20 })
 	c.KillEntry(home)
-	if err := <-lost; err == nil {
+	if got := <-lost; got.err == nil {
 		t.Error("the lost home answered")
 	}
 	answer, err := s.SendTo(context.Background(), c.Node(witness).CallersAddress())
@@ -155,8 +161,8 @@
 		answer, err := s.SendTo(context.Background(), address)
 		wantComplete(t, answer, err, 10)
 	}
-	if err := <-first; err != nil {
-		t.Error(err)
+	if got := <-first; got.err != nil {
+		t.Error(got.err)
 	}
 	if n := c.startsOf(s.Key()); n != 10 {
 		t.Errorf("%d starts", n)
@@ -168,14 +174,11 @@
 	cl := callers(t, c)
 	s := prepare(t, cl, tasks(10, 300*time.Millisecond))
 	home, witness := homeOf(t, s)
-	first := make(chan api.Answer, 1)
-	go func() {
-		answer, _ := s.SendTo(context.Background(), c.Node(home).CallersAddress())
-		first <- answer
-	}()
+	first := background(s, c.Node(home).CallersAddress())
 	await(t, "every task to start", func() bool { return c.startsOf(s.Key()) == 10 })
 	c.KillEntry(witness)
-	wantComplete(t, <-first, nil, 10)
+	got := <-first
+	wantComplete(t, got.answer, got.err, 10)
 	answer, err := cl.Do(context.Background(), tasks(5, time.Millisecond))
 	wantComplete(t, answer, err, 5)
 	checkStarts(t, c)
@@ -242,14 +245,10 @@
 	cl := callers(t, c)
 	s := prepare(t, cl, tasks(20, 500*time.Millisecond))
 	home, _ := homeOf(t, s)
-	done := make(chan api.Answer, 1)
-	go func() {
-		answer, _ := s.SendTo(context.Background(), c.Node(home).CallersAddress())
-		done <- answer
-	}()
+	done := background(s, c.Node(home).CallersAddress())
 	await(t, "every task to start", func() bool { return c.startsOf(s.Key()) == 20 })
 	c.Upstreams[0].Close()
-	answer := <-done
+	answer := (<-done).answer
 	if answer.Fate != fate.Failed || answer.Reason != fate.ReasonTaskLost {
 		t.Fatalf("answer %s %s", answer.Fate, answer.Reason)
 	}
@@ -270,18 +269,14 @@
 	cl := callers(t, c)
 	s := prepare(t, cl, tasks(200, 300*time.Millisecond))
 	home, _ := homeOf(t, s)
-	done := make(chan api.Answer, 1)
-	go func() {
-		answer, _ := s.SendTo(context.Background(), c.Node(home).CallersAddress())
-		done <- answer
-	}()
+	done := background(s, c.Node(home).CallersAddress())
 	await(t, "a start", func() bool { return c.startsOf(s.Key()) > 0 })
 	answer, err := cl.Cancel(context.Background(), s.Key())
 	if err != nil || answer.Fate != fate.Failed || answer.Reason != fate.ReasonCancelled {
 		t.Fatalf("answer %s %s, %v", answer.Fate, answer.Reason, err)
 	}
-	if told := <-done; told.Fate != fate.Failed {
-		t.Errorf("the caller was told %s", told.Fate)
+	if got := <-done; got.answer.Fate != fate.Failed {
+		t.Errorf("the caller was told %s", got.answer.Fate)
 	}
 	whole, err := cl.Do(context.Background(), tasks(48, time.Millisecond))
 	wantComplete(t, whole, err, 48)
@@ -553,11 +548,7 @@
 	if c.zones[home] == c.zones[witness] {
 		t.Fatalf("home %s and witness %s are in one zone", home, witness)
 	}
-	first := make(chan api.Answer, 1)
-	go func() {
-		answer, _ := s.SendTo(context.Background(), c.Node(home).CallersAddress())
-		first <- answer
-	}()
+	first := background(s, c.Node(home).CallersAddress())
 	await(t, "tasks to run while others wait", func() bool { return c.startsOf(s.Key()) >= 24 })
 	network.Cut("a", "b")
 	second, err := s.SendTo(context.Background(), c.Node(witness).CallersAddress())
@@ -565,7 +556,7 @@
 		t.Fatal(err)
 	}
 	network.Heal()
-	told := []fate.Kind{second.Fate, (<-first).Fate}
+	fates := []fate.Kind{second.Fate, (<-first).answer.Fate}
 	if err := c.AwaitMembers(len(c.Names()), 10*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -574,22 +565,22 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		told = append(told, answer.Fate)
+		fates = append(fates, answer.Fate)
 	}
 	final := fate.Kind("")
-	for _, kind := range told {
+	for _, kind := range fates {
 		if kind == fate.Unknown {
 			continue
 		}
 		if final != "" && kind != final {
-			t.Errorf("one key was told %v", told)
+			t.Errorf("one key was told %v", fates)
 		}
 		final = kind
 	}
 	if final == fate.NotRun {
-		t.Errorf("told %v after %d starts", told, c.startsOf(s.Key()))
+		t.Errorf("told %v after %d starts", fates, c.startsOf(s.Key()))
 	}
-	t.Logf("told %v", told)
+	t.Logf("told %v", fates)
 	checkStarts(t, c)
 }
 
--- a/experiment/settings_test.go
+++ b/experiment/settings_test.go
@@ -189,10 +189,10 @@
 	most := 0
 	for running := true; running; {
 		select {
-		case err := <-done:
+		case got := <-done:
 			running = false
-			if err != nil {
-				t.Error(err)
+			if got.err != nil {
+				t.Error(got.err)
 			}
 		case <-time.After(time.Millisecond):
 			most = max(most, c.Running())
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -35,15 +35,6 @@
 // Add counts anything else.
 func (s *Set) Add(name string, n int64) { s.Counts.Add(name, n) }
 
-// Total returns the sum over the kinds of m.
-func Total(m *expvar.Map) int64 {
-	total := int64(0)
-	for _, n := range Values(m) {
-		total += n
-	}
-	return total
-}
-
 // Values returns the counters of m by name.
 func Values(m *expvar.Map) map[string]int64 {
 	values := map[string]int64{}
