--- a/cli/settings.go
+++ b/cli/settings.go
@@ -14,7 +14,7 @@
 	"github.com/sedgehatch/sedgehatch/api"
 	"github.com/sedgehatch/sedgehatch/client"
 	"github.com/sedgehatch/sedgehatch/failure"
-	"github.com/sedgehatch/sedgehatch/platform"
+	"github.com/sedgehatch/sedgehatch/kv"
 	"github.com/sedgehatch/sedgehatch/settings"
 
 	"github.com/samber/lo"
@@ -59,8 +59,8 @@
 	return settings.NewStore(platformOf(c), func() int64 { return time.Now().UnixMilli() })
 }
 
-func platformOf(c *cli.Command) *platform.Client {
-	return platform.NewClient(c.String("platform"), nil, nil)
+func platformOf(c *cli.Command) *kv.Client {
+	return kv.NewClient(c.String("platform"), nil, nil)
 }
 
 func pathOf(c *cli.Command) settings.Path {
--- a/entry/main.go
+++ b/entry/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 
 	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/node"
+	"github.com/sedgehatch/sedgehatch/platform"
 
 	"github.com/urfave/cli/v3"
 )
@@ -30,10 +32,22 @@
 		Name:  "sedgehatchd",
 		Usage: "one entry instance of sedgehatch",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "the configuration `FILE` (INI)", Required: true},
+			&cli.StringFlag{Name: "config", Usage: "the configuration `FILE` (INI); required"},
 			&cli.BoolFlag{Name: "check", Usage: "only check the configuration"},
 		},
+		Commands: []*cli.Command{{
+			Name:  "platform",
+			Usage: "run on the users' platform, with its settings file ($" + platform.SettingsVariable + ")",
+			Flags: []cli.Flag{&cli.BoolFlag{Name: "check", Usage: "only check the settings"}},
+			Action: func(_ context.Context, c *cli.Command) error {
+				code = node.Main(c.Bool("check"), os.Stderr)
+				return nil
+			},
+		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.String("config") == "" {
+				return failure.Field(failure.InvalidInput, "config", "--config FILE is required")
+			}
 			code = daemon(ctx, c.String("config"), c.Bool("check"), os.Stderr)
 			return nil
 		},
--- a/entry/node.go
+++ b/entry/node.go
@@ -19,7 +19,7 @@
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/metrics"
-	"github.com/sedgehatch/sedgehatch/platform"
+	"github.com/sedgehatch/sedgehatch/kv"
 	"github.com/sedgehatch/sedgehatch/settings"
 	"github.com/sedgehatch/sedgehatch/tracing"
 
@@ -45,7 +45,7 @@
 	log      *slog.Logger
 	metrics  *metrics.Set
 	tracer   *tracing.Tracer
-	platform *platform.Client
+	platform *kv.Client
 	mesh     *inner.Mesh
 	dispatch *dispatch.Dispatcher
 	app      *fiber.App
@@ -103,9 +103,9 @@
 	return tracing.New(context.Background(), cfg.Tracing)
 }
 
-func newPlatform(i do.Injector) (*platform.Client, error) {
+func newPlatform(i do.Injector) (*kv.Client, error) {
 	counters := do.MustInvoke[*metrics.Set](i)
-	return platform.NewClient(do.MustInvoke[Config](i).Platform, do.MustInvoke[Hooks](i).DialPlatform, counters.Sent), nil
+	return kv.NewClient(do.MustInvoke[Config](i).Platform, do.MustInvoke[Hooks](i).DialPlatform, counters.Sent), nil
 }
 
 func newNode(i do.Injector) (*Node, error) {
@@ -118,7 +118,7 @@
 	n := &Node{
 		cfg: cfg, log: do.MustInvoke[*slog.Logger](i), metrics: do.MustInvoke[*metrics.Set](i),
 		self:   fate.Incarnation(cfg.Instance + "." + uuid.NewString()[:8]),
-		tracer: tracer, platform: do.MustInvoke[*platform.Client](i),
+		tracer: tracer, platform: do.MustInvoke[*kv.Client](i),
 		table: membership.NewTable(cfg.Membership), viewChanged: make(chan struct{}, 1),
 	}
 	n.log = n.log.With(slog.String("instance", cfg.Instance))
--- a/experiment/cluster.go
+++ b/experiment/cluster.go
@@ -17,7 +17,7 @@
 	"github.com/sedgehatch/sedgehatch/entry"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/membership"
-	"github.com/sedgehatch/sedgehatch/platform"
+	"github.com/sedgehatch/sedgehatch/kv"
 	"github.com/sedgehatch/sedgehatch/settings"
 	"github.com/sedgehatch/sedgehatch/standin"
 	"github.com/sedgehatch/sedgehatch/tracing"
@@ -209,7 +209,7 @@
 
 // store returns the settings at the platform.
 func (c *Cluster) store() *settings.Store {
-	return settings.NewStore(platform.NewClient(c.Platform.Address(), nil, nil), func() int64 { return time.Now().UnixMilli() })
+	return settings.NewStore(kv.NewClient(c.Platform.Address(), nil, nil), func() int64 { return time.Now().UnixMilli() })
 }
 
 // putSettings makes the spec's settings the first revision.
--- a/experiment/settings_test.go
+++ b/experiment/settings_test.go
@@ -12,13 +12,13 @@
 	"github.com/sedgehatch/sedgehatch/entry"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
-	"github.com/sedgehatch/sedgehatch/platform"
+	"github.com/sedgehatch/sedgehatch/kv"
 	"github.com/sedgehatch/sedgehatch/settings"
 )
 
-func storeOf(t *testing.T, c *Cluster) (*settings.Store, *platform.Client) {
+func storeOf(t *testing.T, c *Cluster) (*settings.Store, *kv.Client) {
 	t.Helper()
-	p := platform.NewClient(c.Platform.Address(), nil, nil)
+	p := kv.NewClient(c.Platform.Address(), nil, nil)
 	t.Cleanup(p.Close)
 	return settings.NewStore(p, func() int64 { return 0 }), p
 }
--- /dev/null
+++ b/fleet/instance.go
@@ -0,0 +1,40 @@
+package fleet
+
+import "time"
+
+// Instance is what a process learns of itself and its surroundings when it
+// starts.
+type Instance struct {
+	Name   string
+	IP     string
+	Zone   string
+	Region string
+	// The listeners, hosts and ports.
+	CustomerAddress  string
+	ReadinessAddress string
+	PeerAddress      string
+	// SeedPeers are the peer addresses of a few instances, which may be stale.
+	SeedPeers []string
+	// FirstStart is true at the first start of the whole system.
+	FirstStart bool
+
+	CPUShare float64 // of a core
+	MemoryMB int
+
+	StoreAddress string
+	MinLeaseTTL  time.Duration // that the store accepts
+
+	Timing Timing
+}
+
+// Timing holds the bounds that an installation sets.
+type Timing struct {
+	UpstreamHeartbeat time.Duration // between the writes of an upstream's entry
+	MaxTaskLease      time.Duration // that upstreams grant
+	StopTimeout       time.Duration // that stopping a task takes at most
+	ResendAfter       time.Duration // customers send a broken request again after this
+	Grace             time.Duration // from SIGTERM to SIGKILL
+	DrainGrace        time.Duration // that an upstream serves on once it drains
+	ConfigDeadline    time.Duration // in which a configuration must be in force
+	FenceSettle       time.Duration // in which two holders must not take turns
+}
--- /dev/null
+++ b/fleet/upstream.go
@@ -0,0 +1,76 @@
+package fleet
+
+// Upstream is one life of a process that runs tasks. A restarted process is
+// another upstream, also at the same address.
+type Upstream struct {
+	ID       string
+	Service  string
+	Address  string // host and port
+	Zone     string
+	Draining bool
+	Capacity Demand
+	Labels   []string
+}
+
+// End is how a run ended.
+type End string
+
+// The ends of a run.
+const (
+	EndDone    End = "done"
+	EndFailed  End = "failed"  // by the task's or the upstream's fault
+	EndStopped End = "stopped" // by order
+	EndLapsed  End = "lapsed"  // its lease was not renewed in time
+	EndOther   End = "other"
+)
+
+// RunningTask is a run that an upstream reports as at work.
+type RunningTask struct {
+	Run     Run
+	Percent int // of its work that is done
+}
+
+// EndedRun is a run that an upstream reports as over.
+type EndedRun struct {
+	Sequence uint64 // counts the ends of one upstream's life from 1
+	Run      Run
+	End      End
+}
+
+// Report is what an upstream tells of itself.
+type Report struct {
+	ClockMs int64 // the upstream's steady clock, milliseconds
+	Running []RunningTask
+	Ended   []EndedRun
+}
+
+// Refusal is why an upstream refused a start. None of them began anything.
+type Refusal string
+
+// The refusals of a start.
+const (
+	RefusedNot       Refusal = ""          // it was accepted
+	RefusedFence     Refusal = "fence"     // a higher fencing token was seen
+	RefusedOldRun    Refusal = "old_run"   // a run with this or a higher number was there
+	RefusedLate      Refusal = "late"      // its lease was over on arrival
+	RefusedRoom      Refusal = "room"      // it does not fit
+	RefusedUnhealthy Refusal = "unhealthy" // the upstream declines all work
+	RefusedBad       Refusal = "bad"       // the order itself is wrong
+)
+
+// StartOrder starts one run.
+type StartOrder struct {
+	Run          Run
+	Spec         string
+	LeaseUntilMs int64 // on the upstream's clock
+	Token        uint64
+}
+
+// HoldOrder renews the lease of all that runs at an upstream, and asks for a
+// report. Without a lease it only asks.
+type HoldOrder struct {
+	LeaseUntilMs int64 // on the upstream's clock; 0 renews nothing
+	Token        uint64
+	SeenEnds     uint64 // ends up to this one may be forgotten
+	WaitMs       int64  // the report may wait so long for an end
+}
--- /dev/null
+++ b/ingress/coordinator.go
@@ -0,0 +1,370 @@
+package ingress
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/schedule"
+
+	"github.com/samber/lo"
+)
+
+// Owners reaches the owners of groups, here or on other instances.
+type Owners interface {
+	// Loads lists the owners that can be reached.
+	Loads() []OwnerLoad
+	// Offer hands tasks to the owner of a group. With an error nothing of
+	// them began; the answer is not called then.
+	Offer(group string, o schedule.Offer, answer owner.Answer) error
+	// Withdraw ends an offer.
+	Withdraw(group string, key schedule.JobKey, reason string)
+}
+
+// Verdict is the final answer to a job's customer.
+type Verdict string
+
+// The verdicts.
+const (
+	Completed Verdict = "completed"
+	Failed    Verdict = "failed"  // ran, and will not complete
+	NotRun    Verdict = "not_run" // nothing of it began, or ever will
+	Unknown   Verdict = "unknown" // something may have run, and it is not complete
+	Left      Verdict = "left"    // the customer has left
+)
+
+// Answered is a verdict with its reason.
+type Answered struct {
+	Verdict Verdict
+	Reason  string
+	Begun   bool
+	Offers  int
+}
+
+// Request is a job with what the coordinator needs of its route.
+type Request struct {
+	Job   *fleet.Job
+	Route *fleet.Route
+	// Patience is how long the customer waits for an answer.
+	Patience time.Duration
+}
+
+const shardCount = 16
+
+// Coordinator coordinates the jobs of this instance.
+type Coordinator struct {
+	zone   string
+	owners Owners
+	shards [shardCount]shard
+}
+
+// shard holds some of the open jobs under its own lock.
+type shard struct {
+	mu   sync.Mutex
+	open map[string]*pending
+}
+
+// NewCoordinator returns a coordinator without jobs.
+func NewCoordinator(zone string, owners Owners) *Coordinator {
+	c := &Coordinator{zone: zone, owners: owners}
+	for i := range c.shards {
+		c.shards[i].open = map[string]*pending{}
+	}
+	return c
+}
+
+func (c *Coordinator) shard(id string) *shard {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return &c.shards[h.Sum32()%shardCount]
+}
+
+// pending is a job without a verdict.
+type pending struct {
+	Request
+	c       *Coordinator
+	began   time.Time
+	verdict chan Answered
+
+	mu      sync.Mutex
+	left    map[int]bool    // tasks that are not done
+	idle    []int           // tasks that no owner has
+	parts   map[int]*part   // offers that have not ended, by number
+	tried   map[string]bool // groups that had no room
+	never   map[string]bool // groups where no task can ever fit
+	begun   bool
+	offers  int // that were made
+	settled bool
+}
+
+// part is an offer of some of the tasks.
+type part struct {
+	number int
+	group  string
+	tasks  map[int]struct{} // that its owner has
+	queue  bool
+}
+
+// Run coordinates a job until it has a verdict, or left is closed because its
+// customer is gone.
+func (c *Coordinator) Run(r Request, left <-chan struct{}) Answered {
+	p := &pending{
+		Request: r, c: c, began: time.Now(), verdict: make(chan Answered, 1), left: map[int]bool{},
+		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{},
+	}
+	for i := range r.Job.Steps[0].Count {
+		p.left[i] = true
+		p.idle = append(p.idle, i)
+	}
+	if !c.open(p) {
+		return Answered{Verdict: Unknown, Reason: "the same job is open here"}
+	}
+	defer c.close(p)
+	p.offerIdle()
+	patience := time.NewTimer(r.Patience)
+	defer patience.Stop()
+	select {
+	case a := <-p.verdict:
+		return a
+	case <-left:
+		p.settle(Left, "the customer has left")
+	case <-patience.C:
+		p.settle(Unknown, "the customer's deadline has passed")
+	}
+	return <-p.verdict
+}
+
+func (c *Coordinator) open(p *pending) bool {
+	s := c.shard(p.Job.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[p.Job.ID] != nil {
+		return false
+	}
+	s.open[p.Job.ID] = p
+	return true
+}
+
+func (c *Coordinator) close(p *pending) {
+	s := c.shard(p.Job.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, p.Job.ID)
+}
+
+// State returns the state of an open job.
+func (c *Coordinator) State(id string) (fleet.State, bool) {
+	s := c.shard(id)
+	s.mu.Lock()
+	p := s.open[id]
+	s.mu.Unlock()
+	if p == nil {
+		return "", false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.parts) > 0 {
+		return fleet.StateRunning, true
+	}
+	return fleet.StateQueued, true
+}
+
+// Cancel ends an open job.
+func (c *Coordinator) Cancel(id string) bool {
+	s := c.shard(id)
+	s.mu.Lock()
+	p := s.open[id]
+	s.mu.Unlock()
+	if p == nil {
+		return false
+	}
+	p.settle(Failed, "cancelled")
+	return true
+}
+
+// Waiting counts the open jobs of a route that no owner has taken.
+func (c *Coordinator) Waiting(route string) int {
+	n := 0
+	c.each(func(p *pending) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.Route.Name == route && len(p.parts) == 0 {
+			n++
+		}
+	})
+	return n
+}
+
+// Open counts the jobs without a verdict.
+func (c *Coordinator) Open() int {
+	n := 0
+	c.each(func(*pending) { n++ })
+	return n
+}
+
+func (c *Coordinator) each(f func(*pending)) {
+	for i := range c.shards {
+		s := &c.shards[i]
+		s.mu.Lock()
+		for _, p := range s.open {
+			f(p)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// settle gives the verdict, once, and withdraws what is still offered.
+func (p *pending) settle(v Verdict, reason string) {
+	p.mu.Lock()
+	if p.settled {
+		p.mu.Unlock()
+		return
+	}
+	p.settled = true
+	if v == Unknown && !p.begun && len(p.parts) == 0 {
+		v = NotRun
+	}
+	p.verdict <- Answered{v, reason, p.begun, p.offers}
+	parts := slices.Collect(maps.Values(p.parts))
+	p.mu.Unlock()
+	for _, part := range parts {
+		p.c.owners.Withdraw(part.group, schedule.JobKey{ID: p.Job.ID, Part: part.number}, reason)
+	}
+}
+
+// offerIdle offers the tasks that no owner has, until one takes them or there
+// is nobody left to ask.
+func (p *pending) offerIdle() {
+	for {
+		p.mu.Lock()
+		if p.settled || len(p.idle) == 0 {
+			p.mu.Unlock()
+			return
+		}
+		choice, found := choose(p.usable(p.c.owners.Loads()), p.c.zone, p.tried)
+		if !found {
+			p.mu.Unlock()
+			p.giveUp()
+			return
+		}
+		part, offer := p.offer(choice)
+		p.mu.Unlock()
+		err := p.c.owners.Offer(choice.Group, offer, owner.Answer{
+			Returned: func(r schedule.Result, _ schedule.Load) { p.returned(part, r) },
+			Ended:    func(r schedule.Result, _ schedule.Load) { p.ended(part, r) },
+		})
+		if err == nil {
+			return
+		}
+		p.unsent(part)
+	}
+}
+
+// usable leaves out the groups that can never run the job.
+func (p *pending) usable(loads []OwnerLoad) []OwnerLoad {
+	return lo.Filter(loads, func(l OwnerLoad, _ int) bool { return !p.never[l.Group] })
+}
+
+// offer makes an offer of the idle tasks. The lock is held.
+func (p *pending) offer(choice Choice) (*part, schedule.Offer) {
+	step := p.Job.Steps[0]
+	age := time.Since(p.began)
+	p.offers++
+	o := schedule.Offer{
+		Key:     schedule.JobKey{ID: p.Job.ID, Part: p.offers},
+		Service: p.Route.Service, Route: p.Route.Name, Spec: p.Job.Spec, Demand: step.Demand, Estimate: step.Estimate,
+		Priority: p.Route.Priority, MaxAttempts: p.Route.MaxAttempts, Tasks: p.idle,
+		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: age, Patience: p.Patience - age, MayQueue: choice.Queue,
+	}
+	part := &part{number: p.offers, group: choice.Group, tasks: lo.Keyify(p.idle), queue: choice.Queue}
+	p.idle = nil
+	p.parts[part.number] = part
+	p.tried[choice.Group] = true
+	return part, o
+}
+
+// unsent takes an offer back that never reached its owner.
+func (p *pending) unsent(part *part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.takeBack(part, lo.Keys(part.tasks))
+	delete(p.parts, part.number)
+	if part.queue {
+		p.never[part.group] = true // not again for this job
+	}
+}
+
+// takeBack makes tasks idle that an offer still has. The lock is held.
+func (p *pending) takeBack(part *part, tasks []int) {
+	for _, t := range tasks {
+		if _, has := part.tasks[t]; has {
+			delete(part.tasks, t)
+			p.idle = append(p.idle, t)
+		}
+	}
+	slices.Sort(p.idle)
+}
+
+// giveUp ends a job that nobody can take.
+func (p *pending) giveUp() {
+	p.mu.Lock()
+	waits := len(p.parts) > 0
+	begun, never := p.begun, len(p.never) > 0
+	p.mu.Unlock()
+	switch {
+	case waits:
+		return // its other tasks are under way; these go on when one of them ends
+	case never && !begun:
+		p.settle(Failed, "no upstream is large enough")
+	case begun:
+		p.settle(Unknown, "no owner can be reached")
+	default:
+		p.settle(NotRun, "no owner can be reached")
+	}
+}
+
+// returned takes tasks back that never began.
+func (p *pending) returned(part *part, r schedule.Result) {
+	p.mu.Lock()
+	p.takeBack(part, r.Returned)
+	p.begun = p.begun || len(part.tasks) > 0 // the others run there
+	p.mu.Unlock()
+	p.offerIdle()
+}
+
+// ended takes the end of an offer.
+func (p *pending) ended(part *part, r schedule.Result) {
+	p.mu.Lock()
+	delete(p.parts, part.number)
+	p.begun = p.begun || r.Begun
+	for _, t := range r.Done {
+		delete(p.left, t)
+		delete(part.tasks, t)
+	}
+	if r.Outcome == schedule.Completed || r.Outcome == schedule.NeverFits {
+		p.takeBack(part, lo.Keys(part.tasks)) // they never began
+	}
+	if r.Outcome == schedule.NeverFits {
+		p.never[part.group] = true
+	}
+	complete, begun := len(p.left) == 0, p.begun
+	p.mu.Unlock()
+	switch {
+	case complete:
+		p.settle(Completed, "")
+	case r.Outcome == schedule.Failed:
+		p.settle(Failed, "a task failed as often as it may")
+	case r.Outcome == schedule.Expired && !begun:
+		p.settle(NotRun, "no room in time")
+	case r.Outcome == schedule.Expired:
+		p.settle(Unknown, "no room in time for all of it")
+	case r.Outcome == schedule.Unknown:
+		p.settle(Unknown, "the owner of upstreams was lost")
+	default:
+		p.offerIdle()
+	}
+}
--- /dev/null
+++ b/ingress/server.go
@@ -0,0 +1,213 @@
+package ingress
+
+import (
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/platform"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Recorder is told each answer.
+type Recorder interface {
+	Answered(a Record)
+}
+
+// Record is one answer to a customer.
+type Record struct {
+	Job, Route string
+	Status     int
+	Answered
+	Took          time.Duration
+	Tasks         int
+	ConfigVersion uint64
+}
+
+// ConfigSource returns the configuration in force, nil before there is one.
+type ConfigSource func() *fleet.Config
+
+const (
+	// defaultPatience is taken where a customer does not say how long it waits.
+	defaultPatience = 5 * time.Second
+	// answerMargin is how much earlier than the customer's deadline the
+	// answer is given: it takes a round trip to arrive.
+	answerMargin = 30 * time.Millisecond
+	// retryAfter is when a customer of refused work should come back,
+	// seconds: load passes in about that time, and the field has no smaller.
+	retryAfter = 1
+	// mostBody bounds what is read of a request, in bytes.
+	mostBody = 1 << 20
+	// readBuffer holds the header of a request, in bytes.
+	readBuffer = 16 << 10
+	// idleTimeout is how long a customer's connection may be unused.
+	idleTimeout = 2 * time.Minute
+)
+
+// Server answers customers.
+type Server struct {
+	coordinator *Coordinator
+	config      ConfigSource
+	record      Recorder
+	leaving     func() bool // connections are closed after their answer
+	http        *fasthttp.Server
+}
+
+// NewServer returns a server that is not listening yet.
+func NewServer(c *Coordinator, config ConfigSource, leaving func() bool, record Recorder) *Server {
+	s := &Server{coordinator: c, config: config, record: record, leaving: leaving}
+	s.http = &fasthttp.Server{
+		Handler: s.handle, MaxRequestBodySize: mostBody, ReadBufferSize: readBuffer, IdleTimeout: idleTimeout,
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		DisablePreParseMultipartForm: true, CloseOnShutdown: true,
+	}
+	return s
+}
+
+// Serve takes customers from l until it is closed.
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&watchedListener{l}) }
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.leaving() {
+		ctx.SetConnectionClose()
+	}
+	config := s.config()
+	if config == nil {
+		refuse(ctx, "no configuration yet")
+		return
+	}
+	path := string(ctx.Path())
+	route := config.Match(string(ctx.Host()), path)
+	if route == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	id := strings.TrimPrefix(path, route.PathPrefix)
+	if id == "" {
+		s.queue(ctx, route)
+		return
+	}
+	if err := platform.ParseJobID(id); err != nil {
+		problem(ctx, err)
+		return
+	}
+	s.job(ctx, config, route, strings.Clone(id))
+}
+
+func (s *Server) job(ctx *fasthttp.RequestCtx, config *fleet.Config, route *fleet.Route, id string) {
+	switch {
+	case ctx.IsPost():
+		s.submit(ctx, config, route, id)
+	case ctx.IsGet():
+		s.state(ctx, id)
+	case ctx.IsDelete():
+		s.cancel(ctx, id)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+	}
+}
+
+// queue answers how many jobs of a route wait.
+func (s *Server) queue(ctx *fasthttp.RequestCtx, route *fleet.Route) {
+	if !ctx.IsGet() {
+		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	sendJSON(ctx, fasthttp.StatusOK, platform.EncodeWaiting(s.coordinator.Waiting(route.Name)))
+}
+
+func (s *Server) state(ctx *fasthttp.RequestCtx, id string) {
+	state, open := s.coordinator.State(id)
+	if !open {
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		return
+	}
+	sendJSON(ctx, fasthttp.StatusOK, platform.EncodeState(state))
+}
+
+func (s *Server) cancel(ctx *fasthttp.RequestCtx, id string) {
+	if !s.coordinator.Cancel(id) {
+		ctx.SetStatusCode(fasthttp.StatusGone)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+func (s *Server) submit(ctx *fasthttp.RequestCtx, config *fleet.Config, route *fleet.Route, id string) {
+	began := time.Now()
+	job, err := platform.ParseJob(id, ctx.PostBody())
+	if err != nil {
+		problem(ctx, err)
+		s.answered(Record{Job: id, Answered: Answered{Verdict: NotRun, Reason: failure.Text(err)}}, config, route, ctx, began)
+		return
+	}
+	record := Record{Job: id, Tasks: job.Steps[0].Count}
+	if reason := unsupported(job, route); reason != "" {
+		refuse(ctx, reason)
+		record.Answered = Answered{Verdict: NotRun, Reason: "not offered: " + reason}
+		s.answered(record, config, route, ctx, began)
+		return
+	}
+	patience := platform.ParseDeadline(string(ctx.Request.Header.Peek(platform.HeaderDeadline)))
+	if patience == 0 {
+		patience = defaultPatience
+	}
+	left, stop := watch(ctx.Conn())
+	record.Answered = s.coordinator.Run(Request{Job: job, Route: route, Patience: patience - answerMargin}, left)
+	stop()
+	respond(ctx, record.Answered)
+	s.answered(record, config, route, ctx, began)
+}
+
+// unsupported names what a job needs and this version does not offer.
+func unsupported(job *fleet.Job, route *fleet.Route) string {
+	if route.Advised {
+		return "advice"
+	}
+	return job.Unsupported
+}
+
+func (s *Server) answered(r Record, config *fleet.Config, route *fleet.Route, ctx *fasthttp.RequestCtx, began time.Time) {
+	r.Route, r.Status = route.Name, ctx.Response.StatusCode()
+	r.Took, r.ConfigVersion = time.Since(began), config.Version
+	s.record.Answered(r)
+}
+
+// respond writes the answer for a verdict.
+func respond(ctx *fasthttp.RequestCtx, a Answered) {
+	switch a.Verdict {
+	case Completed:
+		sendJSON(ctx, fasthttp.StatusOK, platform.EncodeState(fleet.StateCompleted))
+	case Failed:
+		sendJSON(ctx, fasthttp.StatusOK, platform.EncodeState(fleet.StateFailed))
+	case NotRun:
+		refuse(ctx, a.Reason)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
+	}
+}
+
+// refuse answers that nothing has run or will.
+func refuse(ctx *fasthttp.RequestCtx, reason string) {
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfter))
+	ctx.Error(reason, fasthttp.StatusServiceUnavailable)
+}
+
+// problem answers a request that is wrong.
+func problem(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	if failure.Is(err, failure.TooLarge) {
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	ctx.Error(failure.FieldOf(err)+": "+failure.Text(err), status)
+}
+
+func sendJSON(ctx *fasthttp.RequestCtx, status int, body []byte) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- a/inner/introduce.go
+++ b/inner/introduce.go
@@ -50,6 +50,7 @@
 	m.mu.Lock()
 	delete(m.accepted, k)
 	m.mu.Unlock()
+	m.ended(k)
 }
 
 func (m *Mesh) keep(k *link) bool {
@@ -138,6 +139,7 @@
 	_ = conn.SetDeadline(time.Time{})
 	m.running.Go(func() {
 		k.run(func(f *Frame) { m.take(k, f) })
+		m.ended(k)
 	})
 	return k, nil
 }
--- a/inner/link.go
+++ b/inner/link.go
@@ -130,7 +130,7 @@
 
 func laneOf(f *Frame) int {
 	switch f.GetBody().(type) {
-	case *Frame_Heartbeat, *Frame_SlotRequest, *Frame_SlotGrant, *Frame_SlotRelease, *Frame_SlotWithdraw, *Frame_SlotSync:
+	case *Frame_Presence, *Frame_Heartbeat, *Frame_SlotRequest, *Frame_SlotGrant, *Frame_SlotRelease, *Frame_SlotWithdraw, *Frame_SlotSync:
 		return laneControl
 	default:
 		return laneBulk
@@ -142,6 +142,7 @@
 	session *yamux.Session
 	lanes   [laneCount]*lane
 	traffic *traffic
+	number  uint64 // names the connection within this process
 	peer    fate.Incarnation
 	zone    string
 
@@ -151,14 +152,22 @@
 	down  bool
 }
 
+var links atomic.Uint64 // connections so far
+
 func newLink(session *yamux.Session, streams [laneCount]net.Conn, hello *Hello, traffic *traffic) *link {
-	k := &link{session: session, traffic: traffic, peer: fate.Incarnation(hello.GetIncarnation()), zone: hello.GetZone(), calls: map[uint64]func(*Frame){}}
+	k := &link{number: links.Add(1), session: session, traffic: traffic, peer: fate.Incarnation(hello.GetIncarnation()), zone: hello.GetZone(), calls: map[uint64]func(*Frame){}}
 	for i, s := range streams {
 		k.lanes[i] = newLane(s, traffic)
 	}
 	return k
 }
 
+// Number implements Link.
+func (k *link) Number() uint64 { return k.number }
+
+// Send implements Link.
+func (k *link) Send(f *Frame) error { return k.send(f) }
+
 func (k *link) send(f *Frame) error { return k.lanes[laneOf(f)].send(f) }
 
 // run reads every lane into take, and returns once the connection is down.
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -18,6 +18,26 @@
 	Frame(from fate.Incarnation, f *Frame, reply func(*Frame))
 }
 
+// LinkHandler is a Handler that cares which connection a frame came on, and
+// that must know when a connection is closed: what the peer asked on it has
+// nobody to answer to any more.
+type LinkHandler interface {
+	Handler
+	// LinkFrame is Frame with the connection.
+	LinkFrame(link Link, from fate.Incarnation, f *Frame, reply func(*Frame))
+	// LinkClosed tells that no frame comes on a connection any more.
+	LinkClosed(link Link, from fate.Incarnation)
+}
+
+// Link is one connection to a peer.
+type Link interface {
+	// Number names the connection; within one process no other has it.
+	Number() uint64
+	// Send sends a frame on this connection. The error is Unreachable once it
+	// is closed.
+	Send(f *Frame) error
+}
+
 // Directory tells where instances listen.
 type Directory interface {
 	// Address returns the host and port of an instance's inner listener.
@@ -102,7 +122,7 @@
 
 func (m *Mesh) take(k *link, f *Frame) {
 	id := f.GetId()
-	m.cfg.Handler.Frame(k.peer, f, func(reply *Frame) {
+	answer := func(reply *Frame) {
 		if id == 0 {
 			return
 		}
@@ -110,7 +130,35 @@
 		reply.Reply = true
 		m.cfg.Count(KindOf(reply))
 		_ = k.send(reply)
-	})
+	}
+	if h, cares := m.cfg.Handler.(LinkHandler); cares {
+		h.LinkFrame(k, k.peer, f, answer)
+		return
+	}
+	m.cfg.Handler.Frame(k.peer, f, answer)
+}
+
+// ended tells a handler that cares that a connection is closed.
+func (m *Mesh) ended(k *link) {
+	if h, cares := m.cfg.Handler.(LinkHandler); cares {
+		h.LinkClosed(k, k.peer)
+	}
+}
+
+// Sever closes every connection with an instance, also those that it opened.
+func (m *Mesh) Sever(instance string) {
+	m.Drop(instance)
+	m.mu.Lock()
+	var open []*link
+	for k := range m.accepted {
+		if k.peer.Instance() == instance {
+			open = append(open, k)
+		}
+	}
+	m.mu.Unlock()
+	for _, k := range open {
+		k.close()
+	}
 }
 
 // connect returns the open connection to an instance, opening it if needed.
@@ -371,6 +419,18 @@
 		return "slot_withdraw"
 	case *Frame_SlotSync:
 		return "slot_sync"
+	case *Frame_Presence:
+		return "presence"
+	case *Frame_Offer:
+		return "offer"
+	case *Frame_OfferReturned:
+		return "offer_returned"
+	case *Frame_OfferEnded:
+		return "offer_ended"
+	case *Frame_OfferWithdrawn:
+		return "offer_withdrawn"
+	case *Frame_ConfigRequest, *Frame_ConfigReply:
+		return "config"
 	case *Frame_Learn, *Frame_Known:
 		return "learn"
 	case *Frame_Problem:
--- a/platform/client.go
+++ b/kv/client.go
@@ -1,7 +1,7 @@
-// Package platform speaks to the platform: its key-value service and its list
+// Package kv speaks to the key-value service of the product's own interface, with its list
 // of instances. A write whose answer is lost has error type Lost: it may have
 // taken effect, so the writer has to read back.
-package platform
+package kv
 
 import (
 	"encoding/json"
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,267 @@
+package node
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/platform"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+const (
+	// configWait bounds a watch on the configuration: an answer that is lost
+	// is noticed that late, and versions must be in force within seconds.
+	configWait = 900 * time.Millisecond
+	// upstreamWait and peerWait bound the other watches.
+	upstreamWait = 1500 * time.Millisecond
+	peerWait     = 5 * time.Second
+	// The entries of upstreams change with every heartbeat, so that a watch
+	// returns at once. An owner must hear soon that an upstream drains; others
+	// only need the list for a takeover.
+	ownerRest   = 400 * time.Millisecond
+	standbyRest = 1200 * time.Millisecond
+	// firstRetry and longestRetry bound the pause after a failed call to the
+	// store.
+	firstRetry   = 50 * time.Millisecond
+	longestRetry = 700 * time.Millisecond
+)
+
+// follower keeps a copy of the store's keys below a prefix.
+type follower struct {
+	prefix string
+	wait   time.Duration
+	// rest is the pause after each answer: more changes are read together then.
+	rest func() time.Duration
+	// replace takes all keys, update those that changed.
+	replace func([]platform.Item)
+	update  func([]platform.Item)
+}
+
+// follow runs f until the instance stops. The store may be away for long: what
+// is known stays.
+func (n *Node) follow(f follower) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstRetry, longestRetry
+	revision, known, lost := uint64(0), false, time.Time{}
+	for n.stop.Err() == nil {
+		var items []platform.Item
+		var err error
+		took := f.update
+		if known {
+			items, revision, err = n.store.Watch(f.prefix, revision, f.wait)
+		} else {
+			items, revision, err = n.store.Range(f.prefix)
+			took = f.replace
+		}
+		if err == nil {
+			if !lost.IsZero() {
+				event.StoreBack.Log(n.log, slog.String("prefix", f.prefix), slog.Duration("away", time.Since(lost)))
+				lost = time.Time{}
+			}
+			pause.Reset()
+			if !known || len(items) > 0 {
+				took(items)
+			}
+			known = true
+			n.pause(f.rest())
+			continue
+		}
+		known = known && !failure.Is(err, failure.Gone) // its history is gone: read all again
+		if lost.IsZero() {
+			lost = time.Now()
+			event.StoreLost.Log(n.log, slog.String("prefix", f.prefix), slog.String("error", err.Error()))
+		}
+		n.pause(pause.NextBackOff())
+	}
+}
+
+func noRest() time.Duration { return 0 }
+
+// upstreamRest is the pause between reads of the upstreams' entries.
+func (n *Node) upstreamRest() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.groups) > 0 {
+		return ownerRest
+	}
+	return standbyRest
+}
+
+// pause waits, unless the instance stops.
+func (n *Node) pause(d time.Duration) {
+	select {
+	case <-n.stop.Done():
+	case <-time.After(d):
+	}
+}
+
+func (n *Node) followConfig() {
+	take := func(items []platform.Item) {
+		for _, item := range items {
+			if item.Key == platform.ConfigPrefix && !item.Deleted {
+				n.takeConfig(item.Value, "store")
+			}
+		}
+	}
+	n.follow(follower{prefix: platform.ConfigPrefix, wait: configWait, rest: noRest, replace: take, update: take})
+}
+
+// takeConfig puts a configuration in force, unless it is not newer.
+func (n *Node) takeConfig(raw []byte, from string) {
+	config, err := platform.ParseConfig(raw)
+	if err != nil {
+		event.ConfigRefused.Log(n.log, slog.String("from", from), slog.String("error", err.Error()))
+		return
+	}
+	for {
+		old := n.config.Load()
+		if old != nil && old.Version >= config.Version {
+			return
+		}
+		if n.config.CompareAndSwap(old, config) {
+			break
+		}
+	}
+	event.ConfigApplied.Log(n.log, slog.Uint64("version", config.Version), slog.String("from", from), slog.Int("routes", len(config.Routes)))
+	n.tick() // peers hear of it at once
+}
+
+func (n *Node) followUpstreams() {
+	n.follow(follower{
+		prefix: platform.UpstreamPrefix, wait: upstreamWait, rest: n.upstreamRest,
+		replace: func(items []platform.Item) {
+			n.mu.Lock()
+			n.upstreams = map[string]fleet.Upstream{}
+			n.listed = true
+			n.mu.Unlock()
+			n.takeUpstreams(items)
+		},
+		update: n.takeUpstreams,
+	})
+}
+
+func (n *Node) takeUpstreams(items []platform.Item) {
+	n.mu.Lock()
+	for _, item := range items {
+		if item.Deleted {
+			delete(n.upstreams, platform.UpstreamID(item.Key))
+			continue
+		}
+		u, err := platform.ParseUpstream(item.Key, item.Value)
+		if err != nil {
+			event.EntryRefused.Log(n.log, slog.String("key", item.Key), slog.String("error", err.Error()))
+			continue
+		}
+		if u.Draining && !n.draining[u.ID] {
+			n.draining[u.ID] = true
+			event.UpstreamLeaving.Log(n.log, slog.String("upstream", u.ID), slog.String("from", "store"))
+		}
+		n.upstreams[u.ID] = u
+	}
+	n.mu.Unlock()
+	n.updateGroups()
+}
+
+// peerEntry is what an instance writes of itself into the store.
+type peerEntry struct {
+	Address string
+	Region  string
+	Zone    string
+	Weight  float64
+}
+
+func (n *Node) followPeers() {
+	known := map[string]membership.Listing{}
+	update := func(items []platform.Item) {
+		for _, item := range items {
+			name := item.Key[len(platform.PeerPrefix):]
+			if item.Deleted {
+				delete(known, name)
+				continue
+			}
+			var e peerEntry
+			if err := json.Unmarshal(item.Value, &e); err != nil {
+				event.EntryRefused.Log(n.log, slog.String("key", item.Key), slog.String("error", err.Error()))
+				continue
+			}
+			known[name] = membership.Listing{Instance: name, Address: e.Address, Region: e.Region, Zone: e.Zone}
+		}
+		n.listPeers(known)
+	}
+	n.follow(follower{
+		prefix: platform.PeerPrefix, wait: peerWait, rest: noRest,
+		replace: func(items []platform.Item) { clear(known); update(items) },
+		update:  update,
+	})
+}
+
+func (n *Node) listPeers(known map[string]membership.Listing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := make([]membership.Listing, 0, len(known))
+	for name, l := range known {
+		if name != n.in.Name {
+			list = append(list, l)
+		}
+	}
+	n.table.SetListed(list)
+}
+
+const (
+	// registrationTTL is how long the entry of a lost instance stays: it only
+	// helps peers to find each other.
+	registrationTTL = 15 * time.Second
+	// renewEvery keeps the entry through a lost renewal or two.
+	renewEvery = 4 * time.Second
+)
+
+// register keeps this instance's entry in the store.
+func (n *Node) register() {
+	value, err := json.Marshal(peerEntry{Address: n.in.PeerAddress, Region: n.in.Region, Zone: n.in.Zone, Weight: n.in.CPUShare})
+	if err != nil {
+		event.ServeFailed.Log(n.log, slog.String("error", err.Error())) // cannot happen: plain fields
+		return
+	}
+	lease := uint64(0)
+	for n.stop.Err() == nil {
+		if lease == 0 {
+			lease = n.registerOnce(value)
+		} else if failure.Is(n.store.Renew(lease), failure.NotFound) {
+			lease = 0
+			continue
+		}
+		wait := renewEvery
+		if lease == 0 {
+			wait = firstRetry + rand.N(longestRetry)
+		}
+		n.pause(wait)
+	}
+}
+
+// registerOnce returns the lease of the new entry, or 0.
+func (n *Node) registerOnce(value []byte) uint64 {
+	lease, err := n.store.Grant(max(registrationTTL, n.in.MinLeaseTTL))
+	if err == nil {
+		err = n.store.Put(platform.PeerPrefix+n.in.Name, value, lease)
+	}
+	if err != nil {
+		event.RegisterFailed.Log(n.log, slog.String("error", err.Error()))
+		return 0
+	}
+	return lease
+}
+
+// askConfig asks a peer for its configuration.
+func (n *Node) askConfig(from inner.Link) {
+	if err := from.Send(&inner.Frame{Body: &inner.Frame_ConfigRequest{ConfigRequest: &inner.ConfigRequest{}}}); err != nil {
+		event.PeerUnsent.Log(n.log, slog.String("what", "config request"), slog.String("error", err.Error()))
+	}
+}
--- /dev/null
+++ b/node/main.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/platform"
+)
+
+// The exit codes of the daemon.
+const (
+	ExitOK        = 0
+	ExitFailed    = 1 // it could not start
+	ExitSettings  = 2 // the settings are wrong
+	ExitUndrained = 3 // a planned stop ended with work in flight
+)
+
+// Main runs one instance with the platform's settings file until a signal. With
+// checkOnly it only checks the file. It returns the exit code of the process.
+func Main(checkOnly bool, out io.Writer) int {
+	path := os.Getenv(platform.SettingsVariable)
+	in, problems := platform.LoadSettings(path)
+	for _, p := range problems {
+		fmt.Fprintf(out, "sedgehatchd: %s: %s\n", failure.FieldOf(p), failure.Text(p))
+	}
+	if len(problems) > 0 {
+		return ExitSettings
+	}
+	if checkOnly {
+		fmt.Fprintf(out, "sedgehatchd: %q is right\n", path)
+		return ExitOK
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With(slog.String("instance", in.Name))
+	n, err := New(in, log)
+	if err != nil {
+		fmt.Fprintf(out, "sedgehatchd: %s: %s\n", failure.FieldOf(err), failure.Text(err))
+		return ExitFailed
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	n.Run()
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		n.reload(path)
+	}
+	if !n.Stop() {
+		return ExitUndrained
+	}
+	return ExitOK
+}
+
+// reload reads the settings again. What they tell of listeners and zones holds
+// for the life of the process; a change there is only told.
+func (n *Node) reload(path string) {
+	in, problems := platform.LoadSettings(path)
+	if len(problems) > 0 {
+		event.SettingsFileBad.Log(n.log, slog.String("field", failure.FieldOf(problems[0])), slog.String("error", failure.Text(problems[0])))
+		return
+	}
+	changed := in.CustomerAddress != n.in.CustomerAddress || in.PeerAddress != n.in.PeerAddress || in.Zone != n.in.Zone
+	event.Reloaded.Log(n.log, slog.Bool("needs_restart", changed))
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,242 @@
+// Package node puts an instance on the users' platform together: customers come
+// in through ingress, owned groups of upstreams run in owner, peers are reached
+// by the inner protocol, and the platform's store is followed.
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/ingress"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/metrics"
+	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/platform"
+	"github.com/sedgehatch/sedgehatch/schedule"
+
+	"github.com/google/uuid"
+	"github.com/samber/do/v2"
+	"github.com/valyala/fasthttp"
+)
+
+// fleetName keeps instances of other products from joining.
+const fleetName = "sedgehatch"
+
+const (
+	// presenceEvery is how often peers hear of this instance.
+	presenceEvery = 100 * time.Millisecond
+	// dialTimeout bounds opening a connection to a peer: a round trip takes
+	// about a millisecond, and a lost opening packet is tried again.
+	dialTimeout = 400 * time.Millisecond
+	// settleTime is how long a new instance listens before it owns anything.
+	settleTime = 600 * time.Millisecond
+)
+
+// silence bounds how long a peer may be silent: a job of an instance that is
+// lost must be stopped well before its customer sends it again.
+var silence = membership.Config{SuspectMs: 350, DeadMs: 600}
+
+// Node is one instance.
+type Node struct {
+	in       fleet.Instance
+	self     fate.Incarnation
+	log      *slog.Logger
+	metrics  *metrics.Set
+	store    *platform.Store
+	calls    *platform.Upstreams
+	mesh     *inner.Mesh
+	router   *router
+	ingress  *ingress.Coordinator
+	server   *ingress.Server
+	config   atomic.Pointer[fleet.Config]
+	leaving  atomic.Bool
+	began    time.Time
+	stop     context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+	listener net.Listener // of peers
+	public   net.Listener // of customers
+	ready    net.Listener // of the platform's question
+
+	mu        sync.Mutex // guards what follows
+	table     *membership.Table
+	heard     map[string]*inner.Presence // by instance
+	upstreams map[string]fleet.Upstream
+	listed    bool // the upstreams have been read once
+	draining  map[string]bool
+	groups    map[string]*owner.Group
+	highest   uint64 // fencing token heard of
+	lostAt    map[string]time.Time
+	dialing   map[string]bool
+}
+
+// New makes an instance and its listeners. Run starts it.
+func New(in fleet.Instance, log *slog.Logger) (*Node, error) {
+	injector := do.New()
+	do.ProvideValue(injector, in)
+	do.ProvideValue(injector, log)
+	do.ProvideValue(injector, metrics.NewSet())
+	do.Provide(injector, newStore)
+	do.Provide(injector, newNode)
+	return do.Invoke[*Node](injector)
+}
+
+func newStore(i do.Injector) (*platform.Store, error) {
+	counters := do.MustInvoke[*metrics.Set](i)
+	return platform.NewStore(do.MustInvoke[fleet.Instance](i).StoreAddress, func(kind string, _ int, _ time.Duration) {
+		counters.Sent("store_" + kind)
+	}), nil
+}
+
+func newNode(i do.Injector) (*Node, error) {
+	in := do.MustInvoke[fleet.Instance](i)
+	n := &Node{
+		in: in, self: fate.Incarnation(in.Name + "." + uuid.NewString()[:8]), log: do.MustInvoke[*slog.Logger](i),
+		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(),
+		began: time.Now(),
+		table: membership.NewTable(silence), heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
+		draining: map[string]bool{}, groups: map[string]*owner.Group{}, lostAt: map[string]time.Time{}, dialing: map[string]bool{},
+	}
+	n.stop, n.cancel = context.WithCancel(context.Background())
+	n.router = newRouter(n)
+	n.ingress = ingress.NewCoordinator(in.Zone, n.router)
+	n.server = ingress.NewServer(n.ingress, n.config.Load, n.leaving.Load, n)
+	n.mesh = inner.NewMesh(inner.Config{
+		Fleet: fleetName, Self: n.self, Region: in.Region, Zone: in.Zone, Address: in.PeerAddress,
+		Directory: n, Handler: n, Met: n.met, DialTimeout: dialTimeout, Count: n.metrics.Sent,
+	})
+	return n, n.listen()
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		field, address string
+		into           *net.Listener
+	}{
+		{"InternalPorts", n.in.PeerAddress, &n.listener},
+		{"Listen.Frontend", n.in.CustomerAddress, &n.public},
+		{"Listen.Readiness", n.in.ReadinessAddress, &n.ready},
+	} {
+		var err error
+		if *l.into, err = net.Listen("tcp4", l.address); err != nil {
+			return failure.Field(failure.InvalidInput, l.field, "cannot listen: %v", err)
+		}
+	}
+	return nil
+}
+
+// Run starts the instance and returns at once.
+func (n *Node) Run() {
+	n.running.Go(func() { n.mesh.Serve(n.listener) })
+	n.running.Go(n.followConfig)
+	n.running.Go(n.followUpstreams)
+	n.running.Go(n.followPeers)
+	n.running.Go(n.register)
+	n.running.Go(n.beat)
+	n.serve("customers", func() error { return n.server.Serve(n.public) })
+	n.serve("readiness", func() error { return fasthttp.Serve(n.ready, n.readiness) })
+	event.NodeStarted.Log(n.log, slog.String("incarnation", string(n.self)), slog.String("zone", n.in.Zone),
+		slog.String("customers", n.in.CustomerAddress), slog.Bool("first_start", n.in.FirstStart))
+}
+
+func (n *Node) serve(what string, serve func() error) {
+	n.running.Go(func() {
+		if err := serve(); err != nil && !errors.Is(err, net.ErrClosed) && n.stop.Err() == nil {
+			event.ServeFailed.Log(n.log, slog.String("listener", what), slog.String("error", err.Error()))
+		}
+	})
+}
+
+// readiness answers whether customers should be sent here.
+func (n *Node) readiness(ctx *fasthttp.RequestCtx) {
+	if n.isReady() {
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+func (n *Node) isReady() bool {
+	return !n.leaving.Load() && n.config.Load() != nil && len(n.router.Loads()) > 0
+}
+
+const (
+	// drainPoll is how often a planned stop looks whether it is done.
+	drainPoll = 20 * time.Millisecond
+	// minDrain is how long customers may still come after a planned stop
+	// began: the platform asks once a second and believes the second refusal.
+	minDrain = 3200 * time.Millisecond
+	// graceMargin is kept of the grace for the end itself.
+	graceMargin = 500 * time.Millisecond
+)
+
+// Stop is a planned stop: customers are sent elsewhere, owned groups go to
+// others, and what is open is finished. It reports false where the grace ended
+// first.
+func (n *Node) Stop() bool {
+	began := time.Now()
+	n.leaving.Store(true)
+	event.NodeDraining.Log(n.log, slog.Int("jobs", n.ingress.Open()))
+	n.mu.Lock()
+	groups := n.ownedGroups()
+	n.mu.Unlock()
+	for _, g := range groups {
+		g.Drain()
+	}
+	n.tick()
+	limit := n.in.Timing.Grace - graceMargin
+	drained := false
+	for !drained && time.Since(began) < limit {
+		time.Sleep(drainPoll)
+		n.mu.Lock()
+		owns := len(n.groups)
+		n.mu.Unlock()
+		drained = n.ingress.Open() == 0 && owns == 0 && time.Since(began) >= minDrain
+	}
+	event.NodeStopped.Log(n.log, slog.Bool("drained", drained), slog.Int("jobs", n.ingress.Open()),
+		slog.Duration("took", time.Since(began)))
+	return drained
+}
+
+// Address implements inner.Directory.
+func (n *Node) Address(instance string) (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Address(instance)
+}
+
+func (n *Node) met(h *inner.Hello) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.Met(membership.Listing{
+		Instance: fate.Incarnation(h.GetIncarnation()).Instance(), Address: h.GetAddress(), Region: h.GetRegion(), Zone: h.GetZone(),
+	})
+}
+
+// Decided implements owner.Observer.
+func (n *Node) Decided(group string, token uint64, d schedule.Decision) {
+	logDecision(n.log, group, token, d)
+}
+
+// Called implements owner.Observer.
+func (n *Node) Called(kind string, err error, took time.Duration) {
+	n.metrics.Sent(kind)
+	if err != nil {
+		n.metrics.Waste(kind)
+	}
+}
+
+// Answered implements ingress.Recorder.
+func (n *Node) Answered(r ingress.Record) {
+	logAnswer(n.log, r)
+}
--- /dev/null
+++ b/node/ownership.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/schedule"
+)
+
+// groupOf names the group of an upstream: those of one availability zone have
+// one owner.
+func groupOf(u fleet.Upstream) string { return u.Zone }
+
+// zoneOf returns the availability zone of a group.
+func zoneOf(group string) string { return group }
+
+// ownedGroups returns the groups that this instance owns, by name. The lock is
+// held.
+func (n *Node) ownedGroups() []*owner.Group {
+	return slices.SortedFunc(maps.Values(n.groups), func(a, b *owner.Group) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// membersOf returns the upstreams of a group. The lock is held.
+func (n *Node) membersOf(group string) []fleet.Upstream {
+	var list []fleet.Upstream
+	for _, u := range n.upstreams {
+		if groupOf(u) == group {
+			u.Draining = u.Draining || n.draining[u.ID]
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// updateGroups gives each owned group its upstreams.
+func (n *Node) updateGroups() {
+	n.mu.Lock()
+	members := map[*owner.Group][]fleet.Upstream{}
+	for _, g := range n.groups {
+		members[g] = n.membersOf(g.Name)
+	}
+	n.mu.Unlock()
+	for g, list := range members {
+		g.SetUpstreams(list)
+	}
+}
+
+// reconsider takes and gives up groups as peers come and go.
+func (n *Node) reconsider() {
+	n.yieldGroups()
+	n.releaseGroups()
+	n.takeGroups()
+}
+
+// yieldGroups gives up groups that a peer owns under a higher token: upstreams
+// do not listen to this instance any more.
+func (n *Node) yieldGroups() {
+	var yielded []*owner.Group
+	n.mu.Lock()
+	for name, g := range n.groups {
+		peer, claim := n.claimOf(name)
+		if claim != nil && claim.GetToken() > g.Token {
+			event.GroupLost.Log(n.log, slog.String("group", name), slog.Uint64("token", g.Token),
+				slog.Uint64("higher_token", claim.GetToken()), slog.String("to", peer))
+			delete(n.groups, name)
+			yielded = append(yielded, g)
+		}
+	}
+	n.mu.Unlock()
+	for _, g := range yielded {
+		g.Close()
+	}
+}
+
+// releaseGroups lets go of drained groups in a planned stop.
+func (n *Node) releaseGroups() {
+	if !n.leaving.Load() {
+		return
+	}
+	n.mu.Lock()
+	groups := n.ownedGroups()
+	n.mu.Unlock()
+	for _, g := range groups {
+		if !g.Idle() {
+			continue
+		}
+		g.Close()
+		n.mu.Lock()
+		delete(n.groups, g.Name)
+		n.mu.Unlock()
+		event.GroupReleased.Log(n.log, slog.String("group", g.Name), slog.Uint64("token", g.Token))
+	}
+}
+
+// claimOf returns the peer that owns a group, with the highest token, if any
+// does. The lock is held.
+func (n *Node) claimOf(group string) (string, *inner.Claim) {
+	var best *inner.Claim
+	name := ""
+	for _, p := range n.table.Peers() {
+		if p.State == membership.Dead || p.State == membership.Listed {
+			continue
+		}
+		for _, c := range n.heard[p.Instance].GetClaims() {
+			if c.GetGroup() == group && (best == nil || c.GetToken() > best.GetToken()) {
+				best, name = c, p.Instance
+			}
+		}
+	}
+	return name, best
+}
+
+// takeGroups takes the groups of the own availability zone that nobody owns and
+// for which this instance is preferred.
+func (n *Node) takeGroups() {
+	if n.leaving.Load() || time.Since(n.began) < settleTime {
+		return
+	}
+	n.mu.Lock()
+	group := n.in.Zone
+	taken := n.canTake(group)
+	var g *owner.Group
+	if taken {
+		n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
+		g = owner.NewGroup(group, schedule.DefaultConfig, n.highest, n.calls, n)
+		n.groups[group] = g
+		event.GroupTaken.Log(n.log, slog.String("group", group), slog.Uint64("token", g.Token), slog.Int("upstreams", len(n.membersOf(group))))
+	}
+	n.mu.Unlock()
+	if taken {
+		n.updateGroups()
+	}
+}
+
+// canTake reports whether this instance should take a group now. The lock is
+// held.
+func (n *Node) canTake(group string) bool {
+	if n.groups[group] != nil || !n.listed || len(n.membersOf(group)) == 0 {
+		return false
+	}
+	if _, claim := n.claimOf(group); claim != nil {
+		return false
+	}
+	return membership.Preferred(group, n.candidates()) == n.in.Name
+}
+
+// candidates returns the instances of the own availability zone that may own
+// groups. The lock is held.
+func (n *Node) candidates() []membership.Candidate {
+	list := []membership.Candidate{{Name: n.in.Name, Weight: 1}}
+	for _, p := range n.table.Peers() {
+		if p.Zone == n.in.Zone && p.State == membership.Alive {
+			list = append(list, membership.Candidate{Name: p.Instance, Weight: 1})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
+)
+
+// beat tells peers of this instance, and lets time pass for what it believes
+// of them.
+func (n *Node) beat() {
+	ticker := time.NewTicker(presenceEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.stop.Done():
+			return
+		case <-ticker.C:
+			n.tick()
+		}
+	}
+}
+
+func (n *Node) tick() {
+	n.mu.Lock()
+	changes := n.table.Tick(n.nowMs())
+	n.mu.Unlock()
+	n.changed(changes)
+	n.reconsider()
+	n.tellPeers()
+}
+
+// nowMs is a steady clock, in milliseconds.
+func (n *Node) nowMs() int64 { return time.Since(n.began).Milliseconds() }
+
+// presence is what peers hear of this instance.
+func (n *Node) presence() *inner.Presence {
+	n.mu.Lock()
+	groups := n.ownedGroups()
+	p := &inner.Presence{
+		Leaving: n.leaving.Load(), HighestToken: n.highest, Draining: slices.Sorted(maps.Keys(n.draining)),
+	}
+	n.mu.Unlock()
+	if c := n.config.Load(); c != nil {
+		p.ConfigVersion = c.Version
+	}
+	for _, g := range groups {
+		p.Claims = append(p.Claims, claimFrom(g))
+	}
+	return p
+}
+
+func (n *Node) tellPeers() {
+	frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
+	n.mu.Lock()
+	peers := n.table.Peers()
+	n.mu.Unlock()
+	known := len(peers) > 0
+	for _, p := range peers {
+		if p.State == membership.Alive || p.State == membership.Suspect || p.State == membership.Leaving {
+			_ = n.mesh.Post(p.Incarnation, frame) // silence is noticed at the other end
+			continue
+		}
+		n.introduce(p.Instance, frame)
+	}
+	if !known && time.Since(n.began) > settleTime/2 {
+		n.trySeeds()
+	}
+}
+
+// introduce connects to an instance that is not heard, once at a time.
+func (n *Node) introduce(instance string, frame *inner.Frame) {
+	n.mu.Lock()
+	busy := n.dialing[instance]
+	n.dialing[instance] = true
+	n.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		_ = n.mesh.Send(fate.Incarnation(instance), frame) // it is tried again with the next beat
+		n.mu.Lock()
+		delete(n.dialing, instance)
+		n.mu.Unlock()
+	}()
+}
+
+// trySeeds looks for peers where the settings say that some were.
+func (n *Node) trySeeds() {
+	for _, seed := range n.in.SeedPeers {
+		if seed != n.in.PeerAddress {
+			n.introduce(string(inner.AtAddress(seed)), &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}})
+		}
+	}
+}
+
+// Frame implements inner.Handler; LinkFrame takes all frames.
+func (n *Node) Frame(fate.Incarnation, *inner.Frame, func(*inner.Frame)) {}
+
+// LinkFrame implements inner.LinkHandler.
+func (n *Node) LinkFrame(link inner.Link, from fate.Incarnation, f *inner.Frame, reply func(*inner.Frame)) {
+	switch body := f.GetBody().(type) {
+	case *inner.Frame_Presence:
+		n.hear(link, from, body.Presence)
+	case *inner.Frame_Offer:
+		n.router.takeOffer(link, from, body.Offer, reply)
+	case *inner.Frame_OfferReturned:
+		n.router.takeReturned(body.OfferReturned)
+	case *inner.Frame_OfferWithdrawn:
+		n.router.takeWithdrawn(link, from, body.OfferWithdrawn)
+	case *inner.Frame_ConfigRequest:
+		n.sendConfig(link)
+	case *inner.Frame_ConfigReply:
+		n.takeConfig(body.ConfigReply.GetConfig(), from.Instance())
+	}
+}
+
+func (n *Node) sendConfig(to inner.Link) {
+	config := n.config.Load()
+	if config == nil {
+		return
+	}
+	f := &inner.Frame{Body: &inner.Frame_ConfigReply{ConfigReply: &inner.ConfigReply{Config: config.Raw}}}
+	if err := to.Send(f); err != nil {
+		event.PeerUnsent.Log(n.log, slog.String("what", "config"), slog.String("error", err.Error()))
+	}
+}
+
+// LinkClosed implements inner.LinkHandler. What came on the connection is
+// dropped; whether the peer is gone is found out at once.
+func (n *Node) LinkClosed(link inner.Link, from fate.Incarnation) {
+	n.router.linkClosed(link, from)
+	if n.stop.Err() != nil {
+		return
+	}
+	go n.probe(from)
+}
+
+// probe connects to a peer whose connection broke: a refusal is proof that it
+// does not run any more.
+func (n *Node) probe(peer fate.Incarnation) {
+	_, err := n.mesh.Connect(peer.Instance())
+	if !failure.Is(err, failure.Gone) {
+		return
+	}
+	n.mu.Lock()
+	changes := n.table.Ended(peer)
+	n.mu.Unlock()
+	n.changed(changes)
+	if len(changes) > 0 {
+		n.tick()
+	}
+}
+
+// hear takes the heartbeat of a peer.
+func (n *Node) hear(link inner.Link, from fate.Incarnation, p *inner.Presence) {
+	n.mu.Lock()
+	changes := n.table.Heard(from, membership.Load{Leaving: p.GetLeaving(), Revision: p.GetConfigVersion()}, n.nowMs())
+	before := n.heard[from.Instance()]
+	n.heard[from.Instance()] = p
+	n.highest = max(n.highest, p.GetHighestToken())
+	leaving := false
+	for _, id := range p.GetDraining() {
+		if !n.draining[id] {
+			n.draining[id] = true
+			leaving = true
+			event.UpstreamLeaving.Log(n.log, slog.String("upstream", id), slog.String("from", from.Instance()))
+		}
+	}
+	n.mu.Unlock()
+	n.router.heard(from, p)
+	n.changed(changes)
+	if leaving {
+		n.updateGroups()
+	}
+	if config := n.config.Load(); config == nil && p.GetConfigVersion() > 0 || config != nil && p.GetConfigVersion() > config.Version {
+		n.askConfig(link)
+	}
+	if len(before.GetClaims()) != len(p.GetClaims()) {
+		n.reconsider()
+	}
+}
+
+// changed tells of peers that came or went.
+func (n *Node) changed(changes []membership.Change) {
+	for _, c := range changes {
+		attrs := []slog.Attr{
+			slog.String("peer", string(c.Peer.Incarnation)), slog.String("state", string(c.Peer.State)),
+			slog.String("before", string(c.Before)), slog.String("zone", c.Peer.Zone),
+		}
+		switch c.Peer.State {
+		case membership.Dead:
+			event.PeerLost.Log(n.log, attrs...)
+			n.router.lost(c.Peer.Incarnation)
+			n.mesh.Sever(c.Peer.Instance)
+		case membership.Leaving:
+			event.PeerLeaving.Log(n.log, attrs...)
+		case membership.Alive:
+			event.PeerAlive.Log(n.log, attrs...)
+		}
+	}
+}
--- /dev/null
+++ b/node/router.go
@@ -0,0 +1,308 @@
+package node
+
+import (
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/ingress"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/schedule"
+
+	"github.com/samber/lo"
+)
+
+// router passes offers between the coordinator of this instance and the owners
+// of groups, here and on peers.
+type router struct {
+	n  *Node
+	mu sync.Mutex
+	// views holds what is known of owners on peers, by group.
+	views map[string]*view
+	// sent holds the offers to peers that have not ended.
+	sent map[offerKey]owner.Answer
+}
+
+// view is what is known of the owner of a group on a peer.
+type view struct {
+	peer  fate.Incarnation
+	token uint64
+	load  ingress.OwnerLoad
+	heard time.Time
+}
+
+// offerKey names an offer to a peer.
+type offerKey struct {
+	group string
+	key   schedule.JobKey
+}
+
+func newRouter(n *Node) *router {
+	return &router{n: n, views: map[string]*view{}, sent: map[offerKey]owner.Answer{}}
+}
+
+func (r *router) group(name string) *owner.Group {
+	r.n.mu.Lock()
+	defer r.n.mu.Unlock()
+	return r.n.groups[name]
+}
+
+// Loads implements ingress.Owners.
+func (r *router) Loads() []ingress.OwnerLoad {
+	r.n.mu.Lock()
+	own := r.n.ownedGroups()
+	r.n.mu.Unlock()
+	var loads []ingress.OwnerLoad
+	leaving := r.n.leaving.Load()
+	for _, g := range own {
+		if !leaving {
+			loads = append(loads, loadOf(g.Name, g.Load()))
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for group, v := range r.views {
+		if slices.ContainsFunc(own, func(g *owner.Group) bool { return g.Name == group }) {
+			continue
+		}
+		l := v.load
+		l.Age = time.Since(v.heard)
+		loads = append(loads, l)
+	}
+	slices.SortFunc(loads, func(a, b ingress.OwnerLoad) int { return strings.Compare(a.Group, b.Group) })
+	return loads
+}
+
+func loadOf(group string, l schedule.Load) ingress.OwnerLoad {
+	return ingress.OwnerLoad{Group: group, Zone: zoneOf(group), Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity}
+}
+
+// heard takes what a peer says of the groups that it owns.
+func (r *router) heard(from fate.Incarnation, p *inner.Presence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	claimed := map[string]bool{}
+	for _, c := range p.GetClaims() {
+		claimed[c.GetGroup()] = !p.GetLeaving()
+		v := r.views[c.GetGroup()]
+		if p.GetLeaving() || v != nil && v.token > c.GetToken() {
+			continue
+		}
+		r.views[c.GetGroup()] = &view{from, c.GetToken(), loadOf(c.GetGroup(), loadFrom(c)), time.Now()}
+	}
+	for group, v := range r.views {
+		if v.peer == from && !claimed[group] {
+			delete(r.views, group)
+		}
+	}
+}
+
+// lost forgets a peer.
+func (r *router) lost(peer fate.Incarnation) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for group, v := range r.views {
+		if v.peer == peer {
+			delete(r.views, group)
+		}
+	}
+}
+
+// Offer implements ingress.Owners.
+func (r *router) Offer(group string, o schedule.Offer, answer owner.Answer) error {
+	if g := r.group(group); g != nil {
+		o.Key.Coordinator = string(r.n.self)
+		return g.Offer(o, answer)
+	}
+	r.mu.Lock()
+	v := r.views[group]
+	if v == nil {
+		r.mu.Unlock()
+		return failure.Unreachable.New("no owner of group %s is known", group)
+	}
+	k := offerKey{group, o.Key}
+	r.sent[k] = answer
+	v.load.Free -= len(o.Tasks)
+	peer := v.peer
+	r.mu.Unlock()
+	frame := &inner.Frame{Body: &inner.Frame_Offer{Offer: offerTo(group, o)}}
+	err := r.n.mesh.Notify(peer, frame, func(f *inner.Frame, err error) { r.offerEnded(k, f, err) })
+	if err != nil {
+		r.take(k)
+	}
+	return err
+}
+
+// take removes an open offer and returns who waits for it.
+func (r *router) take(k offerKey) (owner.Answer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	answer, open := r.sent[k]
+	delete(r.sent, k)
+	return answer, open
+}
+
+// offerEnded takes the reply to an offer, or the loss of its connection.
+func (r *router) offerEnded(k offerKey, f *inner.Frame, err error) {
+	answer, open := r.take(k)
+	if !open {
+		return
+	}
+	switch {
+	case failure.Is(err, failure.Stopping):
+		answer.Ended(schedule.Result{Key: k.key, Outcome: schedule.Completed}, schedule.Load{})
+	case err != nil:
+		event.OfferLost.Log(r.n.log, slog.String("job", k.key.ID), slog.String("group", k.group), slog.String("error", err.Error()))
+		answer.Ended(schedule.Result{Key: k.key, Outcome: schedule.Unknown, Begun: true}, schedule.Load{})
+	default:
+		ended := f.GetOfferEnded()
+		r.updateLoad(ended.GetLoad())
+		answer.Ended(schedule.Result{
+			Key: k.key, Outcome: schedule.Outcome(ended.GetOutcome()), Begun: ended.GetBegun(),
+			Done: toInts(ended.GetDone()), Returned: toInts(ended.GetReturned()),
+		}, loadFrom(ended.GetLoad()))
+	}
+}
+
+func (r *router) updateLoad(c *inner.Claim) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v := r.views[c.GetGroup()]; v != nil && v.token == c.GetToken() {
+		v.load = loadOf(c.GetGroup(), loadFrom(c))
+		v.heard = time.Now()
+	}
+}
+
+// takeReturned takes tasks back from an owner on a peer.
+func (r *router) takeReturned(m *inner.OfferReturned) {
+	r.updateLoad(m.GetLoad())
+	k := offerKey{m.GetGroup(), schedule.JobKey{ID: m.GetJob(), Part: int(m.GetPart())}}
+	r.mu.Lock()
+	answer, open := r.sent[k]
+	r.mu.Unlock()
+	if open {
+		answer.Returned(schedule.Result{Key: k.key, Returned: toInts(m.GetTasks())}, loadFrom(m.GetLoad()))
+	}
+}
+
+// Withdraw implements ingress.Owners.
+func (r *router) Withdraw(group string, key schedule.JobKey, reason string) {
+	if g := r.group(group); g != nil {
+		key.Coordinator = string(r.n.self)
+		g.Withdraw(key, reason)
+		return
+	}
+	r.take(offerKey{group, key})
+	r.mu.Lock()
+	v := r.views[group]
+	r.mu.Unlock()
+	if v == nil {
+		return // its owner is lost, and stops what it has of this instance
+	}
+	frame := &inner.Frame{Body: &inner.Frame_OfferWithdrawn{OfferWithdrawn: &inner.OfferWithdrawn{
+		Group: group, Job: key.ID, Part: uint32(key.Part), Reason: reason,
+	}}}
+	if err := r.n.mesh.Post(v.peer, frame); err != nil {
+		event.PeerUnsent.Log(r.n.log, slog.String("what", "withdrawal"), slog.String("job", key.ID), slog.String("error", err.Error()))
+	}
+}
+
+// coordinatorOf names the coordinator of the offers that come on a connection.
+func coordinatorOf(link inner.Link, from fate.Incarnation) string {
+	return string(from) + "#" + strconv.FormatUint(link.Number(), 10)
+}
+
+// takeOffer takes the offer of a peer.
+func (r *router) takeOffer(link inner.Link, from fate.Incarnation, m *inner.Offer, reply func(*inner.Frame)) {
+	g := r.group(m.GetGroup())
+	if g == nil {
+		reply(&inner.Frame{Body: &inner.Frame_Problem{Problem: inner.FromError(failure.Stopping.New("group %s is not owned here", m.GetGroup()))}})
+		return
+	}
+	o := offerFrom(m)
+	o.Key.Coordinator = coordinatorOf(link, from)
+	err := g.Offer(o, owner.Answer{
+		Returned: func(res schedule.Result, l schedule.Load) {
+			_ = link.Send(returnedFrame(g, res, l)) // a closed connection has ended the offer
+		},
+		Ended: func(res schedule.Result, l schedule.Load) { reply(endedFrame(g, res, l)) },
+	})
+	if err != nil {
+		reply(&inner.Frame{Body: &inner.Frame_Problem{Problem: inner.FromError(err)}})
+	}
+}
+
+func (r *router) takeWithdrawn(link inner.Link, from fate.Incarnation, m *inner.OfferWithdrawn) {
+	if g := r.group(m.GetGroup()); g != nil {
+		g.Withdraw(schedule.JobKey{Coordinator: coordinatorOf(link, from), ID: m.GetJob(), Part: int(m.GetPart())}, m.GetReason())
+	}
+}
+
+// linkClosed ends the offers that came on a connection: their coordinator takes
+// them for lost, and its customers may send them again.
+func (r *router) linkClosed(link inner.Link, from fate.Incarnation) {
+	r.n.mu.Lock()
+	groups := r.n.ownedGroups()
+	r.n.mu.Unlock()
+	for _, g := range groups {
+		g.WithdrawAll(coordinatorOf(link, from), "the connection to the coordinator closed")
+	}
+}
+
+func claimFrom(g *owner.Group) *inner.Claim { return claimOf(g, g.Load()) }
+
+func claimOf(g *owner.Group, l schedule.Load) *inner.Claim {
+	return &inner.Claim{Group: g.Name, Token: g.Token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity}
+}
+
+func loadFrom(c *inner.Claim) schedule.Load {
+	return schedule.Load{Free: int(c.GetFree()), Waiting: int(c.GetWaiting()), Capacity: c.GetCapacity()}
+}
+
+func toInts(list []uint32) []int { return lo.Map(list, func(v uint32, _ int) int { return int(v) }) }
+
+func fromInts(list []int) []uint32 {
+	return lo.Map(list, func(v int, _ int) uint32 { return uint32(v) })
+}
+
+func returnedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
+	return &inner.Frame{Body: &inner.Frame_OfferReturned{OfferReturned: &inner.OfferReturned{
+		Group: g.Name, Job: r.Key.ID, Part: uint32(r.Key.Part), Tasks: fromInts(r.Returned), Load: claimOf(g, l),
+	}}}
+}
+
+func endedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
+	return &inner.Frame{Body: &inner.Frame_OfferEnded{OfferEnded: &inner.OfferEnded{
+		Outcome: string(r.Outcome), Done: fromInts(r.Done), Returned: fromInts(r.Returned), Begun: r.Begun, Load: claimOf(g, l),
+	}}}
+}
+
+func offerTo(group string, o schedule.Offer) *inner.Offer {
+	return &inner.Offer{
+		Group: group, Job: o.Key.ID, Part: uint32(o.Key.Part), Service: o.Service, Route: o.Route, Spec: o.Spec,
+		MilliCpu: o.Demand.MilliCPU, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
+		EstimateMs: uint32(o.Estimate.Milliseconds()), Priority: uint32(o.Priority), MaxAttempts: uint32(o.MaxAttempts),
+		Tasks: fromInts(o.Tasks), Stretch: o.Stretch, SlackMs: uint32(o.Slack.Milliseconds()),
+		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Patience, 0).Milliseconds()), MayQueue: o.MayQueue,
+	}
+}
+
+func offerFrom(m *inner.Offer) schedule.Offer {
+	return schedule.Offer{
+		Key:     schedule.JobKey{ID: m.GetJob(), Part: int(m.GetPart())},
+		Service: m.GetService(), Route: m.GetRoute(), Spec: m.GetSpec(),
+		Demand:   fleet.Demand{MilliCPU: m.GetMilliCpu(), MemoryMB: m.GetMemoryMb(), GPUs: m.GetGpus()},
+		Estimate: time.Duration(m.GetEstimateMs()) * time.Millisecond, Priority: int(m.GetPriority()),
+		MaxAttempts: int(m.GetMaxAttempts()), Tasks: toInts(m.GetTasks()), Stretch: m.GetStretch(),
+		Slack: time.Duration(m.GetSlackMs()) * time.Millisecond, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
+		Patience: time.Duration(m.GetPatienceMs()) * time.Millisecond, MayQueue: m.GetMayQueue(),
+	}
+}
--- /dev/null
+++ b/owner/group.go
@@ -0,0 +1,281 @@
+// Package owner runs a group of upstreams: it makes the calls that a
+// schedule.Pool decides on, and feeds their answers back to it.
+package owner
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/schedule"
+)
+
+// Upstreams makes calls to upstreams. Errors are Gone where the upstream's life
+// is over, Conflict where it has seen a higher fencing token, Refused where it
+// declines, and Lost where no answer came.
+type Upstreams interface {
+	Start(to fleet.Upstream, o fleet.StartOrder, timeout time.Duration) (fleet.Refusal, int64, error)
+	Stop(to fleet.Upstream, run fleet.Run, token uint64, timeout time.Duration) error
+	Hold(to fleet.Upstream, o fleet.HoldOrder, timeout time.Duration) (fleet.Report, error)
+}
+
+// Observer is told what a group decides and how its calls went.
+type Observer interface {
+	Decided(group string, token uint64, d schedule.Decision)
+	Called(kind string, err error, took time.Duration)
+}
+
+const (
+	// startTimeout is when a start counts as unanswered: a round trip takes
+	// some ms also under load, and every ms more is one that the task waits.
+	startTimeout = 100 * time.Millisecond
+	// stopTimeout and holdTimeout bound a call beyond what it may wait.
+	stopTimeout = 150 * time.Millisecond
+	holdTimeout = 150 * time.Millisecond
+	// holdPause is the pause after a report that did not come.
+	holdPause = 20 * time.Millisecond
+	// tick is how often time passes for the pool.
+	tick = 25 * time.Millisecond
+)
+
+// Answer takes what becomes of an offer. Returned tasks may come several times
+// before the end.
+type Answer struct {
+	Returned func(schedule.Result, schedule.Load)
+	Ended    func(schedule.Result, schedule.Load)
+}
+
+// Group is a pool at work.
+type Group struct {
+	Name  string
+	Token uint64
+
+	calls Upstreams
+	seen  Observer
+
+	mu      sync.Mutex // guards pool and answers
+	pool    *schedule.Pool
+	answers map[schedule.JobKey]Answer
+	closed  bool
+	done    chan struct{}
+}
+
+// NewGroup returns a running group. Close ends it.
+func NewGroup(name string, cfg schedule.Config, token uint64, calls Upstreams, seen Observer) *Group {
+	g := &Group{
+		Name: name, Token: token, calls: calls, seen: seen,
+		pool: schedule.NewPool(cfg, token), answers: map[schedule.JobKey]Answer{}, done: make(chan struct{}),
+	}
+	go g.ticks()
+	return g
+}
+
+func (g *Group) ticks() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.done:
+			return
+		case <-ticker.C:
+			g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects { return p.Tick(now) })
+		}
+	}
+}
+
+// apply gives the pool one input and carries its effects out.
+func (g *Group) apply(input func(p *schedule.Pool, now time.Time) schedule.Effects) {
+	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return
+	}
+	effects := input(g.pool, time.Now())
+	tell := g.collect(&effects)
+	g.mu.Unlock()
+	for _, f := range tell {
+		f()
+	}
+	g.carryOut(&effects)
+}
+
+// collect pairs results with those who wait for them. The lock is held; what
+// it returns is called without it.
+func (g *Group) collect(effects *schedule.Effects) []func() {
+	if len(effects.Returns) == 0 && len(effects.Results) == 0 {
+		return nil
+	}
+	load := g.pool.Load(time.Now())
+	var tell []func()
+	for _, r := range effects.Returns {
+		if a, known := g.answers[r.Key]; known {
+			tell = append(tell, func() { a.Returned(r, load) })
+		}
+	}
+	for _, r := range effects.Results {
+		if a, known := g.answers[r.Key]; known {
+			delete(g.answers, r.Key)
+			tell = append(tell, func() { a.Ended(r, load) })
+		}
+	}
+	return tell
+}
+
+func (g *Group) carryOut(effects *schedule.Effects) {
+	for _, s := range effects.Starts {
+		go g.start(s)
+	}
+	for _, s := range effects.Stops {
+		go g.stop(s)
+	}
+	for _, id := range effects.Looks {
+		go g.look(id)
+	}
+	for _, d := range effects.Decisions {
+		g.seen.Decided(g.Name, g.Token, d)
+	}
+}
+
+func (g *Group) start(s schedule.Start) {
+	began := time.Now()
+	refusal, _, err := g.calls.Start(s.Upstream, s.Order, startTimeout)
+	g.seen.Called("start", err, time.Since(began))
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		return p.Started(now, s.Upstream.ID, s.Order.Run, refusal, err)
+	})
+}
+
+func (g *Group) stop(s schedule.Stop) {
+	began := time.Now()
+	err := g.calls.Stop(s.Upstream, s.Run, g.Token, stopTimeout)
+	g.seen.Called("stop", err, time.Since(began))
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		return p.Stopped(now, s.Upstream.ID, s.Run, err)
+	})
+}
+
+func (g *Group) look(id string) {
+	g.mu.Lock()
+	u, order, known := g.pool.LookOrder(id)
+	known = known && !g.closed
+	g.mu.Unlock()
+	if known {
+		g.hold(u, order)
+	}
+}
+
+// hold makes one call for a report.
+func (g *Group) hold(u fleet.Upstream, order fleet.HoldOrder) error {
+	sent := time.Now()
+	report, err := g.calls.Hold(u, order, holdTimeout)
+	g.seen.Called("hold", err, time.Since(sent))
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		return p.Held(now, u.ID, sent, report, err)
+	})
+	return err
+}
+
+// follow keeps the lease of one upstream and reads its reports, until it does
+// not belong to the group any more.
+func (g *Group) follow(id string) {
+	for {
+		g.mu.Lock()
+		u, order, known := g.pool.HoldOrder(time.Now(), id)
+		known = known && !g.closed
+		g.mu.Unlock()
+		if !known {
+			return
+		}
+		if g.hold(u, order) == nil {
+			continue
+		}
+		select {
+		case <-g.done:
+			return
+		case <-time.After(holdPause):
+		}
+	}
+}
+
+// SetUpstreams takes the group's upstreams as the store lists them.
+func (g *Group) SetUpstreams(list []fleet.Upstream) {
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		added, effects := p.SetUpstreams(now, list)
+		for _, id := range added {
+			go g.follow(id)
+		}
+		return effects
+	})
+}
+
+// Offer takes a job, and tells answer what becomes of it. The error is Stopping
+// once the group is closed; nothing began then.
+func (g *Group) Offer(o schedule.Offer, answer Answer) error {
+	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return failure.Stopping.New("group %s is not owned here any more", g.Name)
+	}
+	g.answers[o.Key] = answer
+	g.mu.Unlock()
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects { return p.Offer(now, o) })
+	return nil
+}
+
+// Withdraw ends a job that its coordinator does not want any more.
+func (g *Group) Withdraw(key schedule.JobKey, reason string) {
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		delete(g.answers, key)
+		return p.Withdraw(now, key, reason)
+	})
+}
+
+// WithdrawAll ends all jobs of a coordinator that is gone.
+func (g *Group) WithdrawAll(coordinator, reason string) {
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		for key := range g.answers {
+			if key.Coordinator == coordinator {
+				delete(g.answers, key)
+			}
+		}
+		return p.WithdrawAll(now, coordinator, reason)
+	})
+}
+
+// Drain makes the group start nothing more.
+func (g *Group) Drain() {
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects { return p.Drain(now) })
+}
+
+// Idle reports whether nothing runs or waits.
+func (g *Group) Idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Idle()
+}
+
+// Load returns the load of the group.
+func (g *Group) Load() schedule.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Load(time.Now())
+}
+
+// Close ends the group: it makes no call any more. The jobs that are left end
+// as unknown.
+func (g *Group) Close() {
+	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return
+	}
+	g.closed = true
+	close(g.done)
+	answers := g.answers
+	g.answers = map[schedule.JobKey]Answer{}
+	g.mu.Unlock()
+	for key, a := range answers {
+		a.Ended(schedule.Result{Key: key, Outcome: schedule.Unknown, Begun: true}, schedule.Load{})
+	}
+}
--- /dev/null
+++ b/schedule/health.go
@@ -0,0 +1,209 @@
+package schedule
+
+import (
+	"cmp"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+)
+
+const (
+	// failuresToDoubt is how many jobs in a row fail first on one upstream
+	// before it is doubted.
+	failuresToDoubt = 2
+	// missesToDoubt is how many starts in a row go unanswered before that.
+	missesToDoubt = 2
+	// firstDoubt and longestDoubt bound how long a doubted upstream is left
+	// alone before a trial; each failed trial doubles it.
+	firstDoubt   = 500 * time.Millisecond
+	longestDoubt = 2 * time.Second
+)
+
+// health is what is believed of an upstream's work.
+type health struct {
+	failures int // jobs that failed there first, without a success since
+	missed   int // starts without an answer, without a success since
+	doubted  bool
+	pause    time.Duration
+	until    time.Time // no trial before
+}
+
+func (h *health) miss() { h.missed++ }
+
+// doubt leaves an upstream alone for a while.
+func (p *Pool) doubt(u *upstream, reason string) {
+	h := &u.health
+	if h.doubted && p.now.Before(h.until) {
+		return
+	}
+	h.pause = min(max(2*h.pause, firstDoubt), longestDoubt)
+	h.doubted = true
+	h.until = p.now.Add(h.pause)
+	p.decide(Decision{Kind: DecidedDoubt, Upstream: u.ID, Reason: reason, Task: h.failures, Age: h.pause})
+}
+
+// trust takes a success.
+func (p *Pool) trust(u *upstream) {
+	if u.health.doubted {
+		p.decide(Decision{Kind: DecidedTrust, Upstream: u.ID})
+	}
+	u.health = health{}
+}
+
+const (
+	// progressRise is the percent that a run must rise to count as moving.
+	progressRise = 1
+	// lookAfter is the age, as a share of the expected time, and at least
+	// lookAtLeast, before a run's pace is judged.
+	lookAfter   = 0.5
+	lookAtLeast = 60 * time.Millisecond
+	// slowFactor is how many times longer than expected a run has to be on
+	// its way to take before it is moved.
+	slowFactor = 3
+	// moveCost is added to the time that a move takes.
+	moveCost = 60 * time.Millisecond
+	// stalledFor is how long a run's percent must stand still.
+	stalledFor = 100 * time.Millisecond
+	// maxMoves bounds how often one task is moved.
+	maxMoves = 3
+	// shortestReport bounds how often reports are asked for.
+	shortestReport = 40 * time.Millisecond
+)
+
+// progressed takes what a report says of a run.
+func (p *Pool) progressed(r *run, percent int) {
+	if r.state == starting {
+		r.state = running
+		r.acked = p.now
+	}
+	if percent >= r.percent+progressRise {
+		r.moved = p.now
+	}
+	r.percent = percent
+	r.seen = p.now
+	if r.state == running {
+		p.checkProgress(r)
+	}
+}
+
+// checkProgress moves a run that stands still or crawls, if that pays.
+func (p *Pool) checkProgress(r *run) {
+	j := r.job
+	if j == nil {
+		return
+	}
+	t := j.tasks[r.id.Task.Index]
+	age := r.seen.Sub(r.ordered)
+	if t.moves >= maxMoves || r.seen == r.moved && r.percent == 0 || age < lookAge(j.expect) {
+		return
+	}
+	remaining := r.remaining(age)
+	stalled := r.seen.Sub(r.moved) >= stalledFor
+	if !stalled && age+remaining < slowFactor*j.expect {
+		return
+	}
+	if remaining < j.expect*3/2+moveCost {
+		return
+	}
+	if !stalled && p.choose(j, &task{avoid: r.up.ID}) == nil {
+		return // nowhere to go: slow is better than waiting
+	}
+	t.moves++
+	t.avoid = r.up.ID
+	p.doubt(r.up, "slow")
+	p.stop(r, "slow")
+}
+
+// lookAge is how old a run must be before its pace is judged.
+func lookAge(expect time.Duration) time.Duration {
+	return max(time.Duration(lookAfter*float64(expect)), lookAtLeast)
+}
+
+// forever stands for a time without an end.
+const forever = time.Duration(math.MaxInt64 / 4)
+
+// remaining projects how much longer a run takes at its pace so far.
+func (r *run) remaining(age time.Duration) time.Duration {
+	if r.percent <= 0 || r.seen.Sub(r.moved) >= stalledFor {
+		return forever
+	}
+	return age * time.Duration(100-min(r.percent, 100)) / time.Duration(r.percent)
+}
+
+// reportWait is how long the next report of an upstream may wait for an end:
+// until the first of its runs is old enough to be judged.
+func (p *Pool) reportWait(u *upstream) time.Duration {
+	wait := p.cfg.Report
+	for _, r := range u.runs {
+		if r.job == nil {
+			wait = shortestReport
+			continue
+		}
+		age := p.now.Sub(r.ordered)
+		due := lookAge(r.job.expect) - age
+		if due <= 0 {
+			due = r.job.expect / 2
+		}
+		wait = min(wait, due)
+	}
+	return max(wait, shortestReport)
+}
+
+// runTimes learns how long the tasks of one route take.
+type runTimes struct {
+	mean float64 // of the logarithm of seconds
+	n    int
+}
+
+// learnWeight is the weight of a new time against those before.
+const learnWeight = 0.02
+
+func (p *Pool) timesOf(route string) *runTimes {
+	t := p.times[route]
+	if t == nil {
+		t = &runTimes{}
+		p.times[route] = t
+	}
+	return t
+}
+
+func (t *runTimes) learn(took time.Duration) {
+	value := math.Log(max(took.Seconds(), 0.001))
+	t.n++
+	t.mean += (value - t.mean) * max(learnWeight, 1/float64(t.n))
+}
+
+// timesToTrust is how many times must have been seen before they count.
+const timesToTrust = 10
+
+// unknownEstimate is taken where neither the customer nor the past tells.
+const unknownEstimate = 200 * time.Millisecond
+
+// expect returns how long a task is expected to take: declared times are off by
+// about as much as times differ, so that their geometric mean is best.
+func (t *runTimes) expect(declared time.Duration) time.Duration {
+	switch {
+	case t.n < timesToTrust && declared > 0:
+		return declared
+	case t.n < timesToTrust:
+		return unknownEstimate
+	case declared <= 0:
+		return time.Duration(math.Exp(t.mean) * float64(time.Second))
+	}
+	value := (math.Log(declared.Seconds()) + t.mean) / 2
+	return time.Duration(math.Exp(value) * float64(time.Second))
+}
+
+// learn takes the time of one task of a job: the others are much like it.
+func (j *job) learn(took time.Duration) {
+	j.expect = max(took, time.Millisecond)
+}
+
+func compareRuns(a, b fleet.Run) int {
+	return cmp.Or(
+		strings.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Repetition, b.Task.Repetition),
+		cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number),
+	)
+}
--- /dev/null
+++ b/schedule/input.go
@@ -0,0 +1,329 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fleet"
+)
+
+// Started takes the answer to a start.
+func (p *Pool) Started(now time.Time, upstreamID string, id fleet.Run, refusal fleet.Refusal, err error) Effects {
+	return p.do(now, func() {
+		u := p.upstreams[upstreamID]
+		if u == nil || u.runs[id] == nil {
+			return // it has ended by now
+		}
+		r := u.runs[id]
+		switch {
+		case failure.Is(err, failure.Gone):
+			p.gone(u, "another life answers")
+		case err != nil:
+			u.health.miss()
+			p.stop(r, "start without answer")
+		case refusal == fleet.RefusedNot:
+			r.acked = now
+			if r.state == starting {
+				r.state = running
+				r.moved, r.seen = now, now
+			}
+		default:
+			p.refused(r, refusal)
+		}
+	})
+}
+
+// refused takes a start that certainly did not happen.
+func (p *Pool) refused(r *run, refusal fleet.Refusal) {
+	u := r.up
+	p.remove(r)
+	if refusal == fleet.RefusedFence {
+		p.fenced(u)
+		p.lose(r)
+		return
+	}
+	if r.job != nil {
+		t := r.job.tasks[r.id.Task.Index]
+		switch refusal {
+		case fleet.RefusedOldRun:
+			t.number += oldRunStep
+		case fleet.RefusedUnhealthy, fleet.RefusedRoom, fleet.RefusedBad:
+			t.avoid = u.ID
+			p.doubt(u, string(refusal))
+		}
+	}
+	p.again(r, "refused: "+string(refusal))
+}
+
+// lose ends the job of a run whose fate this pool cannot learn.
+func (p *Pool) lose(r *run) {
+	if r.job != nil && p.jobs[r.job.Key] == r.job {
+		p.end(r.job, Unknown)
+	}
+}
+
+// Stopped takes the answer to a stop.
+func (p *Pool) Stopped(now time.Time, upstreamID string, id fleet.Run, err error) Effects {
+	return p.do(now, func() {
+		u := p.upstreams[upstreamID]
+		if u == nil || u.runs[id] == nil {
+			return
+		}
+		r := u.runs[id]
+		switch {
+		case err == nil:
+			r.state = stopped
+			r.stopAcked = now
+			p.out.Looks = append(p.out.Looks, u.ID)
+		case failure.Is(err, failure.Gone):
+			p.gone(u, "another life answers")
+		case failure.Is(err, failure.Conflict):
+			p.fenced(u)
+		}
+	})
+}
+
+// HoldOrder returns the next order that renews an upstream's lease and asks for
+// its report, and whether the upstream still belongs to the pool. A silent
+// upstream is only asked: its leases must run out.
+func (p *Pool) HoldOrder(now time.Time, upstreamID string) (fleet.Upstream, fleet.HoldOrder, bool) {
+	u := p.upstreams[upstreamID]
+	if u == nil {
+		return fleet.Upstream{}, fleet.HoldOrder{}, false
+	}
+	p.now = now
+	o := fleet.HoldOrder{Token: p.token, SeenEnds: u.seenEnds}
+	if u.joined && !u.silent {
+		o.LeaseUntilMs = p.grant(u)
+	}
+	if u.joined && u.misses == 0 {
+		o.WaitMs = p.reportWait(u).Milliseconds()
+	}
+	return u.Upstream, o, true
+}
+
+// LookOrder returns an order that asks for a report at once.
+func (p *Pool) LookOrder(upstreamID string) (fleet.Upstream, fleet.HoldOrder, bool) {
+	u := p.upstreams[upstreamID]
+	if u == nil {
+		return fleet.Upstream{}, fleet.HoldOrder{}, false
+	}
+	return u.Upstream, fleet.HoldOrder{Token: p.token, SeenEnds: u.seenEnds}, true
+}
+
+// Held takes the answer to a hold or a look that was sent at a time.
+func (p *Pool) Held(now time.Time, upstreamID string, sent time.Time, report fleet.Report, err error) Effects {
+	return p.do(now, func() {
+		u := p.upstreams[upstreamID]
+		switch {
+		case u == nil:
+		case failure.Is(err, failure.Gone):
+			p.gone(u, "another life answers")
+		case failure.Is(err, failure.Conflict):
+			p.fenced(u)
+		case err != nil:
+			p.missed(u)
+		default:
+			p.reported(u, sent, report)
+		}
+	})
+}
+
+func (p *Pool) missed(u *upstream) {
+	u.misses++
+	if u.misses < missesToSilent || u.silent {
+		return
+	}
+	u.silent = true
+	p.decide(Decision{Kind: DecidedSilent, Upstream: u.ID, Task: len(u.runs), Age: p.now.Sub(u.clockAt)})
+}
+
+func (p *Pool) reported(u *upstream, sent time.Time, report fleet.Report) {
+	if u.silent {
+		p.decide(Decision{Kind: DecidedHeard, Upstream: u.ID, Age: p.now.Sub(u.clockAt)})
+	}
+	u.misses, u.silent = 0, false
+	u.clockMs, u.clockAt = report.ClockMs, p.now
+	for _, e := range report.Ended {
+		if e.Sequence > u.seenEnds {
+			u.seenEnds = e.Sequence
+			p.ended(u, e)
+		}
+	}
+	if sent.Before(u.reported) {
+		return // a newer report has been read
+	}
+	u.reported = sent
+	p.readRunning(u, sent, report.Running)
+	u.joined = true
+}
+
+// readRunning compares what an upstream runs with the books.
+func (p *Pool) readRunning(u *upstream, sent time.Time, list []fleet.RunningTask) {
+	listed := make(map[fleet.Run]bool, len(list))
+	for _, t := range list {
+		listed[t.Run] = true
+		r := u.runs[t.Run]
+		if r == nil {
+			p.found(u, t.Run)
+			continue
+		}
+		p.progressed(r, t.Percent)
+	}
+	for _, r := range sortedRuns(u) {
+		if listed[r.id] {
+			continue
+		}
+		switch {
+		case r.state == stopped && sent.After(r.stopAcked):
+			p.remove(r)
+			p.again(r, "stopped")
+		case r.state == running && sent.After(r.acked):
+			p.remove(r)
+			p.again(r, "vanished")
+		}
+	}
+}
+
+// sortedRuns returns the runs of an upstream in a fixed order.
+func sortedRuns(u *upstream) []*run {
+	list := make([]*run, 0, len(u.runs))
+	for _, r := range u.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.id, b.id) })
+	return list
+}
+
+// found takes a run that nobody here ordered: one of an owner before. It is
+// stopped, and nothing starts on the upstream until it is gone.
+func (p *Pool) found(u *upstream, id fleet.Run) {
+	r := &run{id: id, up: u, unknown: true, state: running, ordered: p.now, acked: p.now, moved: p.now, seen: p.now}
+	p.add(r)
+	p.stop(r, "nobody's")
+}
+
+// ended takes one end of a run.
+func (p *Pool) ended(u *upstream, e fleet.EndedRun) {
+	r := u.runs[e.Run]
+	if r == nil {
+		return
+	}
+	p.remove(r)
+	if r.job == nil {
+		return
+	}
+	switch e.End {
+	case fleet.EndDone:
+		p.done(r)
+	case fleet.EndFailed:
+		p.failed(r)
+	default:
+		p.again(r, string(e.End))
+	}
+}
+
+func (p *Pool) done(r *run) {
+	j := r.job
+	t := j.tasks[r.id.Task.Index]
+	t.state = ended
+	j.left--
+	j.done = append(j.done, t.index)
+	took := p.now.Sub(r.ordered)
+	p.timesOf(j.Route).learn(took)
+	j.learn(took)
+	p.trust(r.up)
+	if j.left == 0 {
+		p.forget(j)
+		p.result(j, Completed, nil)
+	}
+}
+
+func (p *Pool) failed(r *run) {
+	j := r.job
+	t := j.tasks[r.id.Task.Index]
+	t.attempts++
+	if len(j.failed) == 0 {
+		r.up.health.failures++ // a job that fails everywhere blackens one upstream only
+	}
+	j.failed[r.up.ID] = true
+	if r.up.health.failures >= failuresToDoubt {
+		p.doubt(r.up, "tasks fail")
+	}
+	if t.attempts >= j.MaxAttempts {
+		p.end(j, Failed)
+		return
+	}
+	t.avoid = r.up.ID
+	p.again(r, "failed")
+}
+
+// gone takes the end of an upstream's life: nothing of it runs.
+func (p *Pool) gone(u *upstream, reason string) {
+	p.decide(Decision{Kind: DecidedGone, Upstream: u.ID, Task: len(u.runs), Reason: reason})
+	p.drop(u)
+	for _, r := range sortedRuns(u) {
+		p.remove(r)
+		p.again(r, "upstream gone")
+	}
+}
+
+// fenced takes the news that another owner has an upstream. What becomes of
+// the runs there is not known here.
+func (p *Pool) fenced(u *upstream) {
+	if p.upstreams[u.ID] != u {
+		return
+	}
+	p.decide(Decision{Kind: DecidedFenced, Upstream: u.ID, Task: len(u.runs)})
+	p.out.Fenced = append(p.out.Fenced, u.ID)
+	p.drop(u)
+	for _, r := range sortedRuns(u) {
+		p.remove(r)
+		p.lose(r)
+	}
+}
+
+func (p *Pool) drop(u *upstream) {
+	delete(p.upstreams, u.ID)
+	p.sorted = slices.DeleteFunc(p.sorted, func(o *upstream) bool { return o == u })
+}
+
+// Tick lets time pass.
+func (p *Pool) Tick(now time.Time) Effects {
+	return p.do(now, func() {
+		for _, u := range slices.Clone(p.sorted) {
+			p.tickUpstream(u)
+		}
+		for _, key := range p.jobKeys() {
+			p.expire(p.jobs[key])
+		}
+	})
+}
+
+func (p *Pool) tickUpstream(u *upstream) {
+	lapsed := u.silent && p.now.After(u.lapsed())
+	for _, r := range sortedRuns(u) {
+		switch {
+		case lapsed:
+			p.remove(r)
+			p.again(r, "lease lapsed on a silent upstream")
+		case r.state == stopping && p.now.Sub(r.stopSent) >= stopRetry && !u.silent:
+			p.sendStop(r)
+		case r.state == running:
+			p.checkProgress(r)
+		}
+	}
+	if !u.listed && len(u.runs) == 0 && p.now.Sub(u.removed) > p.cfg.Removal {
+		p.decide(Decision{Kind: DecidedGone, Upstream: u.ID, Reason: "its entry is gone"})
+		p.drop(u)
+	}
+}
+
+// expire gives up a job that cannot end while that is of use.
+func (p *Pool) expire(j *job) {
+	if j == nil || !j.hasWaiting() || p.now.Add(j.expect/2).Before(j.expiry()) {
+		return
+	}
+	p.end(j, Expired)
+}
--- /dev/null
+++ b/schedule/place.go
@@ -0,0 +1,215 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+)
+
+// place starts what waits, as far as there is room.
+func (p *Pool) place() {
+	if p.draining || len(p.queue) == 0 {
+		return
+	}
+	p.sortQueue()
+	for _, j := range p.queue {
+		p.placeJob(j)
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return !j.hasWaiting() })
+}
+
+func (j *job) hasWaiting() bool {
+	return slices.ContainsFunc(j.order, func(t *task) bool { return t.state == waiting })
+}
+
+// longestTask is how much longer the longest task of a job takes than expected
+// of one: the tasks of a job differ by some 15%.
+const longestTask = 1.1
+
+// lateFactor is how many times its objective a job may take and still be of
+// some use.
+const lateFactor = 3
+
+// allowed is how long the job may take from its first sending.
+func (j *job) allowed() time.Duration {
+	return time.Duration(j.Stretch*longestTask*float64(j.expect)) + j.Slack
+}
+
+func (j *job) sent() time.Time { return j.offered.Add(-j.Age) }
+
+// latestStart is when a task has to start for its job to be in time.
+func (j *job) latestStart() time.Time { return j.sent().Add(j.allowed() - j.expect) }
+
+// expiry is when ending the job is of no use any more.
+func (j *job) expiry() time.Time {
+	useful := j.sent().Add(lateFactor * j.allowed())
+	if waits := j.offered.Add(j.Patience); waits.Before(useful) {
+		return waits
+	}
+	return useful
+}
+
+// sortQueue puts first what can still be in time, by how soon it must start;
+// behind it what is late anyway, by priority and age.
+func (p *Pool) sortQueue() {
+	slices.SortStableFunc(p.queue, func(a, b *job) int {
+		aLate, bLate := a.latestStart().Before(p.now), b.latestStart().Before(p.now)
+		switch {
+		case aLate != bLate && aLate:
+			return 1
+		case aLate != bLate:
+			return -1
+		case aLate:
+			return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.offered.Compare(b.offered))
+		default:
+			return a.latestStart().Compare(b.latestStart())
+		}
+	})
+}
+
+func (p *Pool) placeJob(j *job) {
+	for _, t := range j.order {
+		if t.state != waiting || p.byTask[p.ref(j, t)] != nil {
+			continue // a run of it may still be at work
+		}
+		u := p.choose(j, t)
+		if u == nil {
+			return
+		}
+		p.start(j, t, u)
+	}
+}
+
+// choose returns the upstream with the least room left over for a task, or nil.
+func (p *Pool) choose(j *job, t *task) *upstream {
+	var best *upstream
+	var least int64
+	for _, u := range p.sorted {
+		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == t.avoid {
+			continue
+		}
+		left := u.Capacity.Minus(u.used)
+		if !j.Demand.Within(left) {
+			continue
+		}
+		if rest := left.MilliCPU - j.Demand.MilliCPU; best == nil || rest < least {
+			best, least = u, rest
+		}
+	}
+	return best
+}
+
+// usable reports whether an upstream may get a task.
+func (p *Pool) usable(u *upstream, now time.Time) bool {
+	switch {
+	case !u.joined, u.silent, u.Draining, u.unknown > 0:
+		return false
+	case !u.listed && now.Sub(u.removed) > p.cfg.Removal:
+		return false
+	case u.health.doubted:
+		return now.After(u.health.until) && len(u.runs) == 0 // a single trial
+	default:
+		return true
+	}
+}
+
+func (p *Pool) start(j *job, t *task, u *upstream) {
+	t.number++
+	t.state = placed
+	j.begun = true
+	r := &run{
+		id: fleet.Run{Task: p.ref(j, t), Number: t.number}, job: j, up: u, demand: j.Demand,
+		state: starting, ordered: p.now, moved: p.now, seen: p.now,
+	}
+	p.add(r)
+	p.out.Starts = append(p.out.Starts, Start{Upstream: u.Upstream, Order: fleet.StartOrder{
+		Run: r.id, Spec: j.Spec, LeaseUntilMs: p.grant(u), Token: p.token,
+	}})
+	p.decide(Decision{
+		Kind: DecidedStart, Job: j.Key.ID, Task: t.index, Run: t.number, Upstream: u.ID,
+		Room: u.Capacity.Minus(u.used).MilliCPU, Age: p.now.Sub(j.offered),
+	})
+}
+
+func (p *Pool) add(r *run) {
+	r.up.runs[r.id] = r
+	p.byTask[r.id.Task] = r
+	r.up.used = r.up.used.Plus(r.demand)
+	if r.unknown {
+		r.up.unknown++
+	}
+}
+
+// remove takes a run out of the books: it is certain that it is not at work
+// and cannot begin any more.
+func (p *Pool) remove(r *run) {
+	if r.up.runs[r.id] != r {
+		return
+	}
+	delete(r.up.runs, r.id)
+	if p.byTask[r.id.Task] == r {
+		delete(p.byTask, r.id.Task)
+	}
+	r.up.used = r.up.used.Minus(r.demand)
+	if r.unknown {
+		r.up.unknown--
+	}
+}
+
+// clock estimates what an upstream's clock shows.
+func (u *upstream) clock(now time.Time) int64 {
+	return u.clockMs + now.Sub(u.clockAt).Milliseconds()
+}
+
+// grant returns the end of a lease from now, on the upstream's clock.
+func (p *Pool) grant(u *upstream) int64 {
+	until := u.clock(p.now) + p.cfg.Lease.Milliseconds()
+	u.grantedMs = max(u.grantedMs, until)
+	return until
+}
+
+// lapsed returns when every lease that was granted is certainly over.
+func (u *upstream) lapsed() time.Time {
+	left := time.Duration(float64(u.grantedMs-u.clockMs)/slowClock) * time.Millisecond
+	return u.clockAt.Add(max(left, 0) + lapseMargin)
+}
+
+// again puts a task back into the queue after a run of it is over.
+func (p *Pool) again(r *run, reason string) {
+	j := r.job
+	if j == nil {
+		return
+	}
+	t := j.tasks[r.id.Task.Index]
+	if t.state != placed {
+		return
+	}
+	t.state = waiting
+	if !slices.Contains(p.queue, j) {
+		p.queue = append(p.queue, j)
+	}
+	p.decide(Decision{
+		Kind: DecidedRetry, Job: j.Key.ID, Task: t.index, Run: t.number, Upstream: r.up.ID, Reason: reason,
+		Age: p.now.Sub(j.offered),
+	})
+}
+
+// stop orders the end of a run, unless that is done already.
+func (p *Pool) stop(r *run, reason string) {
+	if r.state == stopping || r.state == stopped {
+		return
+	}
+	r.state = stopping
+	p.sendStop(r)
+	p.decide(Decision{
+		Kind: DecidedStop, Job: r.id.Task.Job, Task: r.id.Task.Index, Run: r.id.Number, Upstream: r.up.ID,
+		Reason: reason, Age: p.now.Sub(r.ordered),
+	})
+}
+
+func (p *Pool) sendStop(r *run) {
+	r.stopSent = p.now
+	p.out.Stops = append(p.out.Stops, Stop{Upstream: r.up.Upstream, Run: r.id})
+}
--- /dev/null
+++ b/schedule/pool.go
@@ -0,0 +1,316 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+)
+
+// Pool holds a group of upstreams under one fencing token, and the jobs that
+// run or wait there. It is not safe for concurrent use.
+type Pool struct {
+	cfg       Config
+	token     uint64
+	upstreams map[string]*upstream
+	sorted    []*upstream // by id
+	jobs      map[JobKey]*job
+	byTask    map[fleet.TaskRef]*run
+	queue     []*job // with waiting tasks
+	times     map[string]*runTimes
+	draining  bool
+	out       *Effects
+	now       time.Time
+}
+
+// NewPool returns an empty pool whose orders carry a fencing token.
+func NewPool(cfg Config, token uint64) *Pool {
+	return &Pool{
+		cfg: cfg, token: token, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{},
+		byTask: map[fleet.TaskRef]*run{}, times: map[string]*runTimes{},
+	}
+}
+
+// Token returns the fencing token of the pool.
+func (p *Pool) Token() uint64 { return p.token }
+
+// do runs one input and returns its effects.
+func (p *Pool) do(now time.Time, input func()) Effects {
+	var out Effects
+	p.out, p.now = &out, now
+	input()
+	p.place()
+	p.out = nil
+	return out
+}
+
+// SetUpstreams takes the group's upstreams as the store lists them. It returns
+// those that are new: the first report of each is still to be asked for.
+func (p *Pool) SetUpstreams(now time.Time, list []fleet.Upstream) ([]string, Effects) {
+	var added []string
+	effects := p.do(now, func() {
+		listed := map[string]bool{}
+		for _, u := range list {
+			listed[u.ID] = true
+			if p.upsert(u) {
+				added = append(added, u.ID)
+			}
+		}
+		for _, u := range p.sorted {
+			if u.listed && !listed[u.ID] {
+				u.listed = false
+				u.removed = now
+			}
+		}
+	})
+	return added, effects
+}
+
+// upsert reports whether the upstream is new.
+func (p *Pool) upsert(listed fleet.Upstream) bool {
+	if u := p.upstreams[listed.ID]; u != nil {
+		u.Upstream = listed
+		u.listed = true
+		return false
+	}
+	u := &upstream{Upstream: listed, listed: true, runs: map[fleet.Run]*run{}}
+	p.upstreams[u.ID] = u
+	p.sorted = append(p.sorted, u)
+	slices.SortFunc(p.sorted, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
+	return true
+}
+
+// Drain makes the pool start nothing more. What waits is returned.
+func (p *Pool) Drain(now time.Time) Effects {
+	return p.do(now, func() {
+		p.draining = true
+		for _, j := range slices.Clone(p.queue) {
+			p.returnWaiting(j, "draining")
+		}
+	})
+}
+
+// Idle reports whether nothing runs or waits.
+func (p *Pool) Idle() bool {
+	if len(p.jobs) > 0 {
+		return false
+	}
+	for _, u := range p.sorted {
+		if len(u.runs) > 0 && !u.silent {
+			return false
+		}
+	}
+	return true
+}
+
+// Offer takes a job.
+func (p *Pool) Offer(now time.Time, o Offer) Effects {
+	return p.do(now, func() { p.offer(o) })
+}
+
+func (p *Pool) offer(o Offer) {
+	for _, key := range p.jobKeys() {
+		if key.ID == o.Key.ID && key.Coordinator != o.Key.Coordinator {
+			p.withdraw(key, "sent again") // the customer has left the one before
+		}
+	}
+	j := &job{Offer: o, offered: p.now, tasks: map[int]*task{}, left: len(o.Tasks), failed: map[string]bool{}}
+	j.expect = p.timesOf(o.Route).expect(o.Estimate)
+	for _, index := range o.Tasks {
+		t := &task{index: index}
+		j.tasks[index] = t
+		j.order = append(j.order, t)
+	}
+	p.jobs[o.Key] = j
+	switch {
+	case p.draining:
+		p.returnWaiting(j, "draining")
+	case !p.everFits(j):
+		p.end(j, NeverFits)
+	default:
+		p.queue = append(p.queue, j)
+		p.place()
+		if !j.MayQueue && p.jobs[o.Key] == j {
+			p.returnWaiting(j, "no room")
+		}
+	}
+}
+
+// everFits reports whether any upstream could run a task of j. A pool that
+// knows no upstream yet cannot tell, and says yes.
+func (p *Pool) everFits(j *job) bool {
+	known := false
+	for _, u := range p.sorted {
+		if u.Service != j.Service {
+			continue
+		}
+		known = true
+		if j.Demand.Within(u.Capacity) {
+			return true
+		}
+	}
+	return !known
+}
+
+// Withdraw ends a job that its coordinator does not want any more.
+func (p *Pool) Withdraw(now time.Time, key JobKey, reason string) Effects {
+	return p.do(now, func() { p.withdraw(key, reason) })
+}
+
+// WithdrawAll ends all jobs of a coordinator that is gone.
+func (p *Pool) WithdrawAll(now time.Time, coordinator, reason string) Effects {
+	return p.do(now, func() {
+		for _, key := range p.jobKeys() {
+			if key.Coordinator == coordinator {
+				p.withdraw(key, reason)
+			}
+		}
+	})
+}
+
+// jobKeys returns the keys of all jobs in a fixed order.
+func (p *Pool) jobKeys() []JobKey {
+	keys := make([]JobKey, 0, len(p.jobs))
+	for key := range p.jobs {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b JobKey) int {
+		return cmp.Or(strings.Compare(a.ID, b.ID), strings.Compare(a.Coordinator, b.Coordinator), cmp.Compare(a.Part, b.Part))
+	})
+	return keys
+}
+
+func (p *Pool) withdraw(key JobKey, reason string) {
+	j := p.jobs[key]
+	if j == nil {
+		return
+	}
+	p.forget(j)
+	p.stopRuns(j, reason)
+}
+
+// forget takes a job out of the books. Its runs stay until they have ended.
+func (p *Pool) forget(j *job) {
+	delete(p.jobs, j.Key)
+	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
+}
+
+// stopRuns stops what still runs of a job.
+func (p *Pool) stopRuns(j *job, reason string) {
+	for _, t := range j.order {
+		r := p.byTask[p.ref(j, t)]
+		if r == nil || r.job != j {
+			continue
+		}
+		r.job = nil
+		p.stop(r, reason)
+	}
+}
+
+func (p *Pool) ref(j *job, t *task) fleet.TaskRef {
+	return fleet.TaskRef{Job: j.Key.ID, Index: t.index}
+}
+
+// returnWaiting gives the tasks that wait back to the coordinator.
+func (p *Pool) returnWaiting(j *job, reason string) {
+	var returned []int
+	for _, t := range j.order {
+		if t.state == waiting && t.number == 0 {
+			t.state = ended
+			j.left--
+			returned = append(returned, t.index)
+		}
+	}
+	if len(returned) == 0 {
+		return
+	}
+	p.decide(Decision{Kind: DecidedReturn, Job: j.Key.ID, Task: len(returned), Reason: reason})
+	if j.left == 0 {
+		p.forget(j)
+		p.result(j, Completed, returned)
+		return
+	}
+	p.out.Returns = append(p.out.Returns, Result{Key: j.Key, Returned: returned})
+}
+
+// end ends a job with an outcome: what runs of it is stopped.
+func (p *Pool) end(j *job, outcome Outcome) {
+	p.forget(j)
+	p.stopRuns(j, string(outcome))
+	var returned []int
+	if !j.begun {
+		returned = j.Tasks
+	}
+	p.result(j, outcome, returned)
+}
+
+func (p *Pool) result(j *job, outcome Outcome, returned []int) {
+	p.out.Results = append(p.out.Results, Result{
+		Key: j.Key, Outcome: outcome, Done: j.done, Returned: returned, Begun: j.begun,
+	})
+	p.decide(Decision{Kind: DecidedResult, Job: j.Key.ID, Reason: string(outcome), Age: p.now.Sub(j.offered)})
+}
+
+func (p *Pool) decide(d Decision) {
+	d.Queued = p.Waiting()
+	p.out.Decisions = append(p.out.Decisions, d)
+}
+
+// Waiting returns how many tasks wait.
+func (p *Pool) Waiting() int {
+	n := 0
+	for _, j := range p.queue {
+		for _, t := range j.order {
+			if t.state == waiting {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Load is what a pool tells its coordinators.
+type Load struct {
+	Free     int   // tasks of the usual size that would fit now
+	Waiting  int   // tasks that wait
+	Capacity int64 // thousandths of a core of all usable upstreams
+}
+
+// Load returns the load of the pool.
+func (p *Pool) Load(now time.Time) Load {
+	l := Load{Waiting: p.Waiting()}
+	size := p.usualSize()
+	for _, u := range p.sorted {
+		if !p.usable(u, now) {
+			continue
+		}
+		l.Capacity += u.Capacity.MilliCPU
+		l.Free += int(u.Capacity.Minus(u.used).MilliCPU / size)
+	}
+	return l
+}
+
+// unknownSize is taken for the size of a task, in thousandths of a core, before
+// one has been seen.
+const unknownSize = 1000
+
+// usualSize is the mean demand of what runs and waits.
+func (p *Pool) usualSize() int64 {
+	sum, n := int64(0), int64(0)
+	for _, r := range p.byTask {
+		if !r.unknown {
+			sum += r.demand.MilliCPU
+			n++
+		}
+	}
+	for _, j := range p.queue {
+		sum += j.Demand.MilliCPU
+		n++
+	}
+	if n == 0 || sum == 0 {
+		return unknownSize
+	}
+	return sum / n
+}
--- /dev/null
+++ b/schedule/schedule.go
@@ -0,0 +1,226 @@
+// Package schedule decides what runs where in one group of upstreams: which
+// task starts next and on which upstream, when a run is given up and started
+// again elsewhere, and when a job is refused. It is pure: what happened and the
+// time come in, the calls to make and the results come out.
+package schedule
+
+import (
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+)
+
+// Config holds the limits of a Pool.
+type Config struct {
+	// MaxLease is the longest lease that upstreams grant.
+	MaxLease time.Duration
+	// Lease is what each order grants. A silent upstream's tasks start again
+	// elsewhere once it is over, so it is short; it must outlast two reports.
+	Lease time.Duration
+	// Report is how long a report may wait for an end.
+	Report time.Duration
+	// Removal is how long an upstream without an entry in the store still
+	// gets work while it answers: entries lapse with the store.
+	Removal time.Duration
+}
+
+// DefaultConfig fits upstreams that grant a second.
+var DefaultConfig = Config{
+	MaxLease: time.Second,
+	Lease:    700 * time.Millisecond,
+	Report:   250 * time.Millisecond,
+	Removal:  2500 * time.Millisecond,
+}
+
+const (
+	// slowClock is how slow the clock of an upstream may run.
+	slowClock = 0.98
+	// lapseMargin is added before a lapsed lease is believed.
+	lapseMargin = 20 * time.Millisecond
+	// missesToSilent is how many calls in a row go unanswered before an
+	// upstream counts as silent.
+	missesToSilent = 2
+	// stopRetry is the pause before a stop without an answer is sent again.
+	stopRetry = 100 * time.Millisecond
+	// oldRunStep is how far a run's number is raised once an upstream has
+	// seen a higher one.
+	oldRunStep = 8
+)
+
+// JobKey names a part of a job as one instance coordinates it. A customer may
+// send the same id again to another instance.
+type JobKey struct {
+	Coordinator string
+	ID          string
+	Part        int
+}
+
+// Offer is a job, or a part of one, that a coordinator hands to a pool.
+type Offer struct {
+	Key         JobKey
+	Service     string
+	Route       string
+	Spec        string
+	Demand      fleet.Demand
+	Estimate    time.Duration // of one task, as declared
+	Priority    int           // 0 goes first
+	MaxAttempts int
+	Tasks       []int // indexes within the step
+	// The job should have ended Stretch times its work plus Slack after it was
+	// first sent, which is Age ago. Its customer waits for Patience from now.
+	Stretch  float64
+	Slack    time.Duration
+	Age      time.Duration
+	Patience time.Duration
+	// MayQueue lets tasks wait that no upstream has room for now. Others are
+	// returned at once.
+	MayQueue bool
+}
+
+// Outcome is how a pool's part of a job ended.
+type Outcome string
+
+// The outcomes of an offer.
+const (
+	Completed Outcome = "completed" // every task that was not returned is done
+	Failed    Outcome = "failed"    // a task failed as often as it may
+	Expired   Outcome = "expired"   // it could not end in time any more
+	NeverFits Outcome = "never_fits"
+	Unknown   Outcome = "unknown" // the pool lost upstreams with tasks of it
+)
+
+// Result ends an offer.
+type Result struct {
+	Key      JobKey
+	Outcome  Outcome
+	Done     []int
+	Returned []int // never began and never will, here
+	Begun    bool  // some task may have begun
+}
+
+// Start orders a run on an upstream.
+type Start struct {
+	Upstream fleet.Upstream
+	Order    fleet.StartOrder
+}
+
+// Stop orders the end of a run.
+type Stop struct {
+	Upstream fleet.Upstream
+	Run      fleet.Run
+}
+
+// Effects are what is to be done after an input.
+type Effects struct {
+	Starts    []Start
+	Stops     []Stop
+	Looks     []string // upstreams whose report is wanted at once
+	Returns   []Result // tasks that find no room now; the offer goes on
+	Results   []Result
+	Fenced    []string // upstreams that another owner has taken
+	Decisions []Decision
+}
+
+// Decision is one line for the log.
+type Decision struct {
+	Kind     DecisionKind
+	Job      string
+	Task     int
+	Run      uint32
+	Upstream string
+	Reason   string
+	Room     int64 // thousandths of a core left on the upstream
+	Queued   int   // tasks that wait in the pool
+	Age      time.Duration
+}
+
+// DecisionKind is what a decision was about.
+type DecisionKind int
+
+// The kinds of decisions.
+const (
+	DecidedStart DecisionKind = iota
+	DecidedRetry
+	DecidedStop
+	DecidedReturn
+	DecidedResult
+	DecidedDoubt
+	DecidedTrust
+	DecidedSilent
+	DecidedHeard
+	DecidedGone
+	DecidedFenced
+)
+
+type runState int
+
+const (
+	starting runState = iota
+	running
+	stopping // a stop has not been answered yet
+	stopped  // a stop was answered; the next report tells that it is gone
+)
+
+// run is one run that may be at work, or may still begin.
+type run struct {
+	id        fleet.Run
+	job       *job // nil once nobody wants it
+	up        *upstream
+	demand    fleet.Demand
+	unknown   bool // found on the upstream: its demand is not known
+	state     runState
+	ordered   time.Time
+	acked     time.Time // of the start
+	stopSent  time.Time
+	stopAcked time.Time
+	percent   int
+	moved     time.Time // when percent last rose
+	seen      time.Time // when percent was last told
+}
+
+type taskState int
+
+const (
+	waiting taskState = iota
+	placed
+	ended
+)
+
+type task struct {
+	index    int
+	state    taskState
+	number   uint32 // of the last run
+	attempts int    // runs that failed
+	moves    int    // runs that were given up
+	avoid    string // the upstream that it was moved from
+}
+
+type job struct {
+	Offer
+	offered time.Time
+	expect  time.Duration // of one task
+	tasks   map[int]*task
+	order   []*task
+	left    int // tasks that have not ended
+	begun   bool
+	failed  map[string]bool // upstreams where a task of it failed
+	done    []int
+}
+
+type upstream struct {
+	fleet.Upstream
+	joined    bool // its first report is in, and nothing unknown runs there
+	listed    bool
+	removed   time.Time
+	used      fleet.Demand
+	runs      map[fleet.Run]*run
+	unknown   int
+	clockMs   int64
+	clockAt   time.Time
+	grantedMs int64 // the end of the longest lease that was ordered
+	seenEnds  uint64
+	reported  time.Time // when the last report that counts was asked for
+	misses    int
+	silent    bool
+	health    health
+}
