--- a/entry/node.go
+++ b/entry/node.go
@@ -17,9 +17,9 @@
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/kv"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/metrics"
-	"github.com/sedgehatch/sedgehatch/kv"
 	"github.com/sedgehatch/sedgehatch/settings"
 	"github.com/sedgehatch/sedgehatch/tracing"
 
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -89,6 +89,7 @@
 	c       *Coordinator
 	began   time.Time
 	verdict chan Answered
+	again   chan struct{} // tells that tasks are to be offered again later
 
 	mu      sync.Mutex
 	left    map[int]bool    // tasks that are not done
@@ -96,6 +97,7 @@
 	parts   map[int]*part   // offers that have not ended, by number
 	tried   map[string]bool // groups that had no room
 	never   map[string]bool // groups where no task can ever fit
+	cut     map[string]bool // groups whose owner could not be reached
 	begun   bool
 	offers  int // that were made
 	settled bool
@@ -113,8 +115,8 @@
 // customer is gone.
 func (c *Coordinator) Run(r Request, left <-chan struct{}) Answered {
 	p := &pending{
-		Request: r, c: c, began: time.Now(), verdict: make(chan Answered, 1), left: map[int]bool{},
-		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{},
+		Request: r, c: c, began: time.Now(), verdict: make(chan Answered, 1), again: make(chan struct{}, 1), left: map[int]bool{},
+		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{}, cut: map[string]bool{},
 	}
 	for i := range r.Job.Steps[0].Count {
 		p.left[i] = true
@@ -125,17 +127,30 @@
 	}
 	defer c.close(p)
 	p.offerIdle()
-	patience := time.NewTimer(r.Patience)
+	return p.wait(left)
+}
+
+// retryOwners is the pause before owners are asked again after none could be
+// reached: one that is lost is replaced within a second.
+const retryOwners = 25 * time.Millisecond
+
+// wait returns the verdict. Tasks that no owner has are offered again from time
+// to time.
+func (p *pending) wait(left <-chan struct{}) Answered {
+	patience := time.NewTimer(p.Patience)
 	defer patience.Stop()
-	select {
-	case a := <-p.verdict:
-		return a
-	case <-left:
-		p.settle(Left, "the customer has left")
-	case <-patience.C:
-		p.settle(Unknown, "the customer's deadline has passed")
+	for {
+		select {
+		case a := <-p.verdict:
+			return a
+		case <-p.again:
+			time.AfterFunc(retryOwners, p.offerIdle)
+		case <-left:
+			p.settle(Left, "the customer has left")
+		case <-patience.C:
+			p.settle(Unknown, "the customer's deadline has passed")
+		}
 	}
-	return <-p.verdict
 }
 
 func (c *Coordinator) open(p *pending) bool {
@@ -248,7 +263,7 @@
 		choice, found := choose(p.usable(p.c.owners.Loads()), p.c.zone, p.tried)
 		if !found {
 			p.mu.Unlock()
-			p.giveUp()
+			p.unplaced()
 			return
 		}
 		part, offer := p.offer(choice)
@@ -264,9 +279,10 @@
 	}
 }
 
-// usable leaves out the groups that can never run the job.
+// usable leaves out the groups that can never run the job, and those that could
+// not be reached.
 func (p *pending) usable(loads []OwnerLoad) []OwnerLoad {
-	return lo.Filter(loads, func(l OwnerLoad, _ int) bool { return !p.never[l.Group] })
+	return lo.Filter(loads, func(l OwnerLoad, _ int) bool { return !p.never[l.Group] && !p.cut[l.Group] })
 }
 
 // offer makes an offer of the idle tasks. The lock is held.
@@ -293,9 +309,7 @@
 	defer p.mu.Unlock()
 	p.takeBack(part, lo.Keys(part.tasks))
 	delete(p.parts, part.number)
-	if part.queue {
-		p.never[part.group] = true // not again for this job
-	}
+	p.cut[part.group] = true // not again for this job
 }
 
 // takeBack makes tasks idle that an offer still has. The lock is held.
@@ -309,17 +323,25 @@
 	slices.Sort(p.idle)
 }
 
-// giveUp ends a job that nobody can take.
-func (p *pending) giveUp() {
+// unplaced decides on tasks that no owner can be offered now: they wait for an
+// owner as long as the job could still be in time.
+func (p *pending) unplaced() {
 	p.mu.Lock()
 	waits := len(p.parts) > 0
-	begun, never := p.begun, len(p.never) > 0
+	begun, never := p.begun, len(p.never) > 0 && len(p.cut) == 0
+	clear(p.cut)
+	clear(p.tried)
 	p.mu.Unlock()
 	switch {
 	case waits:
 		return // its other tasks are under way; these go on when one of them ends
 	case never && !begun:
 		p.settle(Failed, "no upstream is large enough")
+	case time.Since(p.began) < p.objective():
+		select {
+		case p.again <- struct{}{}:
+		default: // it is asked for already
+		}
 	case begun:
 		p.settle(Unknown, "no owner can be reached")
 	default:
@@ -327,6 +349,11 @@
 	}
 }
 
+// objective is how long the job may take to be in time.
+func (p *pending) objective() time.Duration {
+	return time.Duration(p.Route.Stretch*float64(p.Job.Steps[0].Estimate)) + p.Route.Slack
+}
+
 // returned takes tasks back that never began.
 func (p *pending) returned(part *part, r schedule.Result) {
 	p.mu.Lock()
--- a/node/follow.go
+++ b/node/follow.go
@@ -204,15 +204,16 @@
 }
 
 func (n *Node) listPeers(known map[string]membership.Listing) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	list := make([]membership.Listing, 0, len(known))
 	for name, l := range known {
 		if name != n.in.Name {
 			list = append(list, l)
 		}
 	}
+	n.mu.Lock()
 	n.table.SetListed(list)
+	n.mu.Unlock()
+	n.tick() // new peers hear of this instance at once
 }
 
 const (
--- a/node/node.go
+++ b/node/node.go
@@ -38,8 +38,11 @@
 	// dialTimeout bounds opening a connection to a peer: a round trip takes
 	// about a millisecond, and a lost opening packet is tried again.
 	dialTimeout = 400 * time.Millisecond
-	// settleTime is how long a new instance listens before it owns anything.
-	settleTime = 600 * time.Millisecond
+	// settleTime is how long a new instance listens at most before it owns
+	// anything: peers that live answer within a few round trips.
+	settleTime = 300 * time.Millisecond
+	// seedAfter is when an instance without peers tries those of its settings.
+	seedAfter = 100 * time.Millisecond
 )
 
 // silence bounds how long a peer may be silent: a job of an instance that is
@@ -75,9 +78,9 @@
 	listed    bool // the upstreams have been read once
 	draining  map[string]bool
 	groups    map[string]*owner.Group
-	highest   uint64 // fencing token heard of
-	lostAt    map[string]time.Time
-	dialing   map[string]bool
+	highest   uint64          // fencing token heard of
+	dialing   map[string]bool // instances that are being connected to
+	absent    map[string]bool // instances where nothing listens
 }
 
 // New makes an instance and its listeners. Run starts it.
@@ -105,7 +108,7 @@
 		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(),
 		began: time.Now(),
 		table: membership.NewTable(silence), heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
-		draining: map[string]bool{}, groups: map[string]*owner.Group{}, lostAt: map[string]time.Time{}, dialing: map[string]bool{},
+		draining: map[string]bool{}, groups: map[string]*owner.Group{}, dialing: map[string]bool{}, absent: map[string]bool{},
 	}
 	n.stop, n.cancel = context.WithCancel(context.Background())
 	n.router = newRouter(n)
@@ -215,12 +218,14 @@
 	return n.table.Address(instance)
 }
 
+// met takes what a peer says of itself when a connection opens. One that is not
+// heard yet is answered with a connection the other way.
 func (n *Node) met(h *inner.Hello) {
+	name := fate.Incarnation(h.GetIncarnation()).Instance()
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.table.Met(membership.Listing{
-		Instance: fate.Incarnation(h.GetIncarnation()).Instance(), Address: h.GetAddress(), Region: h.GetRegion(), Zone: h.GetZone(),
-	})
+	n.table.Met(membership.Listing{Instance: name, Address: h.GetAddress(), Region: h.GetRegion(), Zone: h.GetZone()})
+	n.mu.Unlock()
+	n.introduce(name)
 }
 
 // Decided implements owner.Observer.
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -122,12 +122,12 @@
 // takeGroups takes the groups of the own availability zone that nobody owns and
 // for which this instance is preferred.
 func (n *Node) takeGroups() {
-	if n.leaving.Load() || time.Since(n.began) < settleTime {
+	if n.leaving.Load() {
 		return
 	}
 	n.mu.Lock()
 	group := n.in.Zone
-	taken := n.canTake(group)
+	taken := n.settled() && n.canTake(group)
 	var g *owner.Group
 	if taken {
 		n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
@@ -141,6 +141,22 @@
 	}
 }
 
+// settled reports whether this instance has heard enough to take a group: from
+// every instance of its availability zone that is listed and runs. The lock is
+// held.
+func (n *Node) settled() bool {
+	if time.Since(n.began) >= settleTime {
+		return true
+	}
+	peers := n.table.Peers()
+	for _, p := range peers {
+		if p.Zone == n.in.Zone && p.State == membership.Listed && !n.absent[p.Instance] {
+			return false
+		}
+	}
+	return len(peers) > 0
+}
+
 // canTake reports whether this instance should take a group now. The lock is
 // held.
 func (n *Node) canTake(group string) bool {
--- a/node/peers.go
+++ b/node/peers.go
@@ -68,15 +68,16 @@
 			_ = n.mesh.Post(p.Incarnation, frame) // silence is noticed at the other end
 			continue
 		}
-		n.introduce(p.Instance, frame)
+		n.introduce(p.Instance)
 	}
-	if !known && time.Since(n.began) > settleTime/2 {
+	if !known && time.Since(n.began) > seedAfter {
 		n.trySeeds()
 	}
 }
 
-// introduce connects to an instance that is not heard, once at a time.
-func (n *Node) introduce(instance string, frame *inner.Frame) {
+// introduce connects to an instance that is not heard, once at a time, and
+// tells it of this one.
+func (n *Node) introduce(instance string) {
 	n.mu.Lock()
 	busy := n.dialing[instance]
 	n.dialing[instance] = true
@@ -85,7 +86,9 @@
 		return
 	}
 	go func() {
-		_ = n.mesh.Send(fate.Incarnation(instance), frame) // it is tried again with the next beat
+		frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
+		err := n.mesh.Send(fate.Incarnation(instance), frame) // it is tried again with the next beat
+		n.refused(instance, err)
 		n.mu.Lock()
 		delete(n.dialing, instance)
 		n.mu.Unlock()
@@ -96,11 +99,22 @@
 func (n *Node) trySeeds() {
 	for _, seed := range n.in.SeedPeers {
 		if seed != n.in.PeerAddress {
-			n.introduce(string(inner.AtAddress(seed)), &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}})
+			n.introduce(string(inner.AtAddress(seed)))
 		}
 	}
 }
 
+// refused notes that nothing listens where an instance should: it does not run.
+func (n *Node) refused(instance string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if failure.Is(err, failure.Gone) {
+		n.absent[instance] = true
+		return
+	}
+	delete(n.absent, instance)
+}
+
 // Frame implements inner.Handler; LinkFrame takes all frames.
 func (n *Node) Frame(fate.Incarnation, *inner.Frame, func(*inner.Frame)) {}
 
--- a/owner/group.go
+++ b/owner/group.go
@@ -27,9 +27,6 @@
 }
 
 const (
-	// startTimeout is when a start counts as unanswered: a round trip takes
-	// some ms also under load, and every ms more is one that the task waits.
-	startTimeout = 100 * time.Millisecond
 	// stopTimeout and holdTimeout bound a call beyond what it may wait.
 	stopTimeout = 150 * time.Millisecond
 	holdTimeout = 150 * time.Millisecond
@@ -56,6 +53,7 @@
 
 	mu      sync.Mutex // guards pool and answers
 	pool    *schedule.Pool
+	rtt     roundTrip // of starts
 	answers map[schedule.JobKey]Answer
 	closed  bool
 	done    chan struct{}
@@ -138,10 +136,15 @@
 }
 
 func (g *Group) start(s schedule.Start) {
+	g.mu.Lock()
+	timeout := g.rtt.timeout()
+	g.mu.Unlock()
 	began := time.Now()
-	refusal, _, err := g.calls.Start(s.Upstream, s.Order, startTimeout)
-	g.seen.Called("start", err, time.Since(began))
+	refusal, _, err := g.calls.Start(s.Upstream, s.Order, timeout)
+	took := time.Since(began)
+	g.seen.Called("start", err, took)
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		g.rtt.learn(took, err == nil)
 		return p.Started(now, s.Upstream.ID, s.Order.Run, refusal, err)
 	})
 }
