--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -88,7 +88,8 @@
 	Request
 	c       *Coordinator
 	began   time.Time
-	verdict chan Answered
+	decided chan struct{} // closed once answer holds the verdict
+	answer  Answered
 	again   chan struct{} // tells that tasks are to be offered again later
 
 	mu      sync.Mutex
@@ -99,7 +100,8 @@
 	never   map[string]bool // groups where no task can ever fit
 	cut     map[string]bool // groups whose owner could not be reached
 	begun   bool
-	offers  int // that were made
+	offers  int  // that were made
+	joined  bool // its customer has sent it again, and waits there
 	settled bool
 }
 
@@ -115,21 +117,39 @@
 // customer is gone.
 func (c *Coordinator) Run(r Request, left <-chan struct{}) Answered {
 	p := &pending{
-		Request: r, c: c, began: time.Now(), verdict: make(chan Answered, 1), again: make(chan struct{}, 1), left: map[int]bool{},
+		Request: r, c: c, began: time.Now(), decided: make(chan struct{}), again: make(chan struct{}, 1), left: map[int]bool{},
 		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{}, cut: map[string]bool{},
 	}
 	for i := range r.Job.Steps[0].Count {
 		p.left[i] = true
 		p.idle = append(p.idle, i)
 	}
-	if !c.open(p) {
-		return Answered{Verdict: Unknown, Reason: "the same job is open here"}
+	if other := c.open(p); other != p {
+		return other.join(left, r.Patience)
 	}
 	defer c.close(p)
 	p.offerIdle()
 	return p.wait(left)
 }
 
+// join waits for the verdict of a job that its customer sent again while it is
+// open: it goes on for whoever asked last.
+func (p *pending) join(left <-chan struct{}, patience time.Duration) Answered {
+	p.mu.Lock()
+	p.joined = true
+	p.mu.Unlock()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-p.decided:
+		return p.answer
+	case <-left:
+		return Answered{Verdict: Left, Reason: "the customer has left"}
+	case <-timer.C:
+		return Answered{Verdict: Unknown, Reason: "the customer's deadline has passed"}
+	}
+}
+
 // retryOwners is the pause before owners are asked again after none could be
 // reached: one that is lost is replaced within a second.
 const retryOwners = 25 * time.Millisecond
@@ -141,27 +161,40 @@
 	defer patience.Stop()
 	for {
 		select {
-		case a := <-p.verdict:
-			return a
+		case <-p.decided:
+			return p.answer
 		case <-p.again:
 			time.AfterFunc(retryOwners, p.offerIdle)
 		case <-left:
-			p.settle(Left, "the customer has left")
+			left = nil
+			p.leave()
 		case <-patience.C:
 			p.settle(Unknown, "the customer's deadline has passed")
 		}
 	}
 }
 
-func (c *Coordinator) open(p *pending) bool {
+// leave takes the news that the customer has left.
+func (p *pending) leave() {
+	p.mu.Lock()
+	joined := p.joined
+	p.mu.Unlock()
+	if !joined {
+		p.settle(Left, "the customer has left")
+	}
+}
+
+// open enters a job and returns the one that stands in the books: another,
+// where the same is open already.
+func (c *Coordinator) open(p *pending) *pending {
 	s := c.shard(p.Job.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open[p.Job.ID] != nil {
-		return false
+	if other := s.open[p.Job.ID]; other != nil {
+		return other
 	}
 	s.open[p.Job.ID] = p
-	return true
+	return p
 }
 
 func (c *Coordinator) close(p *pending) {
@@ -201,6 +234,15 @@
 	return true
 }
 
+// Abandon gives up every open job: this instance ends.
+func (c *Coordinator) Abandon() {
+	var open []*pending
+	c.each(func(p *pending) { open = append(open, p) })
+	for _, p := range open {
+		p.settle(Unknown, "this instance ends")
+	}
+}
+
 // Waiting counts the open jobs of a route that no owner has taken.
 func (c *Coordinator) Waiting(route string) int {
 	n := 0
@@ -243,7 +285,8 @@
 	if v == Unknown && !p.begun && len(p.parts) == 0 {
 		v = NotRun
 	}
-	p.verdict <- Answered{v, reason, p.begun, p.offers}
+	p.answer = Answered{v, reason, p.begun, p.offers}
+	close(p.decided)
 	parts := slices.Collect(maps.Values(p.parts))
 	p.mu.Unlock()
 	for _, part := range parts {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -28,6 +28,19 @@
 	ConfigVersion uint64
 }
 
+// Phase is how far the life of an instance has gone.
+type Phase int
+
+// The phases.
+const (
+	Serving Phase = iota
+	// Draining instances still take jobs: customers go on using connections
+	// that are open. Each is closed after its answer.
+	Draining
+	// Closing instances take no job any more: it might not end before they do.
+	Closing
+)
+
 // ConfigSource returns the configuration in force, nil before there is one.
 type ConfigSource func() *fleet.Config
 
@@ -53,13 +66,13 @@
 	coordinator *Coordinator
 	config      ConfigSource
 	record      Recorder
-	leaving     func() bool // connections are closed after their answer
+	phase       func() Phase
 	http        *fasthttp.Server
 }
 
 // NewServer returns a server that is not listening yet.
-func NewServer(c *Coordinator, config ConfigSource, leaving func() bool, record Recorder) *Server {
-	s := &Server{coordinator: c, config: config, record: record, leaving: leaving}
+func NewServer(c *Coordinator, config ConfigSource, phase func() Phase, record Recorder) *Server {
+	s := &Server{coordinator: c, config: config, record: record, phase: phase}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, MaxRequestBodySize: mostBody, ReadBufferSize: readBuffer, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
@@ -72,7 +85,7 @@
 func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&watchedListener{l}) }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if s.leaving() {
+	if s.phase() != Serving {
 		ctx.SetConnectionClose()
 	}
 	config := s.config()
@@ -146,9 +159,9 @@
 		return
 	}
 	record := Record{Job: id, Tasks: job.Steps[0].Count}
-	if reason := unsupported(job, route); reason != "" {
+	if reason := s.declines(job, route); reason != "" {
 		refuse(ctx, reason)
-		record.Answered = Answered{Verdict: NotRun, Reason: "not offered: " + reason}
+		record.Answered = Answered{Verdict: NotRun, Reason: reason}
 		s.answered(record, config, route, ctx, began)
 		return
 	}
@@ -163,12 +176,18 @@
 	s.answered(record, config, route, ctx, began)
 }
 
-// unsupported names what a job needs and this version does not offer.
-func unsupported(job *fleet.Job, route *fleet.Route) string {
-	if route.Advised {
-		return "advice"
+// declines tells why a job is not taken at all, or "".
+func (s *Server) declines(job *fleet.Job, route *fleet.Route) string {
+	switch {
+	case s.phase() == Closing:
+		return "this instance ends"
+	case route.Advised:
+		return "not offered: advice"
+	case job.Unsupported != "":
+		return "not offered: " + job.Unsupported
+	default:
+		return ""
 	}
-	return job.Unsupported
 }
 
 func (s *Server) answered(r Record, config *fleet.Config, route *fleet.Route, ctx *fasthttp.RequestCtx, began time.Time) {
--- a/membership/ownership.go
+++ b/membership/ownership.go
@@ -31,14 +31,15 @@
 	return -max(c.Weight, math.SmallestNonzeroFloat64) / math.Log(unit)
 }
 
-// Fencing tokens hold a time in milliseconds and a rank: they rise with each
-// takeover, and two instances never make the same one.
-const rankBits = 12
+// RankBits is how many bits of a fencing token hold the rank of its maker. The
+// others hold a time in milliseconds, so that tokens rise with each takeover and
+// two instances never make the same one.
+const RankBits = 12
 
 // NextToken returns a fencing token above every one that was heard of. The time
 // only makes it likely that tokens that were not heard of are lower too: where
 // one is not, upstreams refuse it.
 func NextToken(unixMs int64, highest uint64, name string) uint64 {
-	term := max(uint64(max(unixMs, 0)), highest>>rankBits+1)
-	return term<<rankBits | xxhash.Sum64String(name)&(1<<rankBits-1)
+	term := max(uint64(max(unixMs, 0)), highest>>RankBits+1)
+	return term<<RankBits | xxhash.Sum64String(name)&(1<<RankBits-1)
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -14,6 +14,7 @@
 	"github.com/sedgehatch/sedgehatch/platform"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/samber/lo"
 )
 
 const (
@@ -22,7 +23,7 @@
 	configWait = 900 * time.Millisecond
 	// upstreamWait and peerWait bound the other watches.
 	upstreamWait = 1500 * time.Millisecond
-	peerWait     = 5 * time.Second
+	peerWait     = 3 * time.Second
 	// The entries of upstreams change with every heartbeat, so that a watch
 	// returns at once. An owner must hear soon that an upstream drains; others
 	// only need the list for a takeover.
@@ -153,6 +154,7 @@
 	for _, item := range items {
 		if item.Deleted {
 			delete(n.upstreams, platform.UpstreamID(item.Key))
+			delete(n.draining, platform.UpstreamID(item.Key))
 			continue
 		}
 		u, err := platform.ParseUpstream(item.Key, item.Value)
@@ -211,17 +213,19 @@
 		}
 	}
 	n.mu.Lock()
+	n.registered = lo.MapValues(known, func(membership.Listing, string) bool { return true })
 	n.table.SetListed(list)
 	n.mu.Unlock()
 	n.tick() // new peers hear of this instance at once
 }
 
 const (
-	// registrationTTL is how long the entry of a lost instance stays: it only
-	// helps peers to find each other.
-	registrationTTL = 15 * time.Second
+	// registrationTTL is how long the entry of a lost instance stays. Peers
+	// find each other by it, and one that is cut off from them sees by it that
+	// they live.
+	registrationTTL = 4 * time.Second
 	// renewEvery keeps the entry through a lost renewal or two.
-	renewEvery = 4 * time.Second
+	renewEvery = 1200 * time.Millisecond
 )
 
 // register keeps this instance's entry in the store.
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,7 @@
 	server   *ingress.Server
 	config   atomic.Pointer[fleet.Config]
 	leaving  atomic.Bool
+	closing  atomic.Bool // no job is taken any more
 	began    time.Time
 	stop     context.Context
 	cancel   context.CancelFunc
@@ -81,6 +82,10 @@
 	highest   uint64          // fencing token heard of
 	dialing   map[string]bool // instances that are being connected to
 	absent    map[string]bool // instances where nothing listens
+	// registered are the instances that the store lists now.
+	registered map[string]bool
+	alone      time.Time // since when no peer is heard
+	leaps      uint      // how often a token had to be raised beyond the time
 }
 
 // New makes an instance and its listeners. Run starts it.
@@ -108,12 +113,12 @@
 		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(),
 		began: time.Now(),
 		table: membership.NewTable(silence), heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
-		draining: map[string]bool{}, groups: map[string]*owner.Group{}, dialing: map[string]bool{}, absent: map[string]bool{},
+		draining: map[string]bool{}, groups: map[string]*owner.Group{}, dialing: map[string]bool{}, absent: map[string]bool{}, registered: map[string]bool{},
 	}
 	n.stop, n.cancel = context.WithCancel(context.Background())
 	n.router = newRouter(n)
 	n.ingress = ingress.NewCoordinator(in.Zone, n.router)
-	n.server = ingress.NewServer(n.ingress, n.config.Load, n.leaving.Load, n)
+	n.server = ingress.NewServer(n.ingress, n.config.Load, n.phase, n)
 	n.mesh = inner.NewMesh(inner.Config{
 		Fleet: fleetName, Self: n.self, Region: in.Region, Zone: in.Zone, Address: in.PeerAddress,
 		Directory: n, Handler: n, Met: n.met, DialTimeout: dialTimeout, Count: n.metrics.Sent,
@@ -173,14 +178,30 @@
 	return !n.leaving.Load() && n.config.Load() != nil && len(n.router.Loads()) > 0
 }
 
+func (n *Node) phase() ingress.Phase {
+	switch {
+	case n.closing.Load():
+		return ingress.Closing
+	case n.leaving.Load():
+		return ingress.Draining
+	default:
+		return ingress.Serving
+	}
+}
+
 const (
 	// drainPoll is how often a planned stop looks whether it is done.
 	drainPoll = 20 * time.Millisecond
 	// minDrain is how long customers may still come after a planned stop
 	// began: the platform asks once a second and believes the second refusal.
 	minDrain = 3200 * time.Millisecond
-	// graceMargin is kept of the grace for the end itself.
+	// takeShare is the share of the grace in which jobs are still taken: most
+	// of them end in the rest.
+	takeShare = 0.42
+	// graceMargin is kept of the grace for the end itself, and flushTime of
+	// that for the last answers.
 	graceMargin = 500 * time.Millisecond
+	flushTime   = 50 * time.Millisecond
 )
 
 // Stop is a planned stop: customers are sent elsewhere, owned groups go to
@@ -198,15 +219,21 @@
 	}
 	n.tick()
 	limit := n.in.Timing.Grace - graceMargin
+	takes := time.Duration(takeShare * float64(n.in.Timing.Grace))
 	drained := false
 	for !drained && time.Since(began) < limit {
 		time.Sleep(drainPoll)
+		n.closing.Store(time.Since(began) >= takes)
 		n.mu.Lock()
 		owns := len(n.groups)
 		n.mu.Unlock()
 		drained = n.ingress.Open() == 0 && owns == 0 && time.Since(began) >= minDrain
 	}
-	event.NodeStopped.Log(n.log, slog.Bool("drained", drained), slog.Int("jobs", n.ingress.Open()),
+	n.closing.Store(true)
+	jobs := n.ingress.Open()
+	n.ingress.Abandon()
+	time.Sleep(flushTime)
+	event.NodeStopped.Log(n.log, slog.Bool("drained", drained), slog.Int("jobs", jobs),
 		slog.Duration("took", time.Since(began)))
 	return drained
 }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -57,6 +57,7 @@
 // reconsider takes and gives up groups as peers come and go.
 func (n *Node) reconsider() {
 	n.yieldGroups()
+	n.dropFenced()
 	n.releaseGroups()
 	n.takeGroups()
 }
@@ -81,6 +82,40 @@
 	}
 }
 
+// fenceMargin is added to the time in which two holders must not take turns.
+const fenceMargin = 200 * time.Millisecond
+
+// dropFenced gives up groups whose upstreams follow a higher token that no peer
+// claims. They may be taken again, under a token above it, once two holders
+// cannot be taking turns.
+func (n *Node) dropFenced() {
+	var dropped []*owner.Group
+	n.mu.Lock()
+	for _, g := range n.ownedGroups() {
+		since := g.FencedAt()
+		if since.IsZero() || time.Since(since) < n.in.Timing.FenceSettle+fenceMargin {
+			continue
+		}
+		n.highest += tokenLeap << n.leaps
+		n.leaps = min(n.leaps+1, maxLeaps)
+		event.GroupLost.Log(n.log, slog.String("group", g.Name), slog.Uint64("token", g.Token), slog.String("to", "unknown"))
+		delete(n.groups, g.Name)
+		dropped = append(dropped, g)
+	}
+	n.mu.Unlock()
+	for _, g := range dropped {
+		g.Close()
+	}
+}
+
+const (
+	// tokenLeap raises the next token by a second: the owner that this
+	// instance was fenced by may have a clock that is ahead. It doubles each
+	// time, at most maxLeaps times.
+	tokenLeap = 1000 << membership.RankBits
+	maxLeaps  = 8
+)
+
 // releaseGroups lets go of drained groups in a planned stop.
 func (n *Node) releaseGroups() {
 	if !n.leaving.Load() {
@@ -163,12 +198,40 @@
 	if n.groups[group] != nil || !n.listed || len(n.membersOf(group)) == 0 {
 		return false
 	}
-	if _, claim := n.claimOf(group); claim != nil {
+	if _, claim := n.claimOf(group); claim != nil || n.isolated() {
 		return false
 	}
 	return membership.Preferred(group, n.candidates()) == n.in.Name
 }
 
+// isolatedLimit bounds how long an isolated instance leaves its availability
+// zone to peers that it cannot hear.
+const isolatedLimit = 6 * time.Second
+
+// isolated reports whether this instance hears no peer at all while the store
+// lists some of its availability zone that do not refuse connections: it is
+// likely itself that is cut off, and a takeover would take the upstreams from
+// an owner that works. The lock is held.
+func (n *Node) isolated() bool {
+	listed := false
+	for _, p := range n.table.Peers() {
+		switch {
+		case p.State == membership.Alive || p.State == membership.Suspect || p.State == membership.Leaving:
+			n.alone = time.Time{}
+			return false
+		case p.Zone == n.in.Zone && n.registered[p.Instance] && !n.absent[p.Instance]:
+			listed = true
+		}
+	}
+	if !listed || time.Since(n.began) < isolatedLimit {
+		return false // after a restart of all, the list is older than the loss
+	}
+	if n.alone.IsZero() {
+		n.alone = time.Now()
+	}
+	return time.Since(n.alone) < isolatedLimit
+}
+
 // candidates returns the instances of the own availability zone that may own
 // groups. The lock is held.
 func (n *Node) candidates() []membership.Candidate {
--- a/node/router.go
+++ b/node/router.go
@@ -78,9 +78,16 @@
 		loads = append(loads, l)
 	}
 	slices.SortFunc(loads, func(a, b ingress.OwnerLoad) int { return strings.Compare(a.Group, b.Group) })
+	if fresh := lo.Filter(loads, func(l ingress.OwnerLoad, _ int) bool { return l.Age < staleLoad }); len(fresh) > 0 {
+		return fresh
+	}
 	return loads
 }
 
+// staleLoad is how old the word of an owner may be for jobs to go there while
+// others can take them: it is about to be found lost.
+const staleLoad = 350 * time.Millisecond
+
 func loadOf(group string, l schedule.Load) ingress.OwnerLoad {
 	return ingress.OwnerLoad{Group: group, Zone: zoneOf(group), Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity}
 }
--- a/owner/group.go
+++ b/owner/group.go
@@ -55,6 +55,7 @@
 	pool    *schedule.Pool
 	rtt     roundTrip // of starts
 	answers map[schedule.JobKey]Answer
+	follows map[string]bool // upstreams whose reports are being read
 	closed  bool
 	done    chan struct{}
 }
@@ -63,7 +64,7 @@
 func NewGroup(name string, cfg schedule.Config, token uint64, calls Upstreams, seen Observer) *Group {
 	g := &Group{
 		Name: name, Token: token, calls: calls, seen: seen,
-		pool: schedule.NewPool(cfg, token), answers: map[schedule.JobKey]Answer{}, done: make(chan struct{}),
+		pool: schedule.NewPool(cfg, token), answers: map[schedule.JobKey]Answer{}, follows: map[string]bool{}, done: make(chan struct{}),
 	}
 	go g.ticks()
 	return g
@@ -186,6 +187,9 @@
 		g.mu.Lock()
 		u, order, known := g.pool.HoldOrder(time.Now(), id)
 		known = known && !g.closed
+		if !known {
+			delete(g.follows, id)
+		}
 		g.mu.Unlock()
 		if !known {
 			return
@@ -206,7 +210,10 @@
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
 		added, effects := p.SetUpstreams(now, list)
 		for _, id := range added {
-			go g.follow(id)
+			if !g.follows[id] {
+				g.follows[id] = true
+				go g.follow(id)
+			}
 		}
 		return effects
 	})
@@ -258,6 +265,14 @@
 	return g.pool.Idle()
 }
 
+// FencedAt returns when the group lost its first upstream to a higher token;
+// zero where it has lost none.
+func (g *Group) FencedAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.FencedAt()
+}
+
 // Load returns the load of the group.
 func (g *Group) Load() schedule.Load {
 	g.mu.Lock()
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -199,6 +199,9 @@
 // found takes a run that nobody here ordered: one of an owner before. It is
 // stopped, and nothing starts on the upstream until it is gone.
 func (p *Pool) found(u *upstream, id fleet.Run) {
+	if slices.Contains(u.over, id) {
+		return
+	}
 	r := &run{id: id, up: u, unknown: true, state: running, ordered: p.now, acked: p.now, moved: p.now, seen: p.now}
 	p.add(r)
 	p.stop(r, "nobody's")
@@ -206,6 +209,10 @@
 
 // ended takes one end of a run.
 func (p *Pool) ended(u *upstream, e fleet.EndedRun) {
+	u.over = append(u.over, e.Run)
+	if len(u.over) > rememberedEnds {
+		u.over = u.over[1:]
+	}
 	r := u.runs[e.Run]
 	if r == nil {
 		return
@@ -276,7 +283,10 @@
 		return
 	}
 	p.decide(Decision{Kind: DecidedFenced, Upstream: u.ID, Task: len(u.runs)})
-	p.out.Fenced = append(p.out.Fenced, u.ID)
+	if len(p.fencedIDs) == 0 {
+		p.fencedAt = p.now
+	}
+	p.fencedIDs[u.ID] = true
 	p.drop(u)
 	for _, r := range sortedRuns(u) {
 		p.remove(r)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -17,9 +17,12 @@
 	upstreams map[string]*upstream
 	sorted    []*upstream // by id
 	jobs      map[JobKey]*job
+	byID      map[string][]*job
 	byTask    map[fleet.TaskRef]*run
 	queue     []*job // with waiting tasks
 	times     map[string]*runTimes
+	fencedIDs map[string]bool // upstreams that have seen a higher token
+	fencedAt  time.Time       // when the first of them was lost
 	draining  bool
 	out       *Effects
 	now       time.Time
@@ -28,8 +31,9 @@
 // NewPool returns an empty pool whose orders carry a fencing token.
 func NewPool(cfg Config, token uint64) *Pool {
 	return &Pool{
-		cfg: cfg, token: token, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{},
+		cfg: cfg, token: token, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{}, byID: map[string][]*job{},
 		byTask: map[fleet.TaskRef]*run{}, times: map[string]*runTimes{},
+		fencedIDs: map[string]bool{},
 	}
 }
 
@@ -54,7 +58,7 @@
 		listed := map[string]bool{}
 		for _, u := range list {
 			listed[u.ID] = true
-			if p.upsert(u) {
+			if !p.fencedIDs[u.ID] && p.upsert(u) {
 				added = append(added, u.ID)
 			}
 		}
@@ -82,6 +86,10 @@
 	return true
 }
 
+// FencedAt returns when the pool lost the first of the upstreams that have seen
+// a higher token; zero where it has lost none.
+func (p *Pool) FencedAt() time.Time { return p.fencedAt }
+
 // Drain makes the pool start nothing more. What waits is returned.
 func (p *Pool) Drain(now time.Time) Effects {
 	return p.do(now, func() {
@@ -111,11 +119,7 @@
 }
 
 func (p *Pool) offer(o Offer) {
-	for _, key := range p.jobKeys() {
-		if key.ID == o.Key.ID && key.Coordinator != o.Key.Coordinator {
-			p.withdraw(key, "sent again") // the customer has left the one before
-		}
-	}
+	p.supersede(o.Key)
 	j := &job{Offer: o, offered: p.now, tasks: map[int]*task{}, left: len(o.Tasks), failed: map[string]bool{}}
 	j.expect = p.timesOf(o.Route).expect(o.Estimate)
 	for _, index := range o.Tasks {
@@ -124,6 +128,7 @@
 		j.order = append(j.order, t)
 	}
 	p.jobs[o.Key] = j
+	p.byID[o.Key.ID] = append(p.byID[o.Key.ID], j)
 	switch {
 	case p.draining:
 		p.returnWaiting(j, "draining")
@@ -138,6 +143,16 @@
 	}
 }
 
+// supersede ends what another coordinator offered of the same job: its customer
+// has left it, and sent it again.
+func (p *Pool) supersede(by JobKey) {
+	for _, j := range slices.Clone(p.byID[by.ID]) {
+		if j.Key.Coordinator != by.Coordinator {
+			p.end(j, Unknown)
+		}
+	}
+}
+
 // everFits reports whether any upstream could run a task of j. A pool that
 // knows no upstream yet cannot tell, and says yes.
 func (p *Pool) everFits(j *job) bool {
@@ -194,6 +209,10 @@
 // forget takes a job out of the books. Its runs stay until they have ended.
 func (p *Pool) forget(j *job) {
 	delete(p.jobs, j.Key)
+	p.byID[j.Key.ID] = slices.DeleteFunc(p.byID[j.Key.ID], func(o *job) bool { return o == j })
+	if len(p.byID[j.Key.ID]) == 0 {
+		delete(p.byID, j.Key.ID)
+	}
 	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -42,6 +42,9 @@
 	missesToSilent = 2
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 100 * time.Millisecond
+	// rememberedEnds is how many ended runs of an upstream are remembered: a
+	// report that was overtaken may still list them.
+	rememberedEnds = 32
 	// oldRunStep is how far a run's number is raised once an upstream has
 	// seen a higher one.
 	oldRunStep = 8
@@ -117,7 +120,6 @@
 	Looks     []string // upstreams whose report is wanted at once
 	Returns   []Result // tasks that find no room now; the offer goes on
 	Results   []Result
-	Fenced    []string // upstreams that another owner has taken
 	Decisions []Decision
 }
 
@@ -219,7 +221,8 @@
 	clockAt   time.Time
 	grantedMs int64 // the end of the longest lease that was ordered
 	seenEnds  uint64
-	reported  time.Time // when the last report that counts was asked for
+	over      []fleet.Run // the last ones that ended, newest last
+	reported  time.Time   // when the last report that counts was asked for
 	misses    int
 	silent    bool
 	health    health
