--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/platform/standin"
 
 	"pgregory.net/rapid"
 )
@@ -39,26 +40,10 @@
 }
 
 type simUpstream struct {
+	*standin.Core
 	fleet.Upstream
-	began   time.Time
-	rate    float64
-	until   int64
-	token   uint64
-	running map[fleet.Run]*simRun
-	over    map[fleet.TaskRef]uint32 // highest run that ended or was stopped
-	ended   []fleet.EndedRun
-	last    uint64
 	waiting []func()
 	cut     bool
-	stalls  bool
-	fails   bool
-}
-
-type simRun struct {
-	demand  fleet.Demand
-	began   time.Time
-	takes   time.Duration
-	stopped bool
 }
 
 type event struct {
@@ -100,10 +85,7 @@
 	return time.Duration(low+w.rng.IntN(high-low+1)) * time.Millisecond
 }
 
-func (u *simUpstream) clock(now time.Time) int64 {
-	return int64(float64(now.Sub(u.began).Milliseconds()) * u.rate)
-}
-
+// simStopTime is the longest time that a stop takes, in milliseconds.
 const simStopTime = 50
 
 // call carries a request to an upstream and its answer back, as the faults of
@@ -156,25 +138,12 @@
 }
 
 func (w *world) carryStart(u *simUpstream, o fleet.StartOrder) fleet.Refusal {
-	w.lapse(u)
-	clock := u.clock(w.now)
-	switch {
-	case o.Token < u.token:
-		return fleet.RefusedFence
-	case u.running[o.Run] != nil:
-		return fleet.RefusedNot
-	case o.Run.Number <= u.over[o.Run.Task]:
-		return fleet.RefusedOldRun
-	case o.LeaseUntilMs <= clock:
-		return fleet.RefusedLate
-	}
-	u.token = o.Token
-	u.until = max(u.until, min(o.LeaseUntilMs, clock+DefaultConfig.MaxLease.Milliseconds()))
-	job := w.jobOf(o.Run.Task)
-	u.running[o.Run] = &simRun{demand: job.offer.Demand, began: w.now, takes: w.millis(20, 400)}
-	w.begun[o.Run.Task] = true
-	w.check(u, o.Run)
-	return fleet.RefusedNot
+	refusal := u.Start(w.now, o)
+	if refusal == fleet.RefusedNot {
+		w.begun[o.Run.Task] = true
+		w.check(u, o.Run)
+	}
+	return refusal
 }
 
 // jobOf returns a job by its task, also one that is not open any more.
@@ -189,16 +158,12 @@
 
 // check holds what runs against what must always hold.
 func (w *world) check(u *simUpstream, started fleet.Run) {
-	var used fleet.Demand
-	for _, r := range u.running {
-		used = used.Plus(r.demand)
-	}
-	if !used.Within(u.Capacity) {
-		w.t.Fatalf("%s at %v: %v of %v in use after the start of %v", u.ID, w.now.Sub(epochZero), used, u.Capacity, started)
+	if used := u.Used(); !used.Within(u.Core.Capacity) {
+		w.t.Fatalf("%s at %v: %v of %v in use after the start of %v", u.ID, w.now.Sub(epochZero), used, u.Core.Capacity, started)
 	}
 	for _, o := range w.upstreams {
-		w.lapse(o)
-		for id := range o.running {
+		o.Advance(w.now)
+		for _, id := range o.Running() {
 			if id.Task == started.Task && (o != u || id != started) {
 				w.t.Fatalf("%v runs on %s while %v starts on %s at %v", id, o.ID, started, u.ID, w.now.Sub(epochZero))
 			}
@@ -206,36 +171,6 @@
 	}
 }
 
-// lapse brings an upstream up to now: ends of work, of leases, of stops.
-func (w *world) lapse(u *simUpstream) {
-	clock := u.clock(w.now)
-	for id, r := range u.running {
-		switch {
-		case r.stopped:
-		case u.until <= clock:
-			w.end(u, id, fleet.EndLapsed)
-		case !u.stalls && w.now.Sub(r.began) >= r.takes:
-			how := fleet.EndDone
-			if u.fails {
-				how = fleet.EndFailed
-			}
-			w.end(u, id, how)
-		}
-	}
-}
-
-func (w *world) end(u *simUpstream, id fleet.Run, how fleet.End) {
-	delete(u.running, id)
-	u.over[id.Task] = max(u.over[id.Task], id.Number)
-	u.last++
-	u.ended = append(u.ended, fleet.EndedRun{Sequence: u.last, Run: id, End: how})
-	waiting := u.waiting
-	u.waiting = nil
-	for _, f := range waiting {
-		f()
-	}
-}
-
 func (w *world) stop(s Stop) {
 	u := w.find(s.Upstream.ID)
 	epoch, pool := w.epoch, w.pool
@@ -252,21 +187,10 @@
 		}
 	}
 	w.call(u, 60*time.Millisecond, func(answer func(func())) {
-		w.lapse(u)
-		if token < u.token {
+		if !u.Stop(w.now, s.Run, token) {
 			failed = failure.Conflict.New("fenced")
-		} else {
-			u.token = token
-			u.over[s.Run.Task] = max(u.over[s.Run.Task], s.Run.Number)
-			if r := u.running[s.Run]; r != nil && !r.stopped {
-				r.stopped = true
-				w.after(w.millis(0, simStopTime), func() {
-					if u.running[s.Run] == r {
-						w.end(u, s.Run, fleet.EndStopped)
-					}
-				})
-			}
 		}
+		w.after(simStopTime*time.Millisecond, func() { u.Advance(w.now) })
 		answer(func() {})
 	}, tell(nil), tell(failure.Lost.New("no answer")))
 }
@@ -289,16 +213,11 @@
 	}
 	wait := time.Duration(o.WaitMs) * time.Millisecond
 	w.call(u, 60*time.Millisecond+wait, func(answer func(func())) {
-		w.lapse(u)
-		if o.Token < u.token {
+		if !u.Hold(w.now, o) {
 			failed = failure.Conflict.New("fenced")
 			answer(func() {})
 			return
 		}
-		u.token = o.Token
-		if o.LeaseUntilMs > 0 {
-			u.until = max(u.until, min(o.LeaseUntilMs, u.clock(w.now)+DefaultConfig.MaxLease.Milliseconds()))
-		}
 		w.report(u, o, wait, &report, answer)
 	}, tell(nil), tell(failure.Lost.New("no answer")))
 }
@@ -311,9 +230,9 @@
 			return
 		}
 		done = true
-		answer(func() { *into = w.look(u, o.SeenEnds) })
+		answer(func() { *into = u.Report(w.now, o.SeenEnds) })
 	}
-	if wait == 0 || u.last > o.SeenEnds {
+	if wait == 0 || u.HasEnds(w.now, o.SeenEnds) {
 		send()
 		return
 	}
@@ -321,23 +240,6 @@
 	w.after(wait, send)
 }
 
-func (w *world) look(u *simUpstream, seen uint64) fleet.Report {
-	r := fleet.Report{ClockMs: u.clock(w.now)}
-	for id, run := range u.running {
-		percent := 0
-		if !u.stalls {
-			percent = int(100 * w.now.Sub(run.began) / max(run.takes, 1))
-		}
-		r.Running = append(r.Running, fleet.RunningTask{Run: id, Percent: min(percent, 99)})
-	}
-	for _, e := range u.ended {
-		if e.Sequence > seen {
-			r.Ended = append(r.Ended, e)
-		}
-	}
-	return r
-}
-
 func (w *world) find(id string) *simUpstream {
 	for _, u := range w.upstreams {
 		if u.ID == id {
@@ -494,7 +396,7 @@
 		}
 		w.faults = false
 		for _, u := range w.upstreams {
-			u.cut, u.stalls, u.fails = false, false, false
+			u.cut, u.Stalls, u.Fails = false, false, false
 		}
 		w.run(w.now.Add(15 * time.Second))
 		if len(w.open) > 0 || !w.pool.Idle() {
@@ -506,15 +408,31 @@
 func newWorld(t *rapid.T, seed uint64) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: epochZero, open: map[JobKey]*simJob{}, begun: map[fleet.TaskRef]bool{}}
 	for i := range 4 {
-		w.upstreams = append(w.upstreams, &simUpstream{
-			Upstream: fleet.Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Zone: "z", Capacity: fleet.Demand{MilliCPU: 8000}},
-			began:    epochZero.Add(-time.Hour), rate: 0.98 + 0.02*w.rng.Float64(),
-			running: map[fleet.Run]*simRun{}, over: map[fleet.TaskRef]uint32{},
-		})
+		w.upstreams = append(w.upstreams, w.newUpstream(fmt.Sprintf("u%d", i)))
 	}
 	return w
 }
 
+func (w *world) newUpstream(id string) *simUpstream {
+	capacity := fleet.Demand{MilliCPU: 8000}
+	u := &simUpstream{Upstream: fleet.Upstream{ID: id, Service: "s", Zone: "z", Capacity: capacity}}
+	u.Core = standin.NewCore(epochZero.Add(-time.Hour), capacity, func(r fleet.Run) (time.Duration, fleet.Demand) {
+		takes := w.millis(20, 400)
+		w.after(takes+time.Millisecond, func() { u.Advance(w.now) })
+		return takes, w.jobOf(r.Task).offer.Demand
+	})
+	u.Rate = 0.98 + 0.02*w.rng.Float64()
+	u.StopTime = func() time.Duration { return w.millis(0, simStopTime) }
+	u.Ended = func(fleet.Run, fleet.End) {
+		waiting := u.waiting
+		u.waiting = nil
+		for _, f := range waiting {
+			f()
+		}
+	}
+	return u
+}
+
 // step lets one thing happen, and some time pass.
 func (w *world) step(i int) {
 	u := w.upstreams[w.rng.IntN(len(w.upstreams))]
@@ -522,9 +440,9 @@
 	case 0:
 		u.cut = !u.cut
 	case 1:
-		u.stalls = !u.stalls
+		u.Stalls = !u.Stalls
 	case 2:
-		u.fails = !u.fails
+		u.Fails = !u.Fails
 	case 3:
 		w.takeOver()
 	case 5:
