--- a/node/node.go
+++ b/node/node.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/connset"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -33,8 +34,11 @@
 const fleetName = "sedgehatch"
 
 const (
-	// presenceEvery is how often peers hear of this instance.
+	// presenceEvery is how often peers hear of this instance, and joinEvery
+	// that while the upstreams of a group that it has just taken join.
 	presenceEvery = 100 * time.Millisecond
+	joinEvery     = 20 * time.Millisecond
+	joinTime      = 400 * time.Millisecond
 	// dialTimeout bounds opening a connection to a peer: a round trip takes
 	// about a millisecond, and a lost opening packet is tried again.
 	dialTimeout = 400 * time.Millisecond
@@ -68,6 +72,7 @@
 	stop     context.Context
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
+	conns    connset.Set  // of customers and of the platform's questions
 	listener net.Listener // of peers
 	public   net.Listener // of customers
 	ready    net.Listener // of the platform's question
@@ -84,8 +89,10 @@
 	absent    map[string]bool // instances where nothing listens
 	// registered are the instances that the store lists now.
 	registered map[string]bool
-	alone      time.Time // since when no peer is heard
-	leaps      uint      // how often a token had to be raised beyond the time
+	released   map[string][]string // upstreams let go in a planned stop, by group
+	alone      time.Time           // since when no peer is heard
+	taken      time.Time           // when the last group was taken
+	leaps      uint                // how often a token had to be raised beyond the time
 }
 
 // New makes an instance and its listeners. Run starts it.
@@ -113,36 +120,63 @@
 		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(),
 		began: time.Now(),
 		table: membership.NewTable(silence), heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
-		draining: map[string]bool{}, groups: map[string]*owner.Group{}, dialing: map[string]bool{}, absent: map[string]bool{}, registered: map[string]bool{},
+		draining: map[string]bool{}, groups: map[string]*owner.Group{}, dialing: map[string]bool{}, absent: map[string]bool{}, registered: map[string]bool{}, released: map[string][]string{},
 	}
 	n.stop, n.cancel = context.WithCancel(context.Background())
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
 	n.router = newRouter(n)
 	n.ingress = ingress.NewCoordinator(in.Zone, n.router)
 	n.server = ingress.NewServer(n.ingress, n.config.Load, n.phase, n)
 	n.mesh = inner.NewMesh(inner.Config{
-		Fleet: fleetName, Self: n.self, Region: in.Region, Zone: in.Zone, Address: in.PeerAddress,
+		Fleet: fleetName, Self: n.self, Region: in.Region, Zone: in.Zone, Address: n.in.PeerAddress,
 		Directory: n, Handler: n, Met: n.met, DialTimeout: dialTimeout, Count: n.metrics.Sent,
 	})
-	return n, n.listen()
+	return n, nil
 }
 
+// listen opens the listeners. Port 0 picks one, for tests.
 func (n *Node) listen() error {
 	for _, l := range []struct {
-		field, address string
-		into           *net.Listener
+		field   string
+		address *string
+		into    *net.Listener
 	}{
-		{"InternalPorts", n.in.PeerAddress, &n.listener},
-		{"Listen.Frontend", n.in.CustomerAddress, &n.public},
-		{"Listen.Readiness", n.in.ReadinessAddress, &n.ready},
+		{"peer address", &n.in.PeerAddress, &n.listener},
+		{"customer address", &n.in.CustomerAddress, &n.public},
+		{"readiness address", &n.in.ReadinessAddress, &n.ready},
 	} {
 		var err error
-		if *l.into, err = net.Listen("tcp4", l.address); err != nil {
+		if *l.into, err = net.Listen("tcp4", *l.address); err != nil {
 			return failure.Field(failure.InvalidInput, l.field, "cannot listen: %v", err)
 		}
+		*l.address = (*l.into).Addr().String()
 	}
 	return nil
 }
 
+// Close ends the instance at once: what is open is cut off.
+func (n *Node) Close() {
+	n.cancel()
+	for _, l := range []net.Listener{n.public, n.ready, n.listener} {
+		_ = l.Close() // a second close changes nothing
+	}
+	n.conns.Close()
+	n.store.Close()
+	n.calls.Close()
+	n.mesh.Close()
+	n.mu.Lock()
+	groups := n.ownedGroups()
+	clear(n.groups)
+	n.mu.Unlock()
+	for _, g := range groups {
+		g.Close()
+	}
+	n.ingress.Abandon()
+	n.running.Wait()
+}
+
 // Run starts the instance and returns at once.
 func (n *Node) Run() {
 	n.running.Go(func() { n.mesh.Serve(n.listener) })
@@ -151,8 +185,8 @@
 	n.running.Go(n.followPeers)
 	n.running.Go(n.register)
 	n.running.Go(n.beat)
-	n.serve("customers", func() error { return n.server.Serve(n.public) })
-	n.serve("readiness", func() error { return fasthttp.Serve(n.ready, n.readiness) })
+	n.serve("customers", func() error { return n.server.Serve(n.conns.Listener(n.public)) })
+	n.serve("readiness", func() error { return fasthttp.Serve(n.conns.Listener(n.ready), n.readiness) })
 	event.NodeStarted.Log(n.log, slog.String("incarnation", string(n.self)), slog.String("zone", n.in.Zone),
 		slog.String("customers", n.in.CustomerAddress), slog.Bool("first_start", n.in.FirstStart))
 }
@@ -224,6 +258,7 @@
 	for !drained && time.Since(began) < limit {
 		time.Sleep(drainPoll)
 		n.closing.Store(time.Since(began) >= takes)
+		n.release()
 		n.mu.Lock()
 		owns := len(n.groups)
 		n.mu.Unlock()
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -28,11 +28,13 @@
 	return slices.SortedFunc(maps.Values(n.groups), func(a, b *owner.Group) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// membersOf returns the upstreams of a group. The lock is held.
+// membersOf returns the upstreams of a group that this instance may own: while
+// a leaving peer empties the group, those that it has let go. The lock is held.
 func (n *Node) membersOf(group string) []fleet.Upstream {
+	_, leaving := n.claimOf(group, membership.Leaving)
 	var list []fleet.Upstream
 	for _, u := range n.upstreams {
-		if groupOf(u) == group {
+		if groupOf(u) == group && (leaving == nil || slices.Contains(leaving.GetReleased(), u.ID)) {
 			u.Draining = u.Draining || n.draining[u.ID]
 			list = append(list, u)
 		}
@@ -58,7 +60,7 @@
 func (n *Node) reconsider() {
 	n.yieldGroups()
 	n.dropFenced()
-	n.releaseGroups()
+	n.releaseGroups() // the beat that follows tells peers
 	n.takeGroups()
 }
 
@@ -68,7 +70,10 @@
 	var yielded []*owner.Group
 	n.mu.Lock()
 	for name, g := range n.groups {
-		peer, claim := n.claimOf(name)
+		if n.leaving.Load() {
+			break // another takes what this instance has let go
+		}
+		peer, claim := n.claimOf(name, membership.Alive, membership.Suspect)
 		if claim != nil && claim.GetToken() > g.Token {
 			event.GroupLost.Log(n.log, slog.String("group", name), slog.Uint64("token", g.Token),
 				slog.Uint64("higher_token", claim.GetToken()), slog.String("to", peer))
@@ -116,15 +121,29 @@
 	maxLeaps  = 8
 )
 
-// releaseGroups lets go of drained groups in a planned stop.
-func (n *Node) releaseGroups() {
+// release lets go of upstreams in a planned stop, and tells peers at once.
+func (n *Node) release() {
+	if n.releaseGroups() > 0 {
+		n.tellPeers()
+	}
+}
+
+// releaseGroups lets go of drained upstreams and groups in a planned stop, and
+// returns how many upstreams it let go.
+func (n *Node) releaseGroups() int {
 	if !n.leaving.Load() {
-		return
+		return 0
 	}
+	count := 0
 	n.mu.Lock()
 	groups := n.ownedGroups()
 	n.mu.Unlock()
 	for _, g := range groups {
+		released := g.Release()
+		count += len(released)
+		n.mu.Lock()
+		n.released[g.Name] = append(n.released[g.Name], released...)
+		n.mu.Unlock()
 		if !g.Idle() {
 			continue
 		}
@@ -134,15 +153,16 @@
 		n.mu.Unlock()
 		event.GroupReleased.Log(n.log, slog.String("group", g.Name), slog.Uint64("token", g.Token))
 	}
+	return count
 }
 
-// claimOf returns the peer that owns a group, with the highest token, if any
-// does. The lock is held.
-func (n *Node) claimOf(group string) (string, *inner.Claim) {
+// claimOf returns the peer in one of some states that owns a group, with the
+// highest token, if any does. The lock is held.
+func (n *Node) claimOf(group string, states ...membership.State) (string, *inner.Claim) {
 	var best *inner.Claim
 	name := ""
 	for _, p := range n.table.Peers() {
-		if p.State == membership.Dead || p.State == membership.Listed {
+		if !slices.Contains(states, p.State) {
 			continue
 		}
 		for _, c := range n.heard[p.Instance].GetClaims() {
@@ -157,7 +177,7 @@
 // takeGroups takes the groups of the own availability zone that nobody owns and
 // for which this instance is preferred.
 func (n *Node) takeGroups() {
-	if n.leaving.Load() {
+	if n.leaving.Load() || n.stop.Err() != nil {
 		return
 	}
 	n.mu.Lock()
@@ -168,11 +188,13 @@
 		n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
 		g = owner.NewGroup(group, schedule.DefaultConfig, n.highest, n.calls, n)
 		n.groups[group] = g
+		n.taken = time.Now()
 		event.GroupTaken.Log(n.log, slog.String("group", group), slog.Uint64("token", g.Token), slog.Int("upstreams", len(n.membersOf(group))))
 	}
 	n.mu.Unlock()
 	if taken {
 		n.updateGroups()
+		n.tellPeers()
 	}
 }
 
@@ -198,7 +220,7 @@
 	if n.groups[group] != nil || !n.listed || len(n.membersOf(group)) == 0 {
 		return false
 	}
-	if _, claim := n.claimOf(group); claim != nil || n.isolated() {
+	if _, claim := n.claimOf(group, membership.Alive, membership.Suspect); claim != nil || n.isolated() {
 		return false
 	}
 	return membership.Preferred(group, n.candidates()) == n.in.Name
--- a/node/peers.go
+++ b/node/peers.go
@@ -16,15 +16,16 @@
 // beat tells peers of this instance, and lets time pass for what it believes
 // of them.
 func (n *Node) beat() {
-	ticker := time.NewTicker(presenceEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-n.stop.Done():
-			return
-		case <-ticker.C:
-			n.tick()
+	for n.stop.Err() == nil {
+		n.mu.Lock()
+		joining := time.Since(n.taken) < joinTime
+		n.mu.Unlock()
+		if joining {
+			n.pause(joinEvery)
+		} else {
+			n.pause(presenceEvery)
 		}
+		n.tick()
 	}
 }
 
@@ -52,7 +53,11 @@
 		p.ConfigVersion = c.Version
 	}
 	for _, g := range groups {
-		p.Claims = append(p.Claims, claimFrom(g))
+		c := claimFrom(g)
+		n.mu.Lock()
+		c.Released = slices.Clone(n.released[g.Name])
+		n.mu.Unlock()
+		p.Claims = append(p.Claims, c)
 	}
 	return p
 }
@@ -197,11 +202,19 @@
 	if config := n.config.Load(); config == nil && p.GetConfigVersion() > 0 || config != nil && p.GetConfigVersion() > config.Version {
 		n.askConfig(link)
 	}
-	if len(before.GetClaims()) != len(p.GetClaims()) {
+	if claimsChanged(before.GetClaims(), p.GetClaims()) {
 		n.reconsider()
+		n.updateGroups()
 	}
 }
 
+// claimsChanged reports whether groups, or upstreams of them, changed hands.
+func claimsChanged(before, now []*inner.Claim) bool {
+	return !slices.EqualFunc(before, now, func(a, b *inner.Claim) bool {
+		return a.GetGroup() == b.GetGroup() && a.GetToken() == b.GetToken() && len(a.GetReleased()) == len(b.GetReleased())
+	})
+}
+
 // changed tells of peers that came or went.
 func (n *Node) changed(changes []membership.Change) {
 	for _, c := range changes {
--- a/node/router.go
+++ b/node/router.go
@@ -70,7 +70,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for group, v := range r.views {
-		if slices.ContainsFunc(own, func(g *owner.Group) bool { return g.Name == group }) {
+		if !leaving && slices.ContainsFunc(own, func(g *owner.Group) bool { return g.Name == group }) {
 			continue
 		}
 		l := v.load
@@ -125,7 +125,7 @@
 
 // Offer implements ingress.Owners.
 func (r *router) Offer(group string, o schedule.Offer, answer owner.Answer) error {
-	if g := r.group(group); g != nil {
+	if g := r.group(group); g != nil && !r.n.leaving.Load() {
 		o.Key.Coordinator = string(r.n.self)
 		return g.Offer(o, answer)
 	}
@@ -202,12 +202,13 @@
 
 // Withdraw implements ingress.Owners.
 func (r *router) Withdraw(group string, key schedule.JobKey, reason string) {
-	if g := r.group(group); g != nil {
-		key.Coordinator = string(r.n.self)
-		g.Withdraw(key, reason)
+	if _, remote := r.take(offerKey{group, key}); !remote {
+		if g := r.group(group); g != nil {
+			key.Coordinator = string(r.n.self)
+			g.Withdraw(key, reason)
+		}
 		return
 	}
-	r.take(offerKey{group, key})
 	r.mu.Lock()
 	v := r.views[group]
 	r.mu.Unlock()
--- a/owner/group.go
+++ b/owner/group.go
@@ -258,6 +258,14 @@
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects { return p.Drain(now) })
 }
 
+// Release gives up the upstreams of a draining group on which nothing runs, and
+// returns their ids.
+func (g *Group) Release() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Release()
+}
+
 // Idle reports whether nothing runs or waits.
 func (g *Group) Idle() bool {
 	g.mu.Lock()
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -58,7 +58,7 @@
 		listed := map[string]bool{}
 		for _, u := range list {
 			listed[u.ID] = true
-			if !p.fencedIDs[u.ID] && p.upsert(u) {
+			if !p.fencedIDs[u.ID] && !p.draining && p.upsert(u) {
 				added = append(added, u.ID)
 			}
 		}
@@ -100,6 +100,22 @@
 	})
 }
 
+// Release gives up the upstreams of a draining pool on which nothing runs, and
+// returns their ids: another owner may take them.
+func (p *Pool) Release() []string {
+	if !p.draining {
+		return nil
+	}
+	var released []string
+	for _, u := range slices.Clone(p.sorted) {
+		if len(u.runs) == 0 {
+			p.drop(u)
+			released = append(released, u.ID)
+		}
+	}
+	return released
+}
+
 // Idle reports whether nothing runs or waits.
 func (p *Pool) Idle() bool {
 	if len(p.jobs) > 0 {
