Logs that explain: decisions held per job, bounded sink, metrics as text

Change: lines wait in a bounded buffer for a writer of their own, ordinary ones are dropped first; decisions on a job are written in full when it ends badly, late or with a retry, else of one job in 50. Counters and histograms as text at the metrics address.

--- a/event/event.go
+++ b/event/event.go
@@ -20,6 +20,7 @@
 // The events. 1xx: the instance; 2xx: logs and fates; 3xx: upstreams and
 // brokers; 4xx: membership; 5xx: settings and platform.
 var (
+	LogDropped      = add(1, "log_dropped", slog.LevelWarn, "Lines were dropped because the output stalled: so many of each class since the last such line.")
 	Started         = add(101, "started", slog.LevelInfo, "The instance takes callers.")
 	Draining        = add(102, "draining", slog.LevelInfo, "A planned stop began: no new sessions and jobs.")
 	Drained         = add(103, "drained", slog.LevelInfo, "Nothing was in flight any more; the instance stops.")
@@ -57,6 +58,7 @@
 	TasksReturned   = add(706, "tasks_returned", slog.LevelInfo, "Tasks that found no room went back to their coordinator; none of them began.")
 	OfferResult     = add(707, "offer_result", slog.LevelInfo, "The part of a job that a group had is over.")
 	OfferLost       = add(708, "offer_lost", slog.LevelWarn, "The connection to an owner broke with an offer open: what became of its tasks is not known.")
+	JobLate         = add(709, "job_late", slog.LevelInfo, "A job is complete, and later than its objective by the customer's estimate.")
 	UpstreamDoubted = add(801, "upstream_doubted", slog.LevelWarn, "An upstream fails or is slow, and gets nothing but a trial after a pause.")
 	UpstreamTrusted = add(802, "upstream_trusted", slog.LevelInfo, "A doubted upstream completed a trial.")
 	UpstreamSilent  = add(803, "upstream_silent", slog.LevelWarn, "An upstream does not answer; its leases are left to lapse.")
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -13,6 +13,7 @@
 	CustomerAddress  string
 	ReadinessAddress string
 	PeerAddress      string
+	MetricsAddress   string
 	// SeedPeers are the peer addresses of a few instances, which may be stale.
 	SeedPeers []string
 	// FirstStart is true at the first start of the whole system.
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -42,7 +43,12 @@
 	Verdict Verdict
 	Reason  string
 	Begun   bool
-	Offers  int
+	Offers  int    // that were made
+	Groups  string // they went to, in order
+	// Owners is how many owners were known at the last offer, and OwnersAge
+	// the age of the oldest word of them.
+	Owners    int
+	OwnersAge time.Duration
 }
 
 // Request is a job with what the coordinator needs of its route.
@@ -92,17 +98,21 @@
 	answer  Answered
 	again   chan struct{} // tells that tasks are to be offered again later
 
-	mu      sync.Mutex
-	left    map[int]bool    // tasks that are not done
-	idle    []int           // tasks that no owner has
-	parts   map[int]*part   // offers that have not ended, by number
-	tried   map[string]bool // groups that had no room
-	never   map[string]bool // groups where no task can ever fit
-	cut     map[string]bool // groups whose owner could not be reached
-	begun   bool
-	offers  int  // that were made
-	joined  bool // its customer has sent it again, and waits there
-	settled bool
+	mu     sync.Mutex
+	left   map[int]bool    // tasks that are not done
+	idle   []int           // tasks that no owner has
+	parts  map[int]*part   // offers that have not ended, by number
+	tried  map[string]bool // groups that had no room
+	never  map[string]bool // groups where no task can ever fit
+	cut    map[string]bool // groups whose owner could not be reached
+	begun  bool
+	offers int      // that were made
+	asked  []string // groups that were offered tasks, in order
+	owners int      // known at the last offer
+	// ownersAge is the age of the oldest word of them.
+	ownersAge time.Duration
+	joined    bool // its customer has sent it again, and waits there
+	settled   bool
 }
 
 // part is an offer of some of the tasks.
@@ -150,6 +160,9 @@
 	}
 }
 
+// maxAsked bounds the groups that are remembered for the log.
+const maxAsked = 8
+
 // retryOwners is the pause before owners are asked again after none could be
 // reached: one that is lost is replaced within a second.
 const retryOwners = 25 * time.Millisecond
@@ -285,7 +298,7 @@
 	if v == Unknown && !p.begun && len(p.parts) == 0 {
 		v = NotRun
 	}
-	p.answer = Answered{v, reason, p.begun, p.offers}
+	p.answer = Answered{v, reason, p.begun, p.offers, strings.Join(p.asked, ","), p.owners, p.ownersAge}
 	close(p.decided)
 	parts := slices.Collect(maps.Values(p.parts))
 	p.mu.Unlock()
@@ -303,7 +316,10 @@
 			p.mu.Unlock()
 			return
 		}
-		choice, found := choose(p.usable(p.c.owners.Loads()), p.c.zone, p.tried)
+		loads := p.c.owners.Loads()
+		p.owners = len(loads)
+		p.ownersAge = lo.MaxBy(loads, func(a, b OwnerLoad) bool { return a.Age > b.Age }).Age
+		choice, found := choose(p.usable(loads), p.c.zone, p.tried)
 		if !found {
 			p.mu.Unlock()
 			p.unplaced()
@@ -343,6 +359,9 @@
 	p.idle = nil
 	p.parts[part.number] = part
 	p.tried[choice.Group] = true
+	if len(p.asked) < maxAsked {
+		p.asked = append(p.asked, choice.Group)
+	}
 	return part, o
 }
 
@@ -380,7 +399,7 @@
 		return // its other tasks are under way; these go on when one of them ends
 	case never && !begun:
 		p.settle(Failed, "no upstream is large enough")
-	case time.Since(p.began) < p.objective():
+	case time.Since(p.began) < p.Objective():
 		select {
 		case p.again <- struct{}{}:
 		default: // it is asked for already
@@ -392,9 +411,10 @@
 	}
 }
 
-// objective is how long the job may take to be in time.
-func (p *pending) objective() time.Duration {
-	return time.Duration(p.Route.Stretch*float64(p.Job.Steps[0].Estimate)) + p.Route.Slack
+// Objective is how long the job may take to be in time, by what its customer
+// estimates.
+func (r *Request) Objective() time.Duration {
+	return time.Duration(r.Route.Stretch*float64(r.Job.Steps[0].Estimate)) + r.Route.Slack
 }
 
 // returned takes tasks back that never began.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -24,6 +24,8 @@
 	Status     int
 	Answered
 	Took          time.Duration
+	Objective     time.Duration // by the customer's own estimate
+	Late          bool
 	Tasks         int
 	ConfigVersion uint64
 }
@@ -170,7 +172,9 @@
 		patience = defaultPatience
 	}
 	left, stop := watch(ctx.Conn())
-	record.Answered = s.coordinator.Run(Request{Job: job, Route: route, Patience: patience - answerMargin}, left)
+	request := Request{Job: job, Route: route, Patience: patience - answerMargin}
+	record.Objective = request.Objective()
+	record.Answered = s.coordinator.Run(request, left)
 	stop()
 	respond(ctx, record.Answered)
 	s.answered(record, config, route, ctx, began)
@@ -193,6 +197,7 @@
 func (s *Server) answered(r Record, config *fleet.Config, route *fleet.Route, ctx *fasthttp.RequestCtx, began time.Time) {
 	r.Route, r.Status = route.Name, ctx.Response.StatusCode()
 	r.Took, r.ConfigVersion = time.Since(began), config.Version
+	r.Late = r.Objective > 0 && r.Took > r.Objective
 	s.record.Answered(r)
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -12,6 +12,8 @@
 	Wasted *expvar.Map
 	// Counts holds everything else that is counted.
 	Counts *expvar.Map
+	// Latencies holds how long things took.
+	Latencies Latencies
 }
 
 // NewSet returns counters at zero.
--- a/node/log.go
+++ b/node/log.go
@@ -2,9 +2,12 @@
 
 import (
 	"log/slog"
+	"sync"
+	"time"
 
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/ingress"
+	"github.com/sedgehatch/sedgehatch/logging"
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
@@ -23,32 +26,141 @@
 	schedule.DecidedFenced: event.UpstreamFenced,
 }
 
-func logDecision(log *slog.Logger, group string, token uint64, d schedule.Decision) {
-	attrs := []slog.Attr{slog.String("group", group), slog.Uint64("token", token)}
-	if d.Job != "" {
-		attrs = append(attrs, slog.String("job", d.Job), slog.Int("task", d.Task))
+const (
+	// sampleOne of so many jobs that went well is told in full.
+	sampleOne = 50
+	// heldLines bounds the decisions that are held for one job, and heldJobs
+	// the jobs for which any are held.
+	heldLines = 48
+	heldJobs  = 4096
+)
+
+// decisionLog writes what pools decide. What touches a job is held until its
+// offer has ended: all of it is written if that went badly, else of one job in
+// sampleOne.
+type decisionLog struct {
+	log  *slog.Logger
+	mu   sync.Mutex
+	jobs map[string][]heldDecision
+	good int // offers that went well
+}
+
+type heldDecision struct {
+	at    time.Time
+	group string
+	token uint64
+	schedule.Decision
+}
+
+func newDecisionLog(log *slog.Logger) *decisionLog {
+	return &decisionLog{log: log, jobs: map[string][]heldDecision{}}
+}
+
+func (l *decisionLog) decided(group string, token uint64, d schedule.Decision) {
+	h := heldDecision{time.Now(), group, token, d}
+	if d.Job == "" {
+		l.write(h, 0)
+		return
+	}
+	held, sample := l.hold(h)
+	for _, h := range held {
+		l.write(h, sample)
+	}
+}
+
+// hold keeps a decision on a job and returns what is to be written now, with the
+// size of the sample that it stands for, 0 for none.
+func (l *decisionLog) hold(h heldDecision) (write []heldDecision, sample int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held, known := l.jobs[h.Job]
+	if !known && len(l.jobs) >= heldJobs {
+		return []heldDecision{h}, 0
+	}
+	if len(held) == heldLines {
+		write, held = held, nil // too many to go well
+	}
+	held = append(held, h)
+	l.jobs[h.Job] = held
+	if h.Kind != schedule.DecidedResult {
+		return write, 0
+	}
+	delete(l.jobs, h.Job)
+	if !wentWell(held) {
+		return append(write, held...), 0
+	}
+	l.good++
+	if l.good%sampleOne != 0 {
+		return write, 0
+	}
+	return append(write, held...), sampleOne
+}
+
+// wentWell reports whether an offer needs no explanation.
+func wentWell(held []heldDecision) bool {
+	for _, h := range held {
+		switch h.Kind {
+		case schedule.DecidedRetry, schedule.DecidedStop:
+			return false
+		case schedule.DecidedResult:
+			if h.Late || h.Reason != string(schedule.Completed) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (l *decisionLog) write(h heldDecision, sample int) {
+	attrs := []slog.Attr{slog.String("group", h.group), slog.Uint64("token", h.token)}
+	if h.Job == "" {
+		attrs = append(attrs, slog.Int("tasks", h.Task))
 	} else {
-		attrs = append(attrs, slog.Int("tasks", d.Task))
+		attrs = append(attrs, slog.Time("decided", h.at), slog.String("job", h.Job), slog.Int("task", h.Task))
+	}
+	if h.Run > 0 {
+		attrs = append(attrs, slog.Int("run", int(h.Run)))
 	}
-	if d.Run > 0 {
-		attrs = append(attrs, slog.Int("run", int(d.Run)))
+	if h.Upstream != "" {
+		attrs = append(attrs, slog.String("upstream", h.Upstream), slog.Int64("room", h.Room))
 	}
-	if d.Upstream != "" {
-		attrs = append(attrs, slog.String("upstream", d.Upstream), slog.Int64("room", d.Room))
+	if h.Reason != "" {
+		attrs = append(attrs, slog.String("reason", h.Reason))
 	}
-	if d.Reason != "" {
-		attrs = append(attrs, slog.String("reason", d.Reason))
+	attrs = append(attrs, slog.Int("queued", h.Queued), slog.Duration("age", h.Age))
+	if h.Kind == schedule.DecidedResult {
+		attrs = append(attrs, slog.Bool("late", h.Late))
+	}
+	eventOf[h.Kind].Log(l.log, sampled(attrs, sample)...)
+}
+
+// sampled marks a line that stands for others like it.
+func sampled(attrs []slog.Attr, sample int) []slog.Attr {
+	if sample == 0 {
+		return attrs
 	}
-	attrs = append(attrs, slog.Int("queued", d.Queued), slog.Duration("age", d.Age))
-	eventOf[d.Kind].Log(log, attrs...)
+	return append(attrs, slog.Int("one_of", sample), slog.Bool(logging.RoutineKey, true))
 }
 
-func logAnswer(log *slog.Logger, r ingress.Record) {
-	e := event.JobAnswered
-	if r.Verdict != ingress.Completed {
+// logAnswer writes the answer to a customer: of those in time one in sampleOne.
+func (n *Node) logAnswer(r ingress.Record) {
+	e, sample := event.JobAnswered, 0
+	switch {
+	case r.Verdict != ingress.Completed:
 		e = event.JobNotServed
+	case r.Late:
+		e = event.JobLate
+	default:
+		if n.answers.Add(1)%sampleOne != 0 {
+			return
+		}
+		sample = sampleOne
 	}
-	e.Log(log, slog.String("job", r.Job), slog.String("route", r.Route), slog.Int("status", r.Status),
+	e.Log(n.log, sampled([]slog.Attr{
+		slog.String("job", r.Job), slog.String("route", r.Route), slog.Int("status", r.Status),
 		slog.String("verdict", string(r.Verdict)), slog.String("reason", r.Reason), slog.Bool("begun", r.Begun),
-		slog.Int("offers", r.Offers), slog.Int("tasks", r.Tasks), slog.Duration("took", r.Took), slog.Uint64("config", r.ConfigVersion))
+		slog.Int("offers", r.Offers), slog.String("groups", r.Groups), slog.Int("tasks", r.Tasks), slog.Duration("took", r.Took),
+		slog.Duration("objective", r.Objective), slog.Uint64("config", r.ConfigVersion), slog.Int("owners", r.Owners),
+		slog.Duration("owners_age", r.OwnersAge),
+	}, sample)...)
 }
--- a/node/main.go
+++ b/node/main.go
@@ -7,9 +7,11 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/logging"
 	"github.com/sedgehatch/sedgehatch/platform"
 )
 
@@ -21,6 +23,9 @@
 	ExitUndrained = 3 // a planned stop ended with work in flight
 )
 
+// lastLines bounds how long the end waits for the last lines of the log.
+const lastLines = 200 * time.Millisecond
+
 // Main runs one instance with the platform's settings file until a signal. With
 // checkOnly it only checks the file. It returns the exit code of the process.
 func Main(checkOnly bool, out io.Writer) int {
@@ -36,12 +41,15 @@
 		fmt.Fprintf(out, "sedgehatchd: %q is right\n", path)
 		return ExitOK
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With(slog.String("instance", in.Name))
+	sink := logging.NewSink(os.Stdout, logging.DefaultBuffer)
+	defer sink.Close(lastLines)
+	log := slog.New(sink.Handler(slog.LevelInfo)).With(slog.String("instance", in.Name))
 	n, err := New(in, log)
 	if err != nil {
 		fmt.Fprintf(out, "sedgehatchd: %s: %s\n", failure.FieldOf(err), failure.Text(err))
 		return ExitFailed
 	}
+	n.sink = sink
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	n.Run()
--- a/node/node.go
+++ b/node/node.go
@@ -6,8 +6,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"log/slog"
+	"maps"
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +24,7 @@
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/ingress"
 	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/logging"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/metrics"
 	"github.com/sedgehatch/sedgehatch/owner"
@@ -55,27 +61,31 @@
 
 // Node is one instance.
 type Node struct {
-	in       fleet.Instance
-	self     fate.Incarnation
-	log      *slog.Logger
-	metrics  *metrics.Set
-	store    *platform.Store
-	calls    *platform.Upstreams
-	mesh     *inner.Mesh
-	router   *router
-	ingress  *ingress.Coordinator
-	server   *ingress.Server
-	config   atomic.Pointer[fleet.Config]
-	leaving  atomic.Bool
-	closing  atomic.Bool // no job is taken any more
-	began    time.Time
-	stop     context.Context
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
-	conns    connset.Set  // of customers and of the platform's questions
-	listener net.Listener // of peers
-	public   net.Listener // of customers
-	ready    net.Listener // of the platform's question
+	in        fleet.Instance
+	self      fate.Incarnation
+	log       *slog.Logger
+	answers   atomic.Uint64 // to jobs that were complete in time
+	decisions *decisionLog
+	metrics   *metrics.Set
+	store     *platform.Store
+	calls     *platform.Upstreams
+	mesh      *inner.Mesh
+	router    *router
+	ingress   *ingress.Coordinator
+	server    *ingress.Server
+	config    atomic.Pointer[fleet.Config]
+	leaving   atomic.Bool
+	closing   atomic.Bool // no job is taken any more
+	began     time.Time
+	stop      context.Context
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
+	conns     connset.Set   // of customers and of the platform's questions
+	listener  net.Listener  // of peers
+	public    net.Listener  // of customers
+	ready     net.Listener  // of the platform's question
+	figures   net.Listener  // of metrics
+	sink      *logging.Sink // of the log; nil where it is written otherwise
 
 	mu        sync.Mutex // guards what follows
 	table     *membership.Table
@@ -108,8 +118,12 @@
 
 func newStore(i do.Injector) (*platform.Store, error) {
 	counters := do.MustInvoke[*metrics.Set](i)
-	return platform.NewStore(do.MustInvoke[fleet.Instance](i).StoreAddress, func(kind string, _ int, _ time.Duration) {
+	return platform.NewStore(do.MustInvoke[fleet.Instance](i).StoreAddress, func(kind string, status int, took time.Duration) {
 		counters.Sent("store_" + kind)
+		counters.Add("store_"+kind+"_"+strconv.Itoa(status), 1)
+		if kind != "watch" { // which waits for changes
+			counters.Latencies.Observe("store_"+kind, took)
+		}
 	}), nil
 }
 
@@ -122,6 +136,7 @@
 		table: membership.NewTable(silence), heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
 		draining: map[string]bool{}, groups: map[string]*owner.Group{}, dialing: map[string]bool{}, absent: map[string]bool{}, registered: map[string]bool{}, released: map[string][]string{},
 	}
+	n.decisions = newDecisionLog(n.log)
 	n.stop, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -146,6 +161,7 @@
 		{"peer address", &n.in.PeerAddress, &n.listener},
 		{"customer address", &n.in.CustomerAddress, &n.public},
 		{"readiness address", &n.in.ReadinessAddress, &n.ready},
+		{"metrics address", &n.in.MetricsAddress, &n.figures},
 	} {
 		var err error
 		if *l.into, err = net.Listen("tcp4", *l.address); err != nil {
@@ -159,7 +175,7 @@
 // Close ends the instance at once: what is open is cut off.
 func (n *Node) Close() {
 	n.cancel()
-	for _, l := range []net.Listener{n.public, n.ready, n.listener} {
+	for _, l := range []net.Listener{n.public, n.ready, n.figures, n.listener} {
 		_ = l.Close() // a second close changes nothing
 	}
 	n.conns.Close()
@@ -186,6 +202,7 @@
 	n.running.Go(n.register)
 	n.running.Go(n.beat)
 	n.serve("customers", func() error { return n.server.Serve(n.conns.Listener(n.public)) })
+	n.serve("metrics", func() error { return fasthttp.Serve(n.conns.Listener(n.figures), n.tellMetrics) })
 	n.serve("readiness", func() error { return fasthttp.Serve(n.conns.Listener(n.ready), n.readiness) })
 	event.NodeStarted.Log(n.log, slog.String("incarnation", string(n.self)), slog.String("zone", n.in.Zone),
 		slog.String("customers", n.in.CustomerAddress), slog.Bool("first_start", n.in.FirstStart))
@@ -199,6 +216,36 @@
 	})
 }
 
+// tellMetrics answers with the counters and histograms of this instance, and
+// what it knows of groups.
+func (n *Node) tellMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; charset=utf-8")
+	n.gauges(ctx)
+	if err := n.metrics.WriteText(ctx); err != nil {
+		event.ServeFailed.Log(n.log, slog.String("listener", "metrics"), slog.String("error", err.Error()))
+	}
+}
+
+// gauges writes the state of this instance.
+func (n *Node) gauges(w io.Writer) {
+	version := uint64(0)
+	if c := n.config.Load(); c != nil {
+		version = c.Version
+	}
+	fmt.Fprintf(w, "sedgehatch_config_version %d\nsedgehatch_open_jobs %d\n", version, n.ingress.Open())
+	for _, l := range n.router.Loads() {
+		fmt.Fprintf(w, "sedgehatch_group_free{group=%q} %d\nsedgehatch_group_waiting{group=%q} %d\nsedgehatch_group_age_ms{group=%q} %d\n",
+			l.Group, l.Free, l.Group, l.Waiting, l.Group, l.Age.Milliseconds())
+	}
+	if n.sink != nil {
+		dropped, refused := n.sink.Dropped()
+		for _, class := range slices.Sorted(maps.Keys(dropped)) {
+			fmt.Fprintf(w, "sedgehatch_log_dropped{class=%q} %d\n", class, dropped[class])
+		}
+		fmt.Fprintf(w, "sedgehatch_log_refused %d\n", refused)
+	}
+}
+
 // readiness answers whether customers should be sent here.
 func (n *Node) readiness(ctx *fasthttp.RequestCtx) {
 	if n.isReady() {
@@ -292,7 +339,7 @@
 
 // Decided implements owner.Observer.
 func (n *Node) Decided(group string, token uint64, d schedule.Decision) {
-	logDecision(n.log, group, token, d)
+	n.decisions.decided(group, token, d)
 }
 
 // Called implements owner.Observer.
@@ -300,10 +347,22 @@
 	n.metrics.Sent(kind)
 	if err != nil {
 		n.metrics.Waste(kind)
+		n.metrics.Add(kind+"_"+failure.Code(err), 1)
+		return
+	}
+	if kind != "hold" { // which waits for as long as it is told to
+		n.metrics.Latencies.Observe("upstream_"+kind, took)
 	}
 }
 
 // Answered implements ingress.Recorder.
 func (n *Node) Answered(r ingress.Record) {
-	logAnswer(n.log, r)
+	n.metrics.Add("answer_"+r.Route+"_"+string(r.Verdict), 1)
+	if r.Verdict != ingress.Completed {
+		n.metrics.Add("cause_"+string(r.Verdict)+": "+r.Reason, 1)
+	} else if r.Late {
+		n.metrics.Add("answer_"+r.Route+"_late", 1)
+	}
+	n.metrics.Latencies.Observe("request_"+string(r.Verdict), r.Took)
+	n.logAnswer(r)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -120,7 +120,7 @@
 func (in *installation) settings(name string) fleet.Instance {
 	return fleet.Instance{
 		Name: name, IP: "127.0.0.1", Zone: zoneOfInstance(name), Region: "r", CPUShare: 0.4,
-		CustomerAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		CustomerAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", MetricsAddress: "127.0.0.1:0",
 		StoreAddress: in.store.Address,
 		Timing: fleet.Timing{
 			MaxTaskLease: time.Second, StopTimeout: 50 * time.Millisecond, ResendAfter: 1300 * time.Millisecond,
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -285,7 +285,10 @@
 	p.out.Results = append(p.out.Results, Result{
 		Key: j.Key, Outcome: outcome, Done: j.done, Returned: returned, Begun: j.begun,
 	})
-	p.decide(Decision{Kind: DecidedResult, Job: j.Key.ID, Reason: string(outcome), Age: p.now.Sub(j.offered)})
+	p.decide(Decision{
+		Kind: DecidedResult, Job: j.Key.ID, Task: len(j.done), Reason: string(outcome), Age: p.now.Sub(j.offered),
+		Late: p.now.After(j.sent().Add(j.allowed())),
+	})
 }
 
 func (p *Pool) decide(d Decision) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -134,6 +134,7 @@
 	Room     int64 // thousandths of a core left on the upstream
 	Queued   int   // tasks that wait in the pool
 	Age      time.Duration
+	Late     bool // a result comes after the job's objective
 }
 
 // DecisionKind is what a decision was about.
