--- a/cli/cli.go
+++ b/cli/cli.go
@@ -56,7 +56,7 @@
 	case errors.As(err, &code):
 		return code.code
 	}
-	fmt.Fprintln(errOut, "sedgehatch:", explain(err))
+	fmt.Fprintln(errOut, "sedgehatch:", wordError(err))
 	switch {
 	case failure.Is(err, failure.InvalidInput), failure.Is(err, failure.TooLarge):
 		return ExitUsage
@@ -71,8 +71,8 @@
 	}
 }
 
-// explain words an error for a person: the field, what is wrong, the type.
-func explain(err error) string {
+// wordError words an error for a person: the field, what is wrong, the type.
+func wordError(err error) string {
 	text := failure.Text(err)
 	if field := failure.FieldOf(err); field != "" {
 		text = field + ": " + text
@@ -92,7 +92,7 @@
 			"10 failed, 11 not run, 12 unknown, 13 pending, 20 a promise was broken.",
 		Commands: []*cli.Command{
 			demoCommand(), submitCommand(), jobCommand(), settingsCommand(), instancesCommand(),
-			benchCommand(), standinCommand(), versionCommand(),
+			benchCommand(), explainCommand(), standinCommand(), versionCommand(),
 		},
 	}
 }
--- a/cli/settings.go
+++ b/cli/settings.go
@@ -215,7 +215,7 @@
 	}
 	tree, problems := settings.Parse(string(raw))
 	if len(problems) > 0 {
-		return nil, failure.Field(failure.InvalidInput, name, "%s", strings.Join(lo.Map(problems, func(p error, _ int) string { return explain(p) }), "\n  "))
+		return nil, failure.Field(failure.InvalidInput, name, "%s", strings.Join(lo.Map(problems, func(p error, _ int) string { return wordError(p) }), "\n  "))
 	}
 	return tree, nil
 }
