Groups are counted through the store, spread over large instances, and handed back

Change: an availability zone has one group per 24 upstreams, a number that is created once in the store; Assign spreads them evenly over the instances with at least half of the largest share; a group goes back to a much larger instance one upstream after the other; peers of other zones are told every 250 ms; drains are passed on for 3 s.

--- a/membership/ownership.go
+++ b/membership/ownership.go
@@ -1,34 +1,55 @@
 package membership
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 // Candidate is an instance that may own groups of upstreams.
 type Candidate struct {
-	Name   string
-	Weight float64 // its share of a processor
+	Name  string
+	Share float64 // of a processor
 }
 
-// Preferred returns the candidate that should own a group, by weighted
-// rendezvous hashing: when one candidate goes, only its groups move. It returns
-// "" without candidates.
-func Preferred(group string, candidates []Candidate) string {
-	best, highest := "", math.Inf(-1)
-	for _, c := range candidates {
-		if score := score(group, c); score > highest || score == highest && c.Name < best {
-			best, highest = c.Name, score
-		}
+// largeEnough is the part of the largest candidate's share that an owner must
+// have: owning is most of the work, and one that cannot keep up loses leases.
+const largeEnough = 0.5
+
+// Assign spreads groups over the candidates that are large enough, evenly and
+// by rendezvous hashing: when one candidate goes, few other groups move. It
+// returns the owner of each group, nothing without candidates.
+func Assign(groups []string, candidates []Candidate) map[string]string {
+	if len(candidates) == 0 {
+		return nil
+	}
+	most := lo.MaxBy(candidates, func(a, b Candidate) bool { return a.Share > b.Share }).Share
+	large := lo.Filter(candidates, func(c Candidate, _ int) bool { return c.Share >= largeEnough*most })
+	limit := (len(groups) + len(large) - 1) / len(large)
+	owners := map[string]string{}
+	count := map[string]int{}
+	for _, group := range slices.Sorted(slices.Values(groups)) {
+		owner := preferred(group, lo.Filter(large, func(c Candidate, _ int) bool { return count[c.Name] < limit }))
+		owners[group] = owner
+		count[owner]++
 	}
-	return best
+	return owners
+}
+
+// preferred returns the candidate with the highest score for a group.
+func preferred(group string, candidates []Candidate) string {
+	return slices.MaxFunc(candidates, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(score(group, a), score(group, b)), cmp.Compare(b.Name, a.Name))
+	}).Name
 }
 
 func score(group string, c Candidate) float64 {
 	const spread = 1 << 53 // what a float64 tells apart
 	unit := (float64(xxhash.Sum64String(group+"\x00"+c.Name)>>11) + 0.5) / spread
-	return -max(c.Weight, math.SmallestNonzeroFloat64) / math.Log(unit)
+	return -max(c.Share, math.SmallestNonzeroFloat64) / math.Log(unit)
 }
 
 // RankBits is how many bits of a fencing token hold the rank of its maker. The
@@ -43,3 +64,15 @@
 	term := max(uint64(max(unixMs, 0)), highest>>RankBits+1)
 	return term<<RankBits | xxhash.Sum64String(name)&(1<<RankBits-1)
 }
+
+// GroupSize is how many upstreams a group has at most when groups are made: one
+// owner of the smallest size carries them.
+const GroupSize = 24
+
+// GroupCount returns how many groups a number of upstreams is split into.
+func GroupCount(upstreams int) int { return max((upstreams+GroupSize-1)/GroupSize, 1) }
+
+// GroupIndex returns which of some groups an upstream belongs to.
+func GroupIndex(upstream string, groups int) int {
+	return int(xxhash.Sum64String(upstream) % uint64(max(groups, 1)))
+}
--- /dev/null
+++ b/membership/ownership_test.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+)
+
+func candidates(shares ...float64) []Candidate {
+	var list []Candidate
+	for i, s := range shares {
+		list = append(list, Candidate{fmt.Sprintf("i%d", i), s})
+	}
+	return list
+}
+
+func TestAssign(t *testing.T) {
+	groups := []string{"a/0", "a/1", "a/2", "a/3"}
+	owners := Assign(groups, candidates(0.8, 0.8, 0.19, 0.19, 0.19))
+	count := map[string]int{}
+	for _, o := range owners {
+		count[o]++
+	}
+	if count["i0"] != 2 || count["i1"] != 2 {
+		t.Errorf("the large instances own %v", count)
+	}
+	small := Assign(groups, candidates(0.8, 0.8, 0.19, 0.19, 0.19)[2:])
+	for _, g := range groups {
+		if small[g] == "" {
+			t.Errorf("%s has no owner without large instances", g)
+		}
+	}
+	if Assign(groups, nil) != nil {
+		t.Error("groups are assigned to nobody")
+	}
+}
+
+func TestNextToken(t *testing.T) {
+	first := NextToken(1000, 0, "a")
+	if second := NextToken(1000, first, "b"); second <= first {
+		t.Errorf("%d follows %d in the same millisecond", second, first)
+	}
+	if back := NextToken(10, first, "a"); back <= first {
+		t.Errorf("%d follows %d after the clock went back", back, first)
+	}
+	if NextToken(1000, 0, "a") == NextToken(1000, 0, "b") {
+		t.Error("two instances made the same token")
+	}
+}
+
+func TestGroupCount(t *testing.T) {
+	for upstreams, want := range map[int]int{0: 1, 1: 1, 16: 1, 24: 1, 25: 2, 88: 4, 2000: 84} {
+		if got := GroupCount(upstreams); got != want {
+			t.Errorf("%d upstreams make %d groups, not %d", upstreams, got, want)
+		}
+	}
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -25,6 +25,18 @@
 type Config struct {
 	SuspectMs int64
 	DeadMs    int64
+	// Zone is the availability zone of this instance. Peers of others speak
+	// less often, and may be silent AwayFactor times as long; 0 is 1.
+	Zone       string
+	AwayFactor int64
+}
+
+// allowance is how many times longer a peer may be silent.
+func (c *Config) allowance(zone string) int64 {
+	if zone == c.Zone {
+		return 1
+	}
+	return max(c.AwayFactor, 1)
 }
 
 // DefaultConfig fits heartbeats every half second.
@@ -151,7 +163,7 @@
 		if p.State == Listed || p.State == Dead {
 			continue
 		}
-		switch silent := now - p.heard; {
+		switch silent := (now - p.heard) / t.cfg.allowance(p.Zone); {
 		case silent >= t.cfg.DeadMs:
 			changes = append(changes, p.changeTo(Dead)...)
 		case silent >= t.cfg.SuspectMs && p.State == Alive:
--- a/node/follow.go
+++ b/node/follow.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/event"
@@ -154,7 +156,7 @@
 	for _, item := range items {
 		if item.Deleted {
 			delete(n.upstreams, platform.UpstreamID(item.Key))
-			delete(n.draining, platform.UpstreamID(item.Key))
+			delete(n.drainedAt, platform.UpstreamID(item.Key))
 			continue
 		}
 		u, err := platform.ParseUpstream(item.Key, item.Value)
@@ -162,9 +164,8 @@
 			event.EntryRefused.Log(n.log, slog.String("key", item.Key), slog.String("error", err.Error()))
 			continue
 		}
-		if u.Draining && !n.draining[u.ID] {
-			n.draining[u.ID] = true
-			event.UpstreamLeaving.Log(n.log, slog.String("upstream", u.ID), slog.String("from", "store"))
+		if u.Draining {
+			n.drains(u.ID, "store")
 		}
 		n.upstreams[u.ID] = u
 	}
@@ -172,6 +173,19 @@
 	n.updateGroups()
 }
 
+// drains notes that an upstream is leaving. It reports whether that is news. The
+// lock is held.
+func (n *Node) drains(id, from string) bool {
+	if _, known := n.drainedAt[id]; known {
+		return false
+	}
+	n.drainedAt[id] = time.Now()
+	if u, listed := n.upstreams[id]; listed && n.groups[n.groupOf(u)] != nil {
+		event.UpstreamLeaving.Log(n.log, slog.String("upstream", id), slog.String("from", from))
+	}
+	return true
+}
+
 // peerEntry is what an instance writes of itself into the store.
 type peerEntry struct {
 	Address string
@@ -184,7 +198,14 @@
 	known := map[string]membership.Listing{}
 	update := func(items []platform.Item) {
 		for _, item := range items {
-			name := item.Key[len(platform.PeerPrefix):]
+			if zone, isCount := strings.CutPrefix(item.Key, platform.GroupPrefix); isCount {
+				n.readCount(zone, item)
+				continue
+			}
+			name, isPeer := strings.CutPrefix(item.Key, platform.PeerPrefix)
+			if !isPeer {
+				continue
+			}
 			if item.Deleted {
 				delete(known, name)
 				continue
@@ -199,12 +220,24 @@
 		n.listPeers(known)
 	}
 	n.follow(follower{
-		prefix: platform.PeerPrefix, wait: peerWait, rest: noRest,
+		prefix: platform.OwnPrefix, wait: peerWait, rest: noRest,
 		replace: func(items []platform.Item) { clear(known); update(items) },
 		update:  update,
 	})
 }
 
+func (n *Node) readCount(zone string, item platform.Item) {
+	if item.Deleted {
+		return // it holds for the life of the system
+	}
+	groups, err := strconv.Atoi(string(item.Value))
+	if err != nil {
+		event.EntryRefused.Log(n.log, slog.String("key", item.Key), slog.String("error", err.Error()))
+		return
+	}
+	n.takeCount(zone, groups)
+}
+
 func (n *Node) listPeers(known map[string]membership.Listing) {
 	list := make([]membership.Listing, 0, len(known))
 	for name, l := range known {
--- a/node/node.go
+++ b/node/node.go
@@ -27,7 +27,6 @@
 	"github.com/sedgehatch/sedgehatch/logging"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/metrics"
-	"github.com/sedgehatch/sedgehatch/owner"
 	"github.com/sedgehatch/sedgehatch/platform"
 	"github.com/sedgehatch/sedgehatch/schedule"
 
@@ -43,8 +42,11 @@
 	// presenceEvery is how often peers hear of this instance, and joinEvery
 	// that while the upstreams of a group that it has just taken join.
 	presenceEvery = 100 * time.Millisecond
-	joinEvery     = 20 * time.Millisecond
-	joinTime      = 400 * time.Millisecond
+	// awayEvery is the same for peers of other availability zones, where
+	// bytes have a price.
+	awayEvery = 250 * time.Millisecond
+	joinEvery = 20 * time.Millisecond
+	joinTime  = 400 * time.Millisecond
 	// dialTimeout bounds opening a connection to a peer: a round trip takes
 	// about a millisecond, and a lost opening packet is tried again.
 	dialTimeout = 400 * time.Millisecond
@@ -57,7 +59,7 @@
 
 // silence bounds how long a peer may be silent: a job of an instance that is
 // lost must be stopped well before its customer sends it again.
-var silence = membership.Config{SuspectMs: 350, DeadMs: 600}
+var silence = membership.Config{SuspectMs: 350, DeadMs: 600, AwayFactor: 2}
 
 // Node is one instance.
 type Node struct {
@@ -92,17 +94,20 @@
 	heard     map[string]*inner.Presence // by instance
 	upstreams map[string]fleet.Upstream
 	listed    bool // the upstreams have been read once
-	draining  map[string]bool
-	groups    map[string]*owner.Group
+	groups    map[string]*held
 	highest   uint64          // fencing token heard of
 	dialing   map[string]bool // instances that are being connected to
 	absent    map[string]bool // instances where nothing listens
 	// registered are the instances that the store lists now.
 	registered map[string]bool
-	released   map[string][]string // upstreams let go in a planned stop, by group
-	alone      time.Time           // since when no peer is heard
-	taken      time.Time           // when the last group was taken
-	leaps      uint                // how often a token had to be raised beyond the time
+	alone      time.Time // since when no peer is heard
+	// groupCounts is how many groups each availability zone has.
+	groupCounts map[string]int
+	counting    bool                 // the number of groups is being written
+	drainedAt   map[string]time.Time // when an upstream was first known to drain
+	toldAway    time.Time            // when peers of other zones heard last
+	taken       time.Time            // when the last group was taken
+	leaps       uint                 // how often a token had to be raised beyond the time
 }
 
 // New makes an instance and its listeners. Run starts it.
@@ -116,6 +121,12 @@
 	return do.Invoke[*Node](injector)
 }
 
+func newTable(zone string) *membership.Table {
+	cfg := silence
+	cfg.Zone = zone
+	return membership.NewTable(cfg)
+}
+
 func newStore(i do.Injector) (*platform.Store, error) {
 	counters := do.MustInvoke[*metrics.Set](i)
 	return platform.NewStore(do.MustInvoke[fleet.Instance](i).StoreAddress, func(kind string, status int, took time.Duration) {
@@ -133,8 +144,8 @@
 		in: in, self: fate.Incarnation(in.Name + "." + uuid.NewString()[:8]), log: do.MustInvoke[*slog.Logger](i),
 		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(),
 		began: time.Now(),
-		table: membership.NewTable(silence), heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
-		draining: map[string]bool{}, groups: map[string]*owner.Group{}, dialing: map[string]bool{}, absent: map[string]bool{}, registered: map[string]bool{}, released: map[string][]string{},
+		table: newTable(in.Zone), heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
+		groups: map[string]*held{}, dialing: map[string]bool{}, absent: map[string]bool{}, registered: map[string]bool{}, groupCounts: map[string]int{}, drainedAt: map[string]time.Time{},
 	}
 	n.decisions = newDecisionLog(n.log)
 	n.stop, n.cancel = context.WithCancel(context.Background())
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
 )
 
@@ -56,7 +57,7 @@
 		})
 	}
 	in.until("every zone has an owner", func() bool {
-		return len(in.nodes[instances[0]].router.Loads()) == len(zones)
+		return len(in.nodes[instances[0]].router.Loads()) == len(zones)*membership.GroupCount(upstreamsPerZone)
 	})
 	return in
 }
@@ -295,7 +296,7 @@
 // instance takes the upstreams over, and no task has two runs at once.
 func TestOwnerKilled(t *testing.T) {
 	in := newInstallation(t, []string{"a"}, 2, "a-1", "a-2")
-	owner := in.owner("a")
+	owner := in.owner("a/0")
 	id := in.newID()
 	lost := in.background(in.other(owner), id, 4, 500)
 	in.until("the job runs", func() bool { return in.ledger.Runs(id) })
@@ -303,7 +304,7 @@
 	if status := <-lost; status != http.StatusGatewayTimeout {
 		t.Errorf("the job of the lost owner was answered %d", status)
 	}
-	left := in.owner("a")
+	left := in.owner("a/0")
 	if status, body := in.submit(left, id, 4, 20); status != http.StatusOK {
 		t.Errorf("the same job again: %d %q", status, body)
 	}
@@ -313,7 +314,7 @@
 // stopped long before its customer sends the job again.
 func TestCoordinatorKilled(t *testing.T) {
 	in := newInstallation(t, []string{"a"}, 2, "a-1", "a-2")
-	owner := in.owner("a")
+	owner := in.owner("a/0")
 	coordinator := in.other(owner)
 	id := in.newID()
 	cut := in.background(coordinator, id, 4, 5000)
@@ -400,8 +401,8 @@
 			in := newInstallation(t, []string{"a"}, 2, "a-1", "a-2")
 			in.store.SetTrouble(trouble, 0)
 			in.want("a-1", 2, 20)
-			in.kill(in.owner("a"))
-			left := in.owner("a")
+			in.kill(in.owner("a/0"))
+			left := in.owner("a/0")
 			in.want(left, 2, 20)
 			in.store.SetTrouble(standin.Fine, 0)
 			in.configure(2, "/checks/", "/more/")
@@ -467,7 +468,7 @@
 // and the other instance owns the zone afterwards.
 func TestPlannedStop(t *testing.T) {
 	in := newInstallation(t, []string{"a"}, 3, "a-1", "a-2")
-	owner := in.owner("a")
+	owner := in.owner("a/0")
 	other := in.other(owner)
 	var running []<-chan int
 	for _, name := range []string{owner, other} {
@@ -498,13 +499,13 @@
 	in := newInstallation(t, []string{"a"}, 1, "a-1")
 	n := in.nodes["a-1"]
 	n.mu.Lock()
-	token := n.groups["a"].Token
+	token := n.groups["a/0"].Token
 	n.mu.Unlock()
 	in.upstreams[0].Change(func(c *standin.Core) { c.Hold(time.Now(), fleet.HoldOrder{Token: token + 1}) })
 	in.until("the group is owned under a higher token", func() bool {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		return n.groups["a"] != nil && n.groups["a"].Token > token
+		return n.groups["a/0"] != nil && n.groups["a/0"].Token > token
 	})
 	in.until("work is done again", func() bool { status, _ := in.submit("a-1", in.newID(), 1, 10); return status == http.StatusOK })
 }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -4,38 +4,70 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/platform"
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
-// groupOf names the group of an upstream: those of one availability zone have
-// one owner.
-func groupOf(u fleet.Upstream) string { return u.Zone }
+// held is a group that this instance owns.
+type held struct {
+	*owner.Group
+	since time.Time
+	// handing is set while the group goes to a better owner. The upstreams
+	// that were let go already are in released.
+	handing  bool
+	released []string
+}
+
+// groupName names one group of an availability zone.
+func groupName(zone string, index int) string { return zone + "/" + strconv.Itoa(index) }
 
 // zoneOf returns the availability zone of a group.
-func zoneOf(group string) string { return group }
+func zoneOf(group string) string { return group[:strings.LastIndexByte(group, '/')] }
+
+// groupOf returns the group of an upstream, "" before the number of groups of
+// its availability zone is known. The lock is held.
+func (n *Node) groupOf(u fleet.Upstream) string {
+	count := n.groupCounts[u.Zone]
+	if count == 0 {
+		return ""
+	}
+	return groupName(u.Zone, membership.GroupIndex(u.ID, count))
+}
+
+// zoneGroups returns the groups of the own availability zone. The lock is held.
+func (n *Node) zoneGroups() []string {
+	var groups []string
+	for i := range n.groupCounts[n.in.Zone] {
+		groups = append(groups, groupName(n.in.Zone, i))
+	}
+	return groups
+}
 
 // ownedGroups returns the groups that this instance owns, by name. The lock is
 // held.
-func (n *Node) ownedGroups() []*owner.Group {
-	return slices.SortedFunc(maps.Values(n.groups), func(a, b *owner.Group) int { return strings.Compare(a.Name, b.Name) })
+func (n *Node) ownedGroups() []*held {
+	return slices.SortedFunc(maps.Values(n.groups), func(a, b *held) int { return strings.Compare(a.Name, b.Name) })
 }
 
 // membersOf returns the upstreams of a group that this instance may own: while
-// a leaving peer empties the group, those that it has let go. The lock is held.
+// a peer hands the group over, those that it has let go. The lock is held.
 func (n *Node) membersOf(group string) []fleet.Upstream {
-	_, leaving := n.claimOf(group, membership.Leaving)
+	_, leaving := n.claimOf(group, true)
 	var list []fleet.Upstream
 	for _, u := range n.upstreams {
-		if groupOf(u) == group && (leaving == nil || slices.Contains(leaving.GetReleased(), u.ID)) {
-			u.Draining = u.Draining || n.draining[u.ID]
+		if n.groupOf(u) == group && (leaving == nil || slices.Contains(leaving.GetReleased(), u.ID)) {
+			_, draining := n.drainedAt[u.ID]
+			u.Draining = u.Draining || draining
 			list = append(list, u)
 		}
 	}
@@ -46,7 +78,7 @@
 // updateGroups gives each owned group its upstreams.
 func (n *Node) updateGroups() {
 	n.mu.Lock()
-	members := map[*owner.Group][]fleet.Upstream{}
+	members := map[*held][]fleet.Upstream{}
 	for _, g := range n.groups {
 		members[g] = n.membersOf(g.Name)
 	}
@@ -56,25 +88,94 @@
 	}
 }
 
+// claimOf returns the live peer that owns a group, with the highest token, if
+// any does: one that keeps it, or one that hands it over. The lock is held.
+func (n *Node) claimOf(group string, leaving bool) (string, *inner.Claim) {
+	var best *inner.Claim
+	name := ""
+	for _, p := range n.table.Peers() {
+		if p.State == membership.Dead || p.State == membership.Listed {
+			continue
+		}
+		for _, c := range n.heard[p.Instance].GetClaims() {
+			if c.GetGroup() == group && c.GetLeaving() == leaving && (best == nil || c.GetToken() > best.GetToken()) {
+				best, name = c, p.Instance
+			}
+		}
+	}
+	return name, best
+}
+
 // reconsider takes and gives up groups as peers come and go.
 func (n *Node) reconsider() {
+	n.countGroups()
 	n.yieldGroups()
 	n.dropFenced()
+	n.handBack()
 	n.releaseGroups() // the beat that follows tells peers
 	n.takeGroups()
 }
 
+// listingTime is how long the upstreams take to enter themselves into the store
+// at the first start of the whole system.
+const listingTime = 1500 * time.Millisecond
+
+// countGroups settles how many groups the own availability zone has, once and
+// for all instances, through the store.
+func (n *Node) countGroups() {
+	n.mu.Lock()
+	known := n.groupCounts[n.in.Zone] > 0
+	early := n.in.FirstStart && time.Since(n.began) < listingTime
+	wait := known || early || n.counting || !n.listed
+	count := 0
+	for _, u := range n.upstreams {
+		if u.Zone == n.in.Zone {
+			count++
+		}
+	}
+	if wait || count == 0 {
+		n.mu.Unlock()
+		return
+	}
+	n.counting = true
+	n.mu.Unlock()
+	go n.createCount(membership.GroupCount(count))
+}
+
+func (n *Node) createCount(groups int) {
+	err := n.store.Create(platform.GroupPrefix+n.in.Zone, []byte(strconv.Itoa(groups)))
+	if err == nil {
+		n.takeCount(n.in.Zone, groups)
+	} else if !failure.Is(err, failure.Conflict) { // where it is there already, the watch tells
+		event.RegisterFailed.Log(n.log, slog.String("what", "number of groups"), slog.String("error", err.Error()))
+	}
+	n.pause(firstRetry)
+	n.mu.Lock()
+	n.counting = false
+	n.mu.Unlock()
+}
+
+// takeCount learns the number of groups of an availability zone.
+func (n *Node) takeCount(zone string, groups int) {
+	n.mu.Lock()
+	known := n.groupCounts[zone] > 0
+	if !known && groups > 0 {
+		n.groupCounts[zone] = groups
+	}
+	n.mu.Unlock()
+}
+
 // yieldGroups gives up groups that a peer owns under a higher token: upstreams
 // do not listen to this instance any more.
 func (n *Node) yieldGroups() {
-	var yielded []*owner.Group
+	var yielded []*held
 	n.mu.Lock()
 	for name, g := range n.groups {
-		if n.leaving.Load() {
-			break // another takes what this instance has let go
+		if n.leaving.Load() || g.handing {
+			continue // another takes what this instance has let go
 		}
-		peer, claim := n.claimOf(name, membership.Alive, membership.Suspect)
-		if claim != nil && claim.GetToken() > g.Token {
+		peer, claim := n.claimOf(name, false)
+		if claim.GetToken() > g.Token {
 			event.GroupLost.Log(n.log, slog.String("group", name), slog.Uint64("token", g.Token),
 				slog.Uint64("higher_token", claim.GetToken()), slog.String("to", peer))
 			delete(n.groups, name)
@@ -94,7 +195,7 @@
 // claims. They may be taken again, under a token above it, once two holders
 // cannot be taking turns.
 func (n *Node) dropFenced() {
-	var dropped []*owner.Group
+	var dropped []*held
 	n.mu.Lock()
 	for _, g := range n.ownedGroups() {
 		since := g.FencedAt()
@@ -121,6 +222,59 @@
 	maxLeaps  = 8
 )
 
+const (
+	// handBackAfter is how long a group is kept at least: two holders must
+	// not take turns, and each change costs some room for a moment.
+	handBackAfter = 5 * time.Second
+	// muchLarger is how many times the share of a processor another owner
+	// must have to be worth a change.
+	muchLarger = 2
+)
+
+// handBack begins to hand one group over to an instance that is much larger, or
+// that owns fewer, if it should own it.
+func (n *Node) handBack() {
+	if n.leaving.Load() {
+		return
+	}
+	n.mu.Lock()
+	var given *held
+	owners := membership.Assign(n.zoneGroups(), n.candidates())
+	for _, g := range n.ownedGroups() {
+		if g.handing {
+			n.mu.Unlock()
+			return // one at a time
+		}
+		to := owners[g.Name]
+		if given == nil && to != "" && to != n.in.Name && time.Since(g.since) > handBackAfter && n.betterOwner(to, owners) {
+			given = g
+		}
+	}
+	if given != nil {
+		given.handing = true
+		event.GroupHanded.Log(n.log, slog.String("group", given.Name), slog.Uint64("token", given.Token), slog.String("to", owners[given.Name]))
+	}
+	n.mu.Unlock()
+	if given != nil {
+		given.Drain()
+	}
+}
+
+// betterOwner reports whether handing a group to a peer is worth the change. The
+// lock is held.
+func (n *Node) betterOwner(peer string, owners map[string]string) bool {
+	if n.heard[peer].GetShare() >= muchLarger*n.in.CPUShare {
+		return true
+	}
+	fair := 0
+	for _, o := range owners {
+		if o == n.in.Name {
+			fair++
+		}
+	}
+	return len(n.groups) > fair && len(n.heard[peer].GetClaims()) < len(n.groups)
+}
+
 // release lets go of upstreams in a planned stop, and tells peers at once.
 func (n *Node) release() {
 	if n.releaseGroups() > 0 {
@@ -128,21 +282,21 @@
 	}
 }
 
-// releaseGroups lets go of drained upstreams and groups in a planned stop, and
-// returns how many upstreams it let go.
+// releaseGroups lets go of drained upstreams and groups, and returns how many
+// upstreams it let go.
 func (n *Node) releaseGroups() int {
-	if !n.leaving.Load() {
-		return 0
-	}
 	count := 0
 	n.mu.Lock()
 	groups := n.ownedGroups()
 	n.mu.Unlock()
 	for _, g := range groups {
+		if !g.handing && !n.leaving.Load() {
+			continue
+		}
 		released := g.Release()
 		count += len(released)
 		n.mu.Lock()
-		n.released[g.Name] = append(n.released[g.Name], released...)
+		g.released = append(g.released, released...)
 		n.mu.Unlock()
 		if !g.Idle() {
 			continue
@@ -156,40 +310,22 @@
 	return count
 }
 
-// claimOf returns the peer in one of some states that owns a group, with the
-// highest token, if any does. The lock is held.
-func (n *Node) claimOf(group string, states ...membership.State) (string, *inner.Claim) {
-	var best *inner.Claim
-	name := ""
-	for _, p := range n.table.Peers() {
-		if !slices.Contains(states, p.State) {
-			continue
-		}
-		for _, c := range n.heard[p.Instance].GetClaims() {
-			if c.GetGroup() == group && (best == nil || c.GetToken() > best.GetToken()) {
-				best, name = c, p.Instance
-			}
-		}
-	}
-	return name, best
-}
-
 // takeGroups takes the groups of the own availability zone that nobody owns and
-// for which this instance is preferred.
+// that this instance should own.
 func (n *Node) takeGroups() {
 	if n.leaving.Load() || n.stop.Err() != nil {
 		return
 	}
 	n.mu.Lock()
-	group := n.in.Zone
-	taken := n.settled() && n.canTake(group)
-	var g *owner.Group
-	if taken {
-		n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
-		g = owner.NewGroup(group, schedule.DefaultConfig, n.highest, n.calls, n)
-		n.groups[group] = g
-		n.taken = time.Now()
-		event.GroupTaken.Log(n.log, slog.String("group", group), slog.Uint64("token", g.Token), slog.Int("upstreams", len(n.membersOf(group))))
+	taken := false
+	if n.settled() && !n.isolated() {
+		owners := membership.Assign(n.zoneGroups(), n.candidates())
+		for group, name := range owners {
+			if name == n.in.Name && n.canTake(group) {
+				n.take(group)
+				taken = true
+			}
+		}
 	}
 	n.mu.Unlock()
 	if taken {
@@ -198,6 +334,15 @@
 	}
 }
 
+// take begins to own a group. The lock is held.
+func (n *Node) take(group string) {
+	n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
+	n.groups[group] = &held{Group: owner.NewGroup(group, schedule.DefaultConfig, n.highest, n.calls, n), since: time.Now()}
+	n.taken = time.Now()
+	event.GroupTaken.Log(n.log, slog.String("group", group), slog.Uint64("token", n.highest),
+		slog.Int("upstreams", len(n.membersOf(group))), slog.Int("candidates", len(n.candidates())))
+}
+
 // settled reports whether this instance has heard enough to take a group: from
 // every instance of its availability zone that is listed and runs. The lock is
 // held.
@@ -214,16 +359,13 @@
 	return len(peers) > 0
 }
 
-// canTake reports whether this instance should take a group now. The lock is
-// held.
+// canTake reports whether a group is free. The lock is held.
 func (n *Node) canTake(group string) bool {
 	if n.groups[group] != nil || !n.listed || len(n.membersOf(group)) == 0 {
 		return false
 	}
-	if _, claim := n.claimOf(group, membership.Alive, membership.Suspect); claim != nil || n.isolated() {
-		return false
-	}
-	return membership.Preferred(group, n.candidates()) == n.in.Name
+	_, claim := n.claimOf(group, false)
+	return claim == nil
 }
 
 // isolatedLimit bounds how long an isolated instance leaves its availability
@@ -257,10 +399,10 @@
 // candidates returns the instances of the own availability zone that may own
 // groups. The lock is held.
 func (n *Node) candidates() []membership.Candidate {
-	list := []membership.Candidate{{Name: n.in.Name, Weight: 1}}
+	list := []membership.Candidate{{Name: n.in.Name, Share: n.in.CPUShare}}
 	for _, p := range n.table.Peers() {
 		if p.Zone == n.in.Zone && p.State == membership.Alive {
-			list = append(list, membership.Candidate{Name: p.Instance, Weight: 1})
+			list = append(list, membership.Candidate{Name: p.Instance, Share: n.heard[p.Instance].GetShare()})
 		}
 	}
 	return list
--- a/node/peers.go
+++ b/node/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +10,8 @@
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
+
+	"github.com/samber/lo"
 )
 
 // beat tells peers of this instance, and lets time pass for what it believes
@@ -41,41 +42,60 @@
 // nowMs is a steady clock, in milliseconds.
 func (n *Node) nowMs() int64 { return time.Since(n.began).Milliseconds() }
 
+// tellDrains is how long a drain is passed on: every peer has heard of it then,
+// or reads it in the store.
+const tellDrains = 3 * time.Second
+
 // presence is what peers hear of this instance.
 func (n *Node) presence() *inner.Presence {
 	n.mu.Lock()
 	groups := n.ownedGroups()
 	p := &inner.Presence{
-		Leaving: n.leaving.Load(), HighestToken: n.highest, Draining: slices.Sorted(maps.Keys(n.draining)),
+		Leaving: n.leaving.Load(), HighestToken: n.highest, Share: n.in.CPUShare,
+		GroupCounts: lo.MapValues(n.groupCounts, func(count int, _ string) uint32 { return uint32(count) }),
+	}
+	for id, at := range n.drainedAt {
+		if time.Since(at) < tellDrains {
+			p.Draining = append(p.Draining, id)
+		}
 	}
 	n.mu.Unlock()
 	if c := n.config.Load(); c != nil {
 		p.ConfigVersion = c.Version
 	}
 	for _, g := range groups {
-		c := claimFrom(g)
+		c := claimFor(g.Group, g.Load())
 		n.mu.Lock()
-		c.Released = slices.Clone(n.released[g.Name])
+		c.Leaving = g.handing || p.Leaving
+		c.Released = slices.Clone(g.released)
 		n.mu.Unlock()
 		p.Claims = append(p.Claims, c)
 	}
 	return p
 }
 
+// tellPeers sends the presence of this instance to all peers that are due.
 func (n *Node) tellPeers() {
 	frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
 	n.mu.Lock()
 	peers := n.table.Peers()
+	joining := time.Since(n.taken) < joinTime
+	away := time.Since(n.toldAway) >= awayEvery || joining || n.leaving.Load()
+	if away {
+		n.toldAway = time.Now()
+	}
 	n.mu.Unlock()
-	known := len(peers) > 0
 	for _, p := range peers {
-		if p.State == membership.Alive || p.State == membership.Suspect || p.State == membership.Leaving {
-			_ = n.mesh.Post(p.Incarnation, frame) // silence is noticed at the other end
-			continue
+		switch p.State {
+		case membership.Alive, membership.Suspect, membership.Leaving:
+			if away || p.Zone == n.in.Zone {
+				_ = n.mesh.Post(p.Incarnation, frame) // silence is noticed at the other end
+			}
+		default:
+			n.introduce(p.Instance)
 		}
-		n.introduce(p.Instance)
 	}
-	if !known && time.Since(n.began) > seedAfter {
+	if len(peers) == 0 && time.Since(n.began) > seedAfter {
 		n.trySeeds()
 	}
 }
@@ -187,10 +207,11 @@
 	n.highest = max(n.highest, p.GetHighestToken())
 	leaving := false
 	for _, id := range p.GetDraining() {
-		if !n.draining[id] {
-			n.draining[id] = true
-			leaving = true
-			event.UpstreamLeaving.Log(n.log, slog.String("upstream", id), slog.String("from", from.Instance()))
+		leaving = n.drains(id, from.Instance()) || leaving
+	}
+	for zone, count := range p.GetGroupCounts() {
+		if n.groupCounts[zone] == 0 && count > 0 {
+			n.groupCounts[zone] = int(count)
 		}
 	}
 	n.mu.Unlock()
@@ -211,7 +232,7 @@
 // claimsChanged reports whether groups, or upstreams of them, changed hands.
 func claimsChanged(before, now []*inner.Claim) bool {
 	return !slices.EqualFunc(before, now, func(a, b *inner.Claim) bool {
-		return a.GetGroup() == b.GetGroup() && a.GetToken() == b.GetToken() && len(a.GetReleased()) == len(b.GetReleased())
+		return a.GetGroup() == b.GetGroup() && a.GetToken() == b.GetToken() && a.GetLeaving() == b.GetLeaving() && len(a.GetReleased()) == len(b.GetReleased())
 	})
 }
 
--- a/node/router.go
+++ b/node/router.go
@@ -49,28 +49,33 @@
 	return &router{n: n, views: map[string]*view{}, sent: map[offerKey]owner.Answer{}}
 }
 
-func (r *router) group(name string) *owner.Group {
+// group returns a group that this instance owns, and whether it takes offers.
+func (r *router) group(name string) (g *owner.Group, open bool) {
 	r.n.mu.Lock()
 	defer r.n.mu.Unlock()
-	return r.n.groups[name]
+	h := r.n.groups[name]
+	if h == nil {
+		return nil, false
+	}
+	return h.Group, !h.handing && !r.n.leaving.Load()
 }
 
 // Loads implements ingress.Owners.
 func (r *router) Loads() []ingress.OwnerLoad {
 	r.n.mu.Lock()
-	own := r.n.ownedGroups()
+	var own []*held
+	if !r.n.leaving.Load() {
+		own = slices.DeleteFunc(r.n.ownedGroups(), func(g *held) bool { return g.handing })
+	}
 	r.n.mu.Unlock()
 	var loads []ingress.OwnerLoad
-	leaving := r.n.leaving.Load()
 	for _, g := range own {
-		if !leaving {
-			loads = append(loads, loadOf(g.Name, g.Load()))
-		}
+		loads = append(loads, loadOf(g.Name, g.Load()))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for group, v := range r.views {
-		if !leaving && slices.ContainsFunc(own, func(g *owner.Group) bool { return g.Name == group }) {
+		if slices.ContainsFunc(own, func(g *held) bool { return g.Name == group }) {
 			continue
 		}
 		l := v.load
@@ -98,9 +103,9 @@
 	defer r.mu.Unlock()
 	claimed := map[string]bool{}
 	for _, c := range p.GetClaims() {
-		claimed[c.GetGroup()] = !p.GetLeaving()
+		claimed[c.GetGroup()] = !c.GetLeaving()
 		v := r.views[c.GetGroup()]
-		if p.GetLeaving() || v != nil && v.token > c.GetToken() {
+		if c.GetLeaving() || v != nil && v.token > c.GetToken() {
 			continue
 		}
 		r.views[c.GetGroup()] = &view{from, c.GetToken(), loadOf(c.GetGroup(), loadFrom(c)), time.Now()}
@@ -125,7 +130,7 @@
 
 // Offer implements ingress.Owners.
 func (r *router) Offer(group string, o schedule.Offer, answer owner.Answer) error {
-	if g := r.group(group); g != nil && !r.n.leaving.Load() {
+	if g, open := r.group(group); open {
 		o.Key.Coordinator = string(r.n.self)
 		return g.Offer(o, answer)
 	}
@@ -203,7 +208,7 @@
 // Withdraw implements ingress.Owners.
 func (r *router) Withdraw(group string, key schedule.JobKey, reason string) {
 	if _, remote := r.take(offerKey{group, key}); !remote {
-		if g := r.group(group); g != nil {
+		if g, _ := r.group(group); g != nil {
 			key.Coordinator = string(r.n.self)
 			g.Withdraw(key, reason)
 		}
@@ -230,7 +235,7 @@
 
 // takeOffer takes the offer of a peer.
 func (r *router) takeOffer(link inner.Link, from fate.Incarnation, m *inner.Offer, reply func(*inner.Frame)) {
-	g := r.group(m.GetGroup())
+	g, _ := r.group(m.GetGroup())
 	if g == nil {
 		reply(&inner.Frame{Body: &inner.Frame_Problem{Problem: inner.FromError(failure.Stopping.New("group %s is not owned here", m.GetGroup()))}})
 		return
@@ -249,7 +254,7 @@
 }
 
 func (r *router) takeWithdrawn(link inner.Link, from fate.Incarnation, m *inner.OfferWithdrawn) {
-	if g := r.group(m.GetGroup()); g != nil {
+	if g, _ := r.group(m.GetGroup()); g != nil {
 		g.Withdraw(schedule.JobKey{Coordinator: coordinatorOf(link, from), ID: m.GetJob(), Part: int(m.GetPart())}, m.GetReason())
 	}
 }
@@ -265,9 +270,8 @@
 	}
 }
 
-func claimFrom(g *owner.Group) *inner.Claim { return claimOf(g, g.Load()) }
-
-func claimOf(g *owner.Group, l schedule.Load) *inner.Claim {
+// claimFor words the ownership of a group, and its load.
+func claimFor(g *owner.Group, l schedule.Load) *inner.Claim {
 	return &inner.Claim{Group: g.Name, Token: g.Token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity}
 }
 
@@ -283,13 +287,13 @@
 
 func returnedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
 	return &inner.Frame{Body: &inner.Frame_OfferReturned{OfferReturned: &inner.OfferReturned{
-		Group: g.Name, Job: r.Key.ID, Part: uint32(r.Key.Part), Tasks: fromInts(r.Returned), Load: claimOf(g, l),
+		Group: g.Name, Job: r.Key.ID, Part: uint32(r.Key.Part), Tasks: fromInts(r.Returned), Load: claimFor(g, l),
 	}}}
 }
 
 func endedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
 	return &inner.Frame{Body: &inner.Frame_OfferEnded{OfferEnded: &inner.OfferEnded{
-		Outcome: string(r.Outcome), Done: fromInts(r.Done), Returned: fromInts(r.Returned), Begun: r.Begun, Load: claimOf(g, l),
+		Outcome: string(r.Outcome), Done: fromInts(r.Done), Returned: fromInts(r.Returned), Begun: r.Begun, Load: claimFor(g, l),
 	}}}
 }
 
