--- /dev/null
+++ b/ingress/ingress_test.go
@@ -0,0 +1,189 @@
+package ingress
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/schedule"
+)
+
+func TestChoose(t *testing.T) {
+	load := func(group string, free, waiting int) OwnerLoad {
+		return OwnerLoad{Group: group, Zone: group[:1], Free: free, Waiting: waiting, Capacity: 100}
+	}
+	for name, c := range map[string]struct {
+		loads []OwnerLoad
+		tried []string
+		want  Choice
+		found bool
+	}{
+		"nobody":             {nil, nil, Choice{}, false},
+		"own zone first":     {[]OwnerLoad{load("a/0", 1, 0), load("b/0", 9, 0)}, nil, Choice{Group: "a/0"}, true},
+		"most room away":     {[]OwnerLoad{load("a/0", 0, 3), load("b/0", 2, 0), load("c/0", 5, 0)}, nil, Choice{Group: "c/0"}, true},
+		"not the same again": {[]OwnerLoad{load("a/0", 5, 0), load("b/0", 2, 0)}, []string{"a/0"}, Choice{Group: "b/0"}, true},
+		"shortest queue":     {[]OwnerLoad{load("a/0", 0, 9), load("b/0", 0, 3)}, nil, Choice{Group: "b/0", Queue: true}, true},
+		"own queue is near":  {[]OwnerLoad{load("a/0", 0, 4), load("b/0", 0, 3)}, nil, Choice{Group: "a/0", Queue: true}, true},
+		"no upstreams":       {[]OwnerLoad{{Group: "a/0", Zone: "a"}}, nil, Choice{}, false},
+	} {
+		tried := map[string]bool{}
+		for _, g := range c.tried {
+			tried[g] = true
+		}
+		if got, found := choose(c.loads, "a", tried); got != c.want || found != c.found {
+			t.Errorf("%s: %+v %v, want %+v %v", name, got, found, c.want, c.found)
+		}
+	}
+}
+
+// owners is a fleet that does as each test scripts it.
+type owners struct {
+	mu        sync.Mutex
+	loads     []OwnerLoad
+	offer     func(group string, o schedule.Offer, answer owner.Answer) error
+	withdrawn []schedule.JobKey
+}
+
+func (f *owners) Loads() []OwnerLoad {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loads
+}
+
+func (f *owners) Offer(group string, o schedule.Offer, answer owner.Answer) error {
+	return f.offer(group, o, answer)
+}
+
+func (f *owners) Withdraw(_ string, key schedule.JobKey, _ string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.withdrawn = append(f.withdrawn, key)
+}
+
+func request(tasks int) Request {
+	return Request{
+		Job:      &fleet.Job{ID: "0000000000000001", Ephemeral: true, Steps: []fleet.Step{{Count: tasks, Estimate: 10 * time.Millisecond}}},
+		Route:    &fleet.Route{Name: "r", Stretch: 1.6, Slack: 20 * time.Millisecond, MaxAttempts: 2},
+		Patience: time.Minute,
+	}
+}
+
+func twoZones() []OwnerLoad {
+	return []OwnerLoad{{Group: "a/0", Zone: "a", Free: 2, Capacity: 9}, {Group: "b/0", Zone: "b", Free: 2, Capacity: 9}}
+}
+
+func end(answer owner.Answer, r schedule.Result) { answer.Ended(r, schedule.Load{}) }
+
+// TestRun runs a job against owners that answer in each way.
+func TestRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		loads []OwnerLoad
+		offer func(group string, o schedule.Offer, answer owner.Answer) error
+		want  Verdict
+		begun bool
+	}{
+		"done at once": {twoZones(), func(_ string, o schedule.Offer, a owner.Answer) error {
+			end(a, schedule.Result{Outcome: schedule.Completed, Done: o.Tasks, Begun: true})
+			return nil
+		}, Completed, true},
+		"half elsewhere": {twoZones(), func(group string, o schedule.Offer, a owner.Answer) error {
+			if group == "a/0" {
+				a.Returned(schedule.Result{Returned: o.Tasks[1:]}, schedule.Load{})
+				end(a, schedule.Result{Outcome: schedule.Completed, Done: o.Tasks[:1], Begun: true})
+				return nil
+			}
+			end(a, schedule.Result{Outcome: schedule.Completed, Done: o.Tasks, Begun: true})
+			return nil
+		}, Completed, true},
+		"the return overtaken by the end": {twoZones(), func(group string, o schedule.Offer, a owner.Answer) error {
+			if group == "a/0" {
+				end(a, schedule.Result{Outcome: schedule.Completed, Done: o.Tasks[:1], Begun: true})
+				return nil
+			}
+			end(a, schedule.Result{Outcome: schedule.Completed, Done: o.Tasks, Begun: true})
+			return nil
+		}, Completed, true},
+		"a task fails": {twoZones(), func(_ string, o schedule.Offer, a owner.Answer) error {
+			end(a, schedule.Result{Outcome: schedule.Failed, Begun: true})
+			return nil
+		}, Failed, true},
+		"the owner is lost": {twoZones(), func(_ string, o schedule.Offer, a owner.Answer) error {
+			end(a, schedule.Result{Outcome: schedule.Unknown, Begun: true})
+			return nil
+		}, Unknown, true},
+		"expired before it began": {twoZones(), func(_ string, o schedule.Offer, a owner.Answer) error {
+			end(a, schedule.Result{Outcome: schedule.Expired, Returned: o.Tasks})
+			return nil
+		}, NotRun, false},
+		"expired after it began": {twoZones(), func(_ string, o schedule.Offer, a owner.Answer) error {
+			end(a, schedule.Result{Outcome: schedule.Expired, Begun: true})
+			return nil
+		}, Unknown, true},
+		"too large for all": {twoZones(), func(_ string, o schedule.Offer, a owner.Answer) error {
+			end(a, schedule.Result{Outcome: schedule.NeverFits, Returned: o.Tasks})
+			return nil
+		}, Failed, false},
+		"too large for one, the other cannot be reached": {twoZones(), func(group string, o schedule.Offer, a owner.Answer) error {
+			if group == "b/0" {
+				return failure.Unreachable.New("cut")
+			}
+			end(a, schedule.Result{Outcome: schedule.NeverFits, Returned: o.Tasks})
+			return nil
+		}, NotRun, false},
+		"nobody": {nil, nil, NotRun, false},
+		"nobody can be reached": {twoZones(), func(string, schedule.Offer, owner.Answer) error {
+			return failure.Unreachable.New("cut")
+		}, NotRun, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			coordinator := NewCoordinator("a", &owners{loads: c.loads, offer: c.offer})
+			a := coordinator.Run(request(3), nil)
+			if a.Verdict != c.want || a.Begun != c.begun {
+				t.Errorf("%+v, want %s, begun %v", a, c.want, c.begun)
+			}
+			if coordinator.Open() != 0 {
+				t.Error("the job stays open")
+			}
+		})
+	}
+}
+
+// TestCustomerGone withdraws what is offered when the customer leaves, and not
+// when the same job has been sent again here.
+func TestCustomerGone(t *testing.T) {
+	offered := make(chan owner.Answer, 1)
+	f := &owners{loads: twoZones(), offer: func(_ string, _ schedule.Offer, a owner.Answer) error { offered <- a; return nil }}
+	c := NewCoordinator("a", f)
+	left := make(chan struct{})
+	verdict := make(chan Answered, 1)
+	go func() { verdict <- c.Run(request(1), left) }()
+	<-offered
+	if state, open := c.State("0000000000000001"); !open || state != fleet.StateRunning {
+		t.Errorf("the job is %s, open %v", state, open)
+	}
+	close(left)
+	if a := <-verdict; a.Verdict != Left {
+		t.Errorf("%+v", a)
+	}
+	if len(f.withdrawn) != 1 {
+		t.Errorf("%d offers were withdrawn", len(f.withdrawn))
+	}
+}
+
+func TestCancel(t *testing.T) {
+	offered := make(chan struct{}, 1)
+	f := &owners{loads: twoZones(), offer: func(string, schedule.Offer, owner.Answer) error { offered <- struct{}{}; return nil }}
+	c := NewCoordinator("a", f)
+	verdict := make(chan Answered, 1)
+	go func() { verdict <- c.Run(request(1), nil) }()
+	<-offered
+	if !c.Cancel("0000000000000001") || c.Cancel("0000000000000002") {
+		t.Error("only the open job can be cancelled")
+	}
+	if a := <-verdict; a.Verdict != Failed || len(f.withdrawn) != 1 {
+		t.Errorf("%+v, %d withdrawn", a, len(f.withdrawn))
+	}
+}
