--- /dev/null
+++ b/cli/soak.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/soak"
+
+	"github.com/urfave/cli/v3"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run the daemon as processes against an emulated platform, inject faults, check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "daemon", Usage: "the `PROGRAM` to run", Value: "target/sedgehatchd"},
+			&cli.Uint64Flag{Name: "seed", Usage: "the first seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "how many seeds, one after the other", Value: 1},
+			&cli.DurationFlag{Name: "length", Usage: "how long faults are injected for each seed", Value: 20 * time.Second},
+			&cli.IntFlag{Name: "zones", Value: 2, Usage: "availability zones"},
+			&cli.IntFlag{Name: "instances", Value: 3, Usage: "instances of each zone"},
+			&cli.IntFlag{Name: "upstreams", Value: 4, Usage: "upstreams of each zone"},
+			&cli.IntFlag{Name: "customers", Value: 12, Usage: "customers that send one job after the other"},
+			&cli.StringFlag{Name: "keep", Usage: "a `DIRECTORY` where the logs of all instances stay"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			for i := range c.Int("seeds") {
+				if err := soakSeed(c, c.Uint64("seed")+uint64(i)); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// soakSeed runs one seed. The error is Invariant where a promise was broken.
+func soakSeed(c *cli.Command, seed uint64) error {
+	dir := c.String("keep")
+	if dir == "" {
+		temporary, err := os.MkdirTemp("", "sedgehatch-soak-")
+		if err != nil {
+			return failure.Internal.Wrap(err, "no directory for settings and logs")
+		}
+		defer func() { _ = os.RemoveAll(temporary) }() // it is the system's to clean otherwise
+		dir = temporary
+	} else if err := os.MkdirAll(dir, 0o700); err != nil {
+		return failure.Field(failure.InvalidInput, "keep", "cannot make the directory: %v", err)
+	}
+	report, err := soak.Run(soak.Config{
+		Daemon: c.String("daemon"), Dir: dir, Seed: seed, Length: c.Duration("length"),
+		Zones: c.Int("zones"), Instances: c.Int("instances"), Upstreams: c.Int("upstreams"), Customers: c.Int("customers"),
+	})
+	if err != nil {
+		return failure.Field(failure.InvalidInput, "daemon", "the soak does not start: %v", err)
+	}
+	fmt.Fprintf(c.Root().Writer, "seed %d: %d faults, %d starts, answers %v, %d broken\n", seed, report.Faults, report.Starts, report.Answers, len(report.Broken))
+	for _, b := range report.Broken {
+		fmt.Fprintln(c.Root().Writer, "  broken:", b)
+	}
+	if len(report.Broken) > 0 {
+		return failure.Invariant.New("seed %d broke %d promises", seed, len(report.Broken))
+	}
+	return nil
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -166,7 +166,8 @@
 	}
 	reasons := map[string]int{}
 	for _, l := range s.Lines {
-		if l.Event == "task_retried" || l.Event == "task_stopped" && l.String("reason") == "slow" {
+		// A run that was stopped is told by why it was.
+		if l.Event == "task_retried" && l.String("reason") != "stopped" || l.Event == "task_stopped" {
 			reasons[fmt.Sprintf("%s on %s", l.String("reason"), l.String("upstream"))]++
 		}
 	}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,53 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+)
+
+const recorded = `
+  34.05 i-1 {"time":"2026-04-04T22:12:00.100Z","decided":"2026-04-04T22:12:00.010Z","level":"INFO","msg":"task_started","instance":"i-1","event":703,"job":"aa","task":1,"run":1,"upstream":"u1","age_ms":0}
+{"time":"2026-04-04T22:12:00.100Z","decided":"2026-04-04T22:12:00.030Z","level":"INFO","msg":"task_stopped","instance":"i-1","job":"aa","task":1,"run":1,"upstream":"u1","reason":"start without answer"}
+{"time":"2026-04-04T22:12:00.050Z","level":"WARN","msg":"upstream_silent","instance":"i-1","upstream":"u1"}
+{"time":"2026-04-04T22:12:00.120Z","level":"INFO","msg":"job_late","instance":"i-2","job":"aa","took_ms":110,"objective_ms":90,"groups":"a/0"}
+{"time":"2026-04-04T22:12:01.000Z","level":"WARN","msg":"offer_lost","instance":"i-2","job":"bb","group":"b/0"}
+{"time":"2026-04-04T22:12:01.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"bb","status":504,"verdict":"unknown","reason":"the owner of upstreams was lost","took_ms":600,"groups":"b/0"}
+{"time":"2026-04-04T22:12:02.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"cc","status":503,"verdict":"not_run","reason":"no owner can be reached","owners":0,"took_ms":90,"groups":""}
+{"time":"2026-04-04T22:12:02.100Z","level":"WARN","msg":"log_dropped","routine":5}
+{"time":"2026-04-04T22:12:09.000Z","level":"INFO","msg":"task_started","instance":"i-1","job":"dd","run":1,"age_ms":0}
+no line of a log
+`
+
+func TestStory(t *testing.T) {
+	var log Log
+	if err := log.Read(strings.NewReader(recorded)); err != nil {
+		t.Fatal(err)
+	}
+	for job, c := range map[string]struct{ cause, missing string }{
+		"aa": {"aa was complete after 110 ms, its objective was 90 ms; a task ran again: start without answer on u1 (1 times).", ""},
+		"bb": {"bb was answered 504 (unknown) by i-2 after 600 ms: the owner of upstreams was lost; the connection to the owner of b/0 broke.",
+			"lines of the owners of b/0: they ended, or their logs are not given"},
+		"cc": {"cc was answered 503 (not_run) by i-2 after 90 ms: no owner can be reached; no owner of upstreams was known.", "lines that were dropped while the output stalled (22:12:02)"},
+		"dd": {"The answer to dd is not in these logs.", "the line of the answer: the instance that took the job ended, or its log is not given"},
+		"ee": {"No line tells of ee.", "any line of the job: it went well and was not in the sample, its id is wrong, or the logs of its instances are not given"},
+	} {
+		s := log.Story(job)
+		if s.Cause != c.cause {
+			t.Errorf("%s: %q, want %q", job, s.Cause, c.cause)
+		}
+		if c.missing != "" && (len(s.Missing) == 0 || s.Missing[len(s.Missing)-1] != c.missing) {
+			t.Errorf("%s lacks %q, want %q", job, s.Missing, c.missing)
+		}
+	}
+	s := log.Story("aa")
+	if len(s.Beliefs) != 1 || s.Beliefs[0].Event != "upstream_silent" {
+		t.Errorf("beliefs %v", s.Beliefs)
+	}
+	if s.Lines[0].Event != "task_started" || s.Lines[2].Event != "job_late" {
+		t.Errorf("not in order of time: %v", s.Lines)
+	}
+	var b strings.Builder
+	if err := s.Write(&b); err != nil || !strings.Contains(b.String(), "* 22:12:00.010 i-1") {
+		t.Errorf("%v\n%s", err, b.String())
+	}
+}
--- /dev/null
+++ b/soak/fleet.go
@@ -0,0 +1,244 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/platform"
+	"github.com/sedgehatch/sedgehatch/platform/standin"
+)
+
+// Config describes a run.
+type Config struct {
+	Daemon    string // the program
+	Dir       string // for settings and logs
+	Seed      uint64
+	Length    time.Duration // of the faults
+	Zones     int
+	Instances int // of each availability zone
+	Upstreams int // of each availability zone
+	Customers int
+}
+
+const (
+	// taskCPU is what a task asks for, and upstreamCPU what an upstream has,
+	// thousandths of a core.
+	taskCPU     = 6000
+	upstreamCPU = 20000
+	// customersPort and the next ones are the same for all instances: each has
+	// an address of loopback of its own.
+	customersPort = 18161
+	readinessPort = 18167
+	peersPort     = 17720
+	// networks is how many runs may go on at once on one machine.
+	networks = 250
+)
+
+// process is one instance: a program that is started, stopped and started again.
+type process struct {
+	name, ip, zone string
+	store          *Proxy
+	dir            string
+	daemon         string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	paused bool
+	life   int
+}
+
+func (p *process) customers() string { return p.ip + ":" + strconv.Itoa(customersPort) }
+
+// settings writes the settings file of the process.
+func (p *process) settings() error {
+	raw, err := json.Marshal(map[string]any{
+		"Node": p.name, "Ip": p.ip, "Zone": p.zone, "Region": "r",
+		"Listen": map[string]string{
+			"Frontend": p.customers(), "Readiness": p.ip + ":" + strconv.Itoa(readinessPort), "Control": p.ip + ":18166",
+		},
+		"InternalPorts": []int{peersPort, peersPort + 15}, "Seeds": []string{}, "Bootstrap": p.life == 0,
+		"Limits": map[string]any{"CpuShare": 0.4, "MemoryMb": 284}, "HeartbeatMs": 1500, "Orders": "call",
+		"Bounds": map[string]any{
+			"GraceS": 6, "DrainMs": 2000, "ConfigDeadlineMs": 2000, "MaxHoldMs": 1000, "StopTimeoutMs": 50, "ResendMs": 1300, "LeaseMs": 3000,
+		},
+		"platform": map[string]any{"Address": p.store.Address, "MinTtlMs": 1000},
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(p.dir, p.name+".json"), raw, 0o600)
+}
+
+// start starts the program, unless it runs.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	if err := p.settings(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }() // the program has it
+	cmd := exec.Command(p.daemon, "platform")
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+filepath.Join(p.dir, p.name+".json"))
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd, p.paused = cmd, false
+	p.life++
+	return nil
+}
+
+// signal sends a signal to the program, if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
+	_ = p.cmd.Process.Signal(s) // one that has just ended needs none
+}
+
+// end waits until the program has ended, after a signal that makes it.
+func (p *process) end(s syscall.Signal) {
+	p.signal(syscall.SIGCONT)
+	p.signal(s)
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Wait() // however it ended
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = nil
+}
+
+// installation is the whole: processes, upstreams, the store, and proxies
+// between them.
+type installation struct {
+	cfg       Config
+	rng       *rand.Rand
+	store     *standin.Store
+	ledger    *standin.Ledger
+	processes []*process
+	version   int
+	extra     int // routes beyond the first
+
+	mu        sync.Mutex
+	upstreams []*upstream
+	born      int
+}
+
+type upstream struct {
+	*standin.Upstream
+	proxy   *Proxy
+	zone    string
+	drained time.Time
+}
+
+func newInstallation(cfg Config) (*installation, error) {
+	store, err := standin.NewStore("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	in := &installation{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)), store: store, ledger: standin.NewLedger()}
+	in.configure()
+	network := os.Getpid() % networks
+	for z := range cfg.Zones {
+		zone := fmt.Sprintf("z%d", z)
+		for range cfg.Upstreams {
+			if err := in.addUpstream(zone); err != nil {
+				return nil, err
+			}
+		}
+		for i := range cfg.Instances {
+			proxy, err := NewProxy(store.Address)
+			if err != nil {
+				return nil, err
+			}
+			p := &process{
+				name: fmt.Sprintf("%s-%d", zone, i), ip: fmt.Sprintf("127.%d.%d.%d", 20+z, network, 10+i), zone: zone,
+				store: proxy, dir: cfg.Dir, daemon: cfg.Daemon,
+			}
+			in.processes = append(in.processes, p)
+		}
+	}
+	return in, nil
+}
+
+// configure writes the next version: the first route always, others come and go.
+func (in *installation) configure() {
+	in.version += 1 + in.rng.IntN(3)
+	in.extra = in.rng.IntN(3)
+	routes := []any{}
+	for i := range 1 + in.extra {
+		routes = append(routes, map[string]any{
+			"Name": fmt.Sprintf("r%d", i), "Host": host, "PathPrefix": prefix(i), "Service": "desk", "MaxAttempts": 4, "Stretch": 1.6, "TargetLatencyMs": 60,
+		})
+	}
+	raw, err := json.Marshal(map[string]any{"Version": in.version, "Routes": routes, "Services": []any{map[string]any{"Name": "desk"}}})
+	if err == nil { // plain values always encode
+		in.store.Put("op/config", raw)
+	}
+}
+
+const host = "desk.example"
+
+func prefix(route int) string { return fmt.Sprintf("/q%d/", route) }
+
+func (in *installation) addUpstream(zone string) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.born++
+	u, err := standin.NewUpstream(standin.UpstreamConfig{
+		ID: fmt.Sprintf("u%d", in.born), Service: "desk", Zone: zone, Address: "127.0.0.1:0",
+		Capacity: fleet.Demand{MilliCPU: upstreamCPU, MemoryMB: 1000}, Hidden: true,
+		Takes: func(spec string) time.Duration {
+			ms, _ := strconv.Atoi(spec) // our own customers write it
+			return time.Duration(ms) * time.Millisecond
+		},
+		Demand: func(string) fleet.Demand { return fleet.Demand{MilliCPU: taskCPU} },
+	}, in.store, in.ledger)
+	if err != nil {
+		return err
+	}
+	proxy, err := NewProxy(u.Address)
+	if err != nil {
+		return err
+	}
+	u.Show(proxy.Address)
+	in.upstreams = append(in.upstreams, &upstream{Upstream: u, proxy: proxy, zone: zone})
+	return nil
+}
+
+// close ends everything that the run started.
+func (in *installation) close() {
+	var ended sync.WaitGroup
+	for _, p := range in.processes {
+		ended.Go(func() { p.end(syscall.SIGKILL); p.store.Close() })
+	}
+	ended.Wait()
+	for _, u := range in.upstreams {
+		u.proxy.Close()
+		u.Close()
+	}
+	in.store.Close()
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/platform/standin"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed    uint64
+	Faults  int
+	Starts  int
+	Answers map[string]int
+	Broken  []string // promises that were broken
+}
+
+const (
+	// readyLimit bounds how long the first start takes, and recoverLimit how
+	// long service takes to come back after the faults.
+	readyLimit   = 20 * time.Second
+	recoverLimit = 12 * time.Second
+	// drainBound is how long after its drain an upstream may still get tasks.
+	drainBound = 3 * time.Second
+	// regretBound is how long after a refusal a start is still seen as late
+	// bookkeeping of this program.
+	regretBound = 50 * time.Millisecond
+	// longestPause bounds the pause between faults.
+	longestPause = 500 * time.Millisecond
+	// longestFault bounds how long a fault lasts.
+	longestFault = 3 * time.Second
+)
+
+// Run starts an installation, injects faults for a while, and checks the
+// promises. The error is that of starting it.
+func Run(cfg Config) (Report, error) {
+	in, err := newInstallation(cfg)
+	if err != nil {
+		return Report{}, err
+	}
+	defer in.close()
+	for _, p := range in.processes {
+		if err := p.start(); err != nil {
+			return Report{}, err
+		}
+	}
+	t := newTally()
+	if !in.waitReady() {
+		t.breaks("the installation is not ready after %v", readyLimit)
+		return in.report(t, 0), nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var customers sync.WaitGroup
+	for i := range cfg.Customers {
+		c := &customer{
+			number: i, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(100+i))), in: in, tally: t,
+			http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		}
+		customers.Go(func() { c.run(ctx) })
+	}
+	faults := in.injectFaults(t)
+	in.checkRecovery(t)
+	cancel()
+	customers.Wait()
+	in.checkEnd(t)
+	return in.report(t, faults), nil
+}
+
+func (in *installation) report(t *tally, faults int) Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	broken := slices.Concat(t.broken, in.ledger.Broken())
+	return Report{Seed: in.cfg.Seed, Faults: faults, Starts: in.ledger.Starts(), Answers: t.answers, Broken: broken}
+}
+
+// waitReady waits until every instance takes customers.
+func (in *installation) waitReady() bool {
+	deadline := time.Now().Add(readyLimit)
+	for _, p := range in.processes {
+		for !ready(p) {
+			if time.Now().After(deadline) {
+				return false
+			}
+			time.Sleep(silencePoll)
+		}
+	}
+	return true
+}
+
+func ready(p *process) bool {
+	res, err := http.Get(fmt.Sprintf("http://%s:%d/readiness", p.ip, readinessPort))
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close() // it has none
+	return res.StatusCode == http.StatusOK
+}
+
+// injectFaults lets one trouble begin after the other for the length of the run,
+// and returns how many. They overlap; all have ended when it returns.
+func (in *installation) injectFaults(t *tally) int {
+	end := time.Now().Add(in.cfg.Length)
+	var running sync.WaitGroup
+	count := 0
+	for time.Now().Before(end) {
+		fault := in.pickFault(t)
+		length := time.Duration(in.rng.Int64N(int64(longestFault)))
+		running.Go(func() { fault(length) })
+		count++
+		time.Sleep(time.Duration(in.rng.Int64N(int64(longestPause))))
+	}
+	running.Wait()
+	return count
+}
+
+// pickFault draws the next fault.
+func (in *installation) pickFault(t *tally) func(time.Duration) {
+	p := in.processes[in.rng.IntN(len(in.processes))]
+	u := in.pickUpstream()
+	mode := Mode(1 + in.rng.IntN(modes-1))
+	switch in.rng.IntN(13) {
+	case 0:
+		return func(d time.Duration) { p.end(syscall.SIGKILL); time.Sleep(d / 3); in.restart(p, t) }
+	case 1:
+		return func(time.Duration) { p.end(syscall.SIGTERM); in.restart(p, t) }
+	case 2:
+		return func(d time.Duration) { p.signal(syscall.SIGSTOP); time.Sleep(d); p.signal(syscall.SIGCONT) }
+	case 3:
+		return func(time.Duration) { p.signal(syscall.SIGHUP) }
+	case 4:
+		return func(d time.Duration) { p.store.Set(mode); time.Sleep(d); p.store.Set(Pass) }
+	case 5, 6:
+		return func(d time.Duration) { u.proxy.Set(mode); time.Sleep(d); u.proxy.Set(Pass) }
+	case 7:
+		return func(d time.Duration) {
+			u.Change(func(c *standin.Core) { c.Stalls = true })
+			time.Sleep(d)
+			u.Change(func(c *standin.Core) { c.Stalls = false })
+		}
+	case 8:
+		return func(d time.Duration) { u.Delay(0.2, 2*time.Second); time.Sleep(d); u.Delay(0, 0) }
+	case 9:
+		return func(d time.Duration) {
+			in.store.SetTrouble(standin.Busy, 0)
+			time.Sleep(d)
+			in.store.SetTrouble(standin.Fine, 0)
+		}
+	case 10:
+		return func(time.Duration) { in.store.Forget() }
+	case 11:
+		in.configure()
+		return func(time.Duration) {}
+	default:
+		return func(d time.Duration) { in.replaceUpstream(u, d, t) }
+	}
+}
+
+func (in *installation) restart(p *process, t *tally) {
+	if err := p.start(); err != nil {
+		t.breaks("%s does not start again: %v", p.name, err)
+	}
+}
+
+func (in *installation) pickUpstream() *upstream {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.upstreams[in.rng.IntN(len(in.upstreams))]
+}
+
+// replaceUpstream drains one upstream, ends it, and starts another.
+func (in *installation) replaceUpstream(u *upstream, d time.Duration, t *tally) {
+	in.mu.Lock()
+	if !u.drained.IsZero() {
+		in.mu.Unlock()
+		return
+	}
+	u.drained = time.Now()
+	in.mu.Unlock()
+	u.Drain()
+	if err := in.addUpstream(u.zone); err != nil {
+		t.breaks("an upstream does not start: %v", err)
+	}
+	time.Sleep(drainBound + d)
+	u.Close()
+}
+
+// checkRecovery waits until nearly all jobs are served again.
+func (in *installation) checkRecovery(t *tally) {
+	t.forget()
+	deadline := time.Now().Add(recoverLimit)
+	for !t.recovered() {
+		if time.Now().After(deadline) {
+			t.breaks("jobs are not served again %v after the faults", recoverLimit)
+			return
+		}
+		time.Sleep(silencePoll)
+	}
+}
+
+// checkEnd checks what can be told only at the end.
+func (in *installation) checkEnd(t *tally) {
+	t.mu.Lock()
+	submitted, refused := t.submitted, t.cancelled
+	t.mu.Unlock()
+	for _, job := range in.ledger.Jobs() {
+		if !submitted[job] {
+			t.breaks("%s was started, and nobody sent it", job)
+		}
+		if at, was := refused[job]; was && in.ledger.LastBegun(job).After(at.Add(regretBound)) {
+			t.breaks("%s began after it was refused", job)
+		}
+	}
+	for _, u := range in.upstreams {
+		if late := in.ledger.LastStart(u.ID).Sub(u.drained); !u.drained.IsZero() && late > drainBound {
+			t.breaks("%s got a task %v after its drain", u.ID, late)
+		}
+	}
+}
