No message to a peer waits for a peer that does not read; stale tokens are passed quickly

Cause: a heartbeat was written by the goroutine that sends it. Change: on the platform all frames are left to the writers. TestPeerThatDoesNotRead fails without it. A group whose upstreams never accepted the token is retaken after 100 ms instead of 3.2 s: TestStaleToken. Broken runs keep their logs from here on.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -46,7 +46,6 @@
 		if err != nil {
 			return failure.Internal.Wrap(err, "no directory for settings and logs")
 		}
-		defer func() { _ = os.RemoveAll(temporary) }() // it is the system's to clean otherwise
 		dir = temporary
 	} else if err := os.MkdirAll(dir, 0o700); err != nil {
 		return failure.Field(failure.InvalidInput, "keep", "cannot make the directory: %v", err)
@@ -62,7 +61,11 @@
 	for _, b := range report.Broken {
 		fmt.Fprintln(c.Root().Writer, "  broken:", b)
 	}
+	if len(report.Broken) == 0 && c.String("keep") == "" {
+		_ = os.RemoveAll(dir) // it is the system's to clean otherwise
+	}
 	if len(report.Broken) > 0 {
+		fmt.Fprintln(c.Root().Writer, "  settings and logs:", dir)
 		return failure.Invariant.New("seed %d broke %d promises", seed, len(report.Broken))
 	}
 	return nil
--- a/inner/link.go
+++ b/inner/link.go
@@ -34,6 +34,9 @@
 type traffic struct {
 	handling atomic.Int32 // readers that handle a frame
 	sent     atomic.Int64 // bytes of frames
+	// queueOnly leaves all writing to the lanes' writers: a peer that does not
+	// read holds up whoever writes to it.
+	queueOnly bool
 }
 
 func newLane(stream net.Conn, traffic *traffic) *lane {
@@ -64,7 +67,7 @@
 	}
 	l.traffic.sent.Add(int64(len(queued) - len(l.queued)))
 	l.queued = queued
-	if l.writing || len(queued) > directWrite || l.traffic.handling.Load() > 0 {
+	if l.traffic.queueOnly || l.writing || len(queued) > directWrite || l.traffic.handling.Load() > 0 {
 		l.ready.Signal()
 		l.mu.Unlock()
 		return nil
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -61,6 +61,9 @@
 	DialTimeout time.Duration     // zero is DefaultDialTimeout
 	Count       func(kind string) // counts each frame that is sent; may be nil
 	Met         func(*Hello)      // takes what each peer says of itself; may be nil
+	// QueueOnly makes Post, Notify and replies never wait for a peer that does
+	// not read. Frames take a wake-up more.
+	QueueOnly bool
 }
 
 // DefaultDialTimeout bounds opening a connection, the hello included.
@@ -106,7 +109,9 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
-	return &Mesh{cfg: cfg, links: map[string]*dialed{}, accepted: map[*link]struct{}{}}
+	m := &Mesh{cfg: cfg, links: map[string]*dialed{}, accepted: map[*link]struct{}{}}
+	m.traffic.queueOnly = cfg.QueueOnly
+	return m
 }
 
 // Serve takes connections from l until it or the mesh is closed.
--- a/inner/mesh_test.go
+++ b/inner/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -121,3 +122,37 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// TestPeerThatDoesNotRead sends far more to a peer than any buffer holds while
+// the peer reads nothing: with QueueOnly nobody waits for it.
+func TestPeerThatDoesNotRead(t *testing.T) {
+	dir := &peers{addresses: map[string]string{}}
+	_, stuck := startMesh(t, dir, "b.1", "f")
+	for range cap(stuck.kept) {
+		stuck.kept <- nil // its reader waits with the first frame
+	}
+	m := NewMesh(Config{Fleet: "f", Self: "a.1", Directory: dir, Handler: &echo{kept: make(chan *Frame, 1)}, QueueOnly: true})
+	t.Cleanup(m.Close)
+	if _, err := m.Connect("b"); err != nil {
+		t.Fatal(err)
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for range 4000 {
+			_ = m.Post("b.1", &Frame{Body: &Frame_Cancel{Cancel: &Cancel{Keys: []*Key{{Session: strings.Repeat("x", 2000)}}}}})
+		}
+	}()
+	select {
+	case <-sent:
+	case <-time.After(8 * time.Second): // yamux gives up a write after 10 s
+		t.Error("the sender waits for a peer that does not read")
+	}
+	for range 4001 {
+		select {
+		case <-stuck.kept:
+		case <-time.After(time.Second):
+			return
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -158,7 +158,7 @@
 	n.server = ingress.NewServer(n.ingress, n.config.Load, n.phase, n)
 	n.mesh = inner.NewMesh(inner.Config{
 		Fleet: fleetName, Self: n.self, Region: in.Region, Zone: in.Zone, Address: n.in.PeerAddress,
-		Directory: n, Handler: n, Met: n.met, DialTimeout: dialTimeout, Count: n.metrics.Sent,
+		Directory: n, Handler: n, Met: n.met, DialTimeout: dialTimeout, Count: n.metrics.Sent, QueueOnly: true,
 	})
 	return n, nil
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -535,3 +535,14 @@
 		t.Error("it has taken the group of its peer")
 	}
 }
+
+// TestStaleToken lets every upstream remember a token of an owner that is gone,
+// far ahead of the clock: the group is taken within a few attempts.
+func TestStaleToken(t *testing.T) {
+	in := newInstallation(t, []string{"a"}, 1, "a-1")
+	in.kill("a-1")
+	ahead := membership.NextToken(time.Now().Add(100*time.Second).UnixMilli(), 0, "gone")
+	in.upstreams[0].Change(func(c *standin.Core) { c.Hold(time.Now(), fleet.HoldOrder{Token: ahead}) })
+	in.start("a-1")
+	in.until("work is done again", func() bool { status, _ := in.submit("a-1", in.newID(), 1, 10); return status == http.StatusOK })
+}
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -188,8 +188,14 @@
 	}
 }
 
-// fenceMargin is added to the time in which two holders must not take turns.
-const fenceMargin = 200 * time.Millisecond
+const (
+	// fenceMargin is added to the time in which two holders must not take
+	// turns.
+	fenceMargin = 200 * time.Millisecond
+	// staleFence is how soon a group is taken again whose upstreams never
+	// accepted the token: they remember that of an owner that is gone.
+	staleFence = 100 * time.Millisecond
+)
 
 // dropFenced gives up groups whose upstreams follow a higher token that no peer
 // claims. They may be taken again, under a token above it, once two holders
@@ -198,8 +204,13 @@
 	var dropped []*held
 	n.mu.Lock()
 	for _, g := range n.ownedGroups() {
-		since := g.FencedAt()
-		if since.IsZero() || time.Since(since) < n.in.Timing.FenceSettle+fenceMargin {
+		since, joined := g.FencedAt()
+		wait := staleFence
+		if joined {
+			wait = n.in.Timing.FenceSettle + fenceMargin
+			n.leaps = 0
+		}
+		if since.IsZero() || time.Since(since) < wait {
 			continue
 		}
 		n.highest += tokenLeap << n.leaps
--- a/owner/group.go
+++ b/owner/group.go
@@ -273,12 +273,12 @@
 	return g.pool.Idle()
 }
 
-// FencedAt returns when the group lost its first upstream to a higher token;
-// zero where it has lost none.
-func (g *Group) FencedAt() time.Time {
+// FencedAt returns when the group lost its first upstream to a higher token,
+// zero where it has lost none, and whether any upstream ever accepted its own.
+func (g *Group) FencedAt() (at time.Time, joined bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pool.FencedAt()
+	return g.pool.FencedAt(), g.pool.EverJoined()
 }
 
 // Load returns the load of the group.
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -157,6 +157,7 @@
 	u.reported = sent
 	p.readRunning(u, sent, report.Running)
 	u.joined = true
+	p.everJoined = true
 }
 
 // readRunning compares what an upstream runs with the books.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -12,20 +12,21 @@
 // Pool holds a group of upstreams under one fencing token, and the jobs that
 // run or wait there. It is not safe for concurrent use.
 type Pool struct {
-	cfg       Config
-	token     uint64
-	upstreams map[string]*upstream
-	sorted    []*upstream // by id
-	jobs      map[JobKey]*job
-	byID      map[string][]*job
-	byTask    map[fleet.TaskRef]*run
-	queue     []*job // with waiting tasks
-	times     map[string]*runTimes
-	fencedIDs map[string]bool // upstreams that have seen a higher token
-	fencedAt  time.Time       // when the first of them was lost
-	draining  bool
-	out       *Effects
-	now       time.Time
+	cfg        Config
+	token      uint64
+	upstreams  map[string]*upstream
+	sorted     []*upstream // by id
+	jobs       map[JobKey]*job
+	byID       map[string][]*job
+	byTask     map[fleet.TaskRef]*run
+	queue      []*job // with waiting tasks
+	times      map[string]*runTimes
+	fencedIDs  map[string]bool // upstreams that have seen a higher token
+	fencedAt   time.Time       // when the first of them was lost
+	everJoined bool
+	draining   bool
+	out        *Effects
+	now        time.Time
 }
 
 // NewPool returns an empty pool whose orders carry a fencing token.
@@ -90,6 +91,9 @@
 // a higher token; zero where it has lost none.
 func (p *Pool) FencedAt() time.Time { return p.fencedAt }
 
+// EverJoined reports whether any upstream has accepted the pool's token.
+func (p *Pool) EverJoined() bool { return p.everJoined }
+
 // Drain makes the pool start nothing more. What waits is returned.
 func (p *Pool) Drain(now time.Time) Effects {
 	return p.do(now, func() {
--- a/soak/customer.go
+++ b/soak/customer.go
@@ -125,7 +125,7 @@
 			c.tally.add("failed")
 			return
 		case status == http.StatusServiceUnavailable || status == http.StatusNotFound:
-			c.tally.add(fmt.Sprint(status))
+			c.tally.add(fmt.Sprint(status, " ", answer))
 			if began := c.in.ledger.LastBegun(id); !maybeRun && !began.IsZero() {
 				c.tally.breaks("%s is answered %d at %v, and began at %v", id, status, sent, began)
 			}
