--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -6,7 +6,6 @@
 // starts.
 type Instance struct {
 	Name   string
-	IP     string
 	Zone   string
 	Region string
 	// The listeners, hosts and ports.
@@ -20,7 +19,6 @@
 	FirstStart bool
 
 	CPUShare float64 // of a core
-	MemoryMB int
 
 	StoreAddress string
 	MinLeaseTTL  time.Duration // that the store accepts
@@ -30,12 +28,7 @@
 
 // Timing holds the bounds that an installation sets.
 type Timing struct {
-	UpstreamHeartbeat time.Duration // between the writes of an upstream's entry
-	MaxTaskLease      time.Duration // that upstreams grant
-	StopTimeout       time.Duration // that stopping a task takes at most
-	ResendAfter       time.Duration // customers send a broken request again after this
-	Grace             time.Duration // from SIGTERM to SIGKILL
-	DrainGrace        time.Duration // that an upstream serves on once it drains
-	ConfigDeadline    time.Duration // in which a configuration must be in force
-	FenceSettle       time.Duration // in which two holders must not take turns
+	MaxTaskLease time.Duration // that upstreams grant
+	Grace        time.Duration // from SIGTERM to SIGKILL
+	FenceSettle  time.Duration // in which two holders must not take turns
 }
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -21,27 +21,12 @@
 	Advised bool
 }
 
-// Service is a set of upstreams.
-type Service struct {
-	Name           string
-	MaxConnections int  // that an upstream takes
-	AdmitsItself   bool // upstreams refuse what does not fit
-}
-
-// Limits bound the requests of customers.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
-
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version  uint64
-	Routes   []Route
-	Services []Service
-	Limits   Limits
+	Version uint64
+	Routes  []Route
+	// MostBody bounds the body of a request, in bytes; 0 is no bound.
+	MostBody int
 	// Raw is the configuration as it was received, for peers.
 	Raw []byte
 
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -9,7 +9,6 @@
 	Zone     string
 	Draining bool
 	Capacity Demand
-	Labels   []string
 }
 
 // End is how a run ended.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -154,7 +154,7 @@
 
 func (s *Server) submit(ctx *fasthttp.RequestCtx, config *fleet.Config, route *fleet.Route, id string) {
 	began := time.Now()
-	job, err := platform.ParseJob(id, ctx.PostBody())
+	job, err := parse(config, id, ctx.PostBody())
 	if err != nil {
 		problem(ctx, err)
 		s.answered(Record{Job: id, Answered: Answered{Verdict: NotRun, Reason: failure.Text(err)}}, config, route, ctx, began)
@@ -180,6 +180,14 @@
 	s.answered(record, config, route, ctx, began)
 }
 
+// parse decodes a job that is not larger than the configuration allows.
+func parse(config *fleet.Config, id string, body []byte) (*fleet.Job, error) {
+	if config.MostBody > 0 && len(body) > config.MostBody {
+		return nil, failure.Field(failure.TooLarge, "body", "has %d bytes, over %d", len(body), config.MostBody)
+	}
+	return platform.ParseJob(id, body)
+}
+
 // declines tells why a job is not taken at all, or "".
 func (s *Server) declines(job *fleet.Job, route *fleet.Route) string {
 	switch {
--- a/node/follow.go
+++ b/node/follow.go
@@ -55,23 +55,18 @@
 	pause.InitialInterval, pause.MaxInterval = firstRetry, longestRetry
 	revision, known, lost := uint64(0), false, time.Time{}
 	for n.stop.Err() == nil {
-		var items []platform.Item
-		var err error
-		took := f.update
-		if known {
-			items, revision, err = n.store.Watch(f.prefix, revision, f.wait)
-		} else {
-			items, revision, err = n.store.Range(f.prefix)
-			took = f.replace
-		}
+		items, next, err := n.read(f, known, revision)
 		if err == nil {
+			revision = next
 			if !lost.IsZero() {
 				event.StoreBack.Log(n.log, slog.String("prefix", f.prefix), slog.Duration("away", time.Since(lost)))
 				lost = time.Time{}
 			}
 			pause.Reset()
-			if !known || len(items) > 0 {
-				took(items)
+			if !known {
+				f.replace(items)
+			} else if len(items) > 0 {
+				f.update(items)
 			}
 			known = true
 			n.pause(f.rest())
@@ -98,6 +93,14 @@
 	return standbyRest
 }
 
+// read reads all keys of a follower, or what has changed since a revision.
+func (n *Node) read(f follower, known bool, revision uint64) ([]platform.Item, uint64, error) {
+	if known {
+		return n.store.Watch(f.prefix, revision, f.wait)
+	}
+	return n.store.Range(f.prefix)
+}
+
 // pause waits, unless the instance stops.
 func (n *Node) pause(d time.Duration) {
 	select {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"bytes"
-	"encoding/json"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -77,20 +76,13 @@
 
 // configure puts a version of the configuration into the store.
 func (in *installation) configure(version int, prefixes ...string) {
-	routes := []map[string]any{}
+	var routes []standin.Route
 	for _, prefix := range prefixes {
-		routes = append(routes, map[string]any{
-			"Name": "r" + prefix, "Host": "desk.example", "PathPrefix": prefix, "Service": "desk", "Priority": 0,
-			"MaxAttempts": 3, "Stretch": 1.6, "TargetLatencyMs": 60,
-		})
+		routes = append(routes, standin.Route{Name: "r" + prefix, Host: "desk.example", Prefix: prefix, Service: "desk", MaxAttempts: 3})
 	}
-	raw, err := json.Marshal(map[string]any{
-		"Version": version, "Routes": routes, "Services": []any{map[string]any{"Name": "desk"}},
-	})
-	if err != nil {
+	if err := in.store.Configure(version, routes); err != nil {
 		in.t.Fatal(err)
 	}
-	in.store.Put("op/config", raw)
 }
 
 // taskSize is what a task of these tests asks for; upstreams hold two.
@@ -99,13 +91,7 @@
 func (in *installation) addUpstream(id, zone string) *standin.Upstream {
 	u, err := standin.NewUpstream(standin.UpstreamConfig{
 		ID: id, Service: "desk", Zone: zone, Address: "127.0.0.1:0", Capacity: fleet.Demand{MilliCPU: 16000, MemoryMB: 1000},
-		Takes: func(spec string) time.Duration {
-			ms, err := strconv.Atoi(spec)
-			if err != nil {
-				ms = 1
-			}
-			return time.Duration(ms) * time.Millisecond
-		},
+		Takes:  standin.TakesOf,
 		Demand: func(string) fleet.Demand { return fleet.Demand{MilliCPU: taskSize} },
 	}, in.store, in.ledger)
 	if err != nil {
@@ -120,12 +106,11 @@
 
 func (in *installation) settings(name string) fleet.Instance {
 	return fleet.Instance{
-		Name: name, IP: "127.0.0.1", Zone: zoneOfInstance(name), Region: "r", CPUShare: 0.4,
+		Name: name, Zone: zoneOfInstance(name), Region: "r", CPUShare: 0.4,
 		CustomerAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", MetricsAddress: "127.0.0.1:0",
 		StoreAddress: in.store.Address,
 		Timing: fleet.Timing{
-			MaxTaskLease: time.Second, StopTimeout: 50 * time.Millisecond, ResendAfter: 1300 * time.Millisecond,
-			Grace: 6 * time.Second, FenceSettle: 3 * time.Second,
+			MaxTaskLease: time.Second, Grace: 6 * time.Second, FenceSettle: 3 * time.Second,
 		},
 	}
 }
@@ -199,13 +184,11 @@
 
 // call makes one call and returns its status, 0 without an answer.
 func (in *installation) call(method, address, path string, body []byte) (int, string) {
-	req, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	req, err := standin.NewRequest(context.Background(), method, address, "desk.example", path, body, 8*time.Second)
 	if err != nil {
 		in.t.Error(err)
 		return 0, ""
 	}
-	req.Host = "desk.example"
-	req.Header.Set("X-Deadline-Milliseconds", "8000")
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
 	res, err := client.Do(req)
 	if err != nil {
@@ -227,7 +210,7 @@
 }
 
 func jobBody(tasks, ms int) []byte {
-	return fmt.Appendf(nil, `{"TaskSpec":"%d","BestEffort":true,"Steps":[{"Count":%d,"Cpu":%d,"MemoryLimitMb":64,"EstimatedMs":%d}]}`, ms, tasks, taskSize, ms)
+	return standin.Job{Tasks: tasks, MilliCPU: taskSize, Takes: time.Duration(ms) * time.Millisecond}.Body()
 }
 
 // submit hands a job to an instance and returns the answer.
@@ -280,6 +263,7 @@
 		{"POST", "/checks/0000000000000002", huge, 200, `{"State":"failed"}`},
 		{"POST", "/checks/xyz", kept, 400, "id: is not 16 hex digits"},
 		{"POST", "/checks/0000000000000003", []byte("{"), 400, "body: is not a job: unexpected end of JSON input"},
+		{"POST", "/checks/0000000000000003", bytes.Repeat([]byte(" "), 2001), 413, "body: has 2001 bytes, over 2000"},
 		{"GET", "/checks/0000000000000004", nil, 410, ""},
 		{"DELETE", "/checks/0000000000000004", nil, 410, ""},
 		{"GET", "/checks/", nil, 200, `{"Waiting":0}`},
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -348,7 +348,7 @@
 // take begins to own a group. The lock is held.
 func (n *Node) take(group string) {
 	n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
-	n.groups[group] = &held{Group: owner.NewGroup(group, schedule.DefaultConfig, n.highest, n.calls, n), since: time.Now()}
+	n.groups[group] = &held{Group: owner.NewGroup(group, schedule.ConfigFor(n.in.Timing.MaxTaskLease), n.highest, n.calls, n), since: time.Now()}
 	n.taken = time.Now()
 	event.GroupTaken.Log(n.log, slog.String("group", group), slog.Uint64("token", n.highest),
 		slog.Int("upstreams", len(n.membersOf(group))), slog.Int("candidates", len(n.candidates())))
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -30,7 +30,13 @@
 	until    time.Time // no trial before
 }
 
-func (h *health) miss() { h.missed++ }
+// missedStart takes a start without an answer.
+func (p *Pool) missedStart(u *upstream) {
+	u.health.missed++
+	if u.health.missed >= missesToDoubt {
+		p.doubt(u, "starts without answer")
+	}
+}
 
 // doubt leaves an upstream alone for a while.
 func (p *Pool) doubt(u *upstream, reason string) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -12,8 +12,6 @@
 
 // Config holds the limits of a Pool.
 type Config struct {
-	// MaxLease is the longest lease that upstreams grant.
-	MaxLease time.Duration
 	// Lease is what each order grants. A silent upstream's tasks start again
 	// elsewhere once it is over, so it is short; it must outlast two reports.
 	Lease time.Duration
@@ -26,10 +24,22 @@
 
 // DefaultConfig fits upstreams that grant a second.
 var DefaultConfig = Config{
-	MaxLease: time.Second,
-	Lease:    700 * time.Millisecond,
-	Report:   250 * time.Millisecond,
-	Removal:  2500 * time.Millisecond,
+	Lease:   700 * time.Millisecond,
+	Report:  250 * time.Millisecond,
+	Removal: 2500 * time.Millisecond,
+}
+
+// leaseShare is the part of the longest lease that is used at most.
+const leaseShare = 0.7
+
+// ConfigFor fits upstreams that grant leases up to a length.
+func ConfigFor(longest time.Duration) Config {
+	c := DefaultConfig
+	if lease := time.Duration(leaseShare * float64(longest)); lease < c.Lease {
+		c.Report = c.Report * lease / c.Lease
+		c.Lease = lease
+	}
+	return c
 }
 
 const (
--- a/soak/customer.go
+++ b/soak/customer.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/sedgehatch/sedgehatch/platform/standin"
 )
 
 // tally is what customers saw.
@@ -105,20 +106,19 @@
 	c.tally.mu.Lock()
 	c.tally.submitted[id] = true
 	c.tally.mu.Unlock()
-	tasks, ms := 1+c.rng.IntN(6), 10+c.rng.IntN(300)
-	body := fmt.Appendf(nil, `{"TaskSpec":"%d","BestEffort":true,"Steps":[{"Count":%d,"Cpu":%d,"MemoryLimitMb":1,"EstimatedMs":%d}]}`, ms, tasks, taskCPU, ms)
+	job := standin.Job{ID: id, Tasks: 1 + c.rng.IntN(6), MilliCPU: taskCPU, Takes: time.Duration(10+c.rng.IntN(300)) * time.Millisecond}
 	maybeRun := false
 	for range sendings {
 		leaves := c.rng.Float64() < leaveShare
 		sent := time.Now()
-		status, answer := c.send(ctx, id, body, leaves)
+		status, answer := c.send(ctx, job, leaves)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case status == http.StatusOK && answer == `{"State":"completed"}`:
 			c.tally.add("completed")
-			if done := c.in.ledger.Done(id); done != tasks {
-				c.tally.breaks("%s is answered completed, %d of %d tasks are done", id, done, tasks)
+			if done := c.in.ledger.Done(id); done != job.Tasks {
+				c.tally.breaks("%s is answered completed, %d of %d tasks are done", id, done, job.Tasks)
 			}
 			return
 		case status == http.StatusOK:
@@ -148,7 +148,7 @@
 
 // send sends a job to an instance that is picked at random. The status is 0
 // without an answer.
-func (c *customer) send(ctx context.Context, id string, body []byte, leaves bool) (int, string) {
+func (c *customer) send(ctx context.Context, job standin.Job, leaves bool) (int, string) {
 	limit := deadline
 	if leaves {
 		limit = time.Duration(20+c.rng.IntN(100)) * time.Millisecond
@@ -156,12 +156,10 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	p := c.in.processes[c.rng.IntN(len(c.in.processes))]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.customers()+prefix(0)+id, bytes.NewReader(body))
+	req, err := standin.NewRequest(ctx, http.MethodPost, p.customers(), host, prefix(0)+job.ID, job.Body(), deadline)
 	if err != nil {
 		return 0, ""
 	}
-	req.Host = host
-	req.Header.Set("X-Deadline-Milliseconds", fmt.Sprint(deadline.Milliseconds()))
 	res, err := c.http.Do(req)
 	if err != nil {
 		return 0, ""
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -60,17 +59,9 @@
 
 // settings writes the settings file of the process.
 func (p *process) settings() error {
-	raw, err := json.Marshal(map[string]any{
-		"Node": p.name, "Ip": p.ip, "Zone": p.zone, "Region": "r",
-		"Listen": map[string]string{
-			"Frontend": p.customers(), "Readiness": p.ip + ":" + strconv.Itoa(readinessPort), "Control": p.ip + ":18166",
-		},
-		"InternalPorts": []int{peersPort, peersPort + 15}, "Seeds": []string{}, "Bootstrap": p.life == 0,
-		"Limits": map[string]any{"CpuShare": 0.4, "MemoryMb": 284}, "HeartbeatMs": 1500, "Orders": "call",
-		"Bounds": map[string]any{
-			"GraceS": 6, "DrainMs": 2000, "ConfigDeadlineMs": 2000, "MaxHoldMs": 1000, "StopTimeoutMs": 50, "ResendMs": 1300, "LeaseMs": 3000,
-		},
-		"platform": map[string]any{"Address": p.store.Address, "MinTtlMs": 1000},
+	raw, err := standin.Settings(standin.Process{
+		Name: p.name, IP: p.ip, Zone: p.zone, CustomersPort: customersPort, ReadinessPort: readinessPort, PeersPort: peersPort,
+		Store: p.store.Address, FirstStart: p.life == 0,
 	})
 	if err != nil {
 		return err
@@ -160,7 +151,9 @@
 		return nil, err
 	}
 	in := &installation{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)), store: store, ledger: standin.NewLedger()}
-	in.configure()
+	if err := in.configure(); err != nil {
+		return nil, err
+	}
 	network := os.Getpid() % networks
 	for z := range cfg.Zones {
 		zone := fmt.Sprintf("z%d", z)
@@ -185,19 +178,14 @@
 }
 
 // configure writes the next version: the first route always, others come and go.
-func (in *installation) configure() {
+func (in *installation) configure() error {
 	in.version += 1 + in.rng.IntN(3)
 	in.extra = in.rng.IntN(3)
-	routes := []any{}
+	var routes []standin.Route
 	for i := range 1 + in.extra {
-		routes = append(routes, map[string]any{
-			"Name": fmt.Sprintf("r%d", i), "Host": host, "PathPrefix": prefix(i), "Service": "desk", "MaxAttempts": 4, "Stretch": 1.6, "TargetLatencyMs": 60,
-		})
-	}
-	raw, err := json.Marshal(map[string]any{"Version": in.version, "Routes": routes, "Services": []any{map[string]any{"Name": "desk"}}})
-	if err == nil { // plain values always encode
-		in.store.Put("op/config", raw)
+		routes = append(routes, standin.Route{Name: fmt.Sprintf("r%d", i), Host: host, Prefix: prefix(i), Service: "desk", MaxAttempts: 4})
 	}
+	return in.store.Configure(in.version, routes)
 }
 
 const host = "desk.example"
@@ -211,10 +199,7 @@
 	u, err := standin.NewUpstream(standin.UpstreamConfig{
 		ID: fmt.Sprintf("u%d", in.born), Service: "desk", Zone: zone, Address: "127.0.0.1:0",
 		Capacity: fleet.Demand{MilliCPU: upstreamCPU, MemoryMB: 1000}, Hidden: true,
-		Takes: func(spec string) time.Duration {
-			ms, _ := strconv.Atoi(spec) // our own customers write it
-			return time.Duration(ms) * time.Millisecond
-		},
+		Takes:  standin.TakesOf,
 		Demand: func(string) fleet.Demand { return fleet.Demand{MilliCPU: taskCPU} },
 	}, in.store, in.ledger)
 	if err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -155,7 +155,9 @@
 	case 10:
 		return func(time.Duration) { in.store.Forget() }
 	case 11:
-		in.configure()
+		if err := in.configure(); err != nil {
+			t.breaks("a configuration is not written: %v", err)
+		}
 		return func(time.Duration) {}
 	default:
 		return func(d time.Duration) { in.replaceUpstream(u, d, t) }
