--- /dev/null
+++ b/ingress/pending.go
@@ -0,0 +1,269 @@
+package ingress
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/schedule"
+
+	"github.com/samber/lo"
+)
+
+// pending is a job without a verdict.
+type pending struct {
+	Request
+	c       *Coordinator
+	began   time.Time
+	decided chan struct{} // closed once answer holds the verdict
+	answer  Answered
+	again   chan struct{} // tells that tasks are to be offered again later
+
+	mu     sync.Mutex
+	left   map[int]bool    // tasks that are not done
+	idle   []int           // tasks that no owner has
+	parts  map[int]*part   // offers that have not ended, by number
+	tried  map[string]bool // groups that had no room
+	never  map[string]bool // groups where no task can ever fit
+	cut    map[string]bool // groups whose owner could not be reached
+	begun  bool
+	offers int      // that were made
+	asked  []string // groups that were offered tasks, in order
+	owners int      // known at the last offer
+	// ownersAge is the age of the oldest word of them.
+	ownersAge time.Duration
+	joined    bool // its customer has sent it again, and waits there
+	settled   bool
+}
+
+// part is an offer of some of the tasks.
+type part struct {
+	number int
+	group  string
+	tasks  map[int]struct{} // that its owner has
+	queue  bool
+}
+
+// join waits for the verdict of a job that its customer sent again while it is
+// open: it goes on for whoever asked last.
+func (p *pending) join(left <-chan struct{}, patience time.Duration) Answered {
+	p.mu.Lock()
+	p.joined = true
+	p.mu.Unlock()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-p.decided:
+		return p.answer
+	case <-left:
+		return Answered{Verdict: Left, Reason: "the customer has left"}
+	case <-timer.C:
+		return Answered{Verdict: Unknown, Reason: "the customer's deadline has passed"}
+	}
+}
+
+// maxAsked bounds the groups that are remembered for the log.
+const maxAsked = 8
+
+// retryOwners is the pause before owners are asked again after none could be
+// reached: one that is lost is replaced within a second.
+const retryOwners = 25 * time.Millisecond
+
+// wait returns the verdict. Tasks that no owner has are offered again from time
+// to time.
+func (p *pending) wait(left <-chan struct{}) Answered {
+	patience := time.NewTimer(p.Patience)
+	defer patience.Stop()
+	for {
+		select {
+		case <-p.decided:
+			return p.answer
+		case <-p.again:
+			time.AfterFunc(retryOwners, p.offerIdle)
+		case <-left:
+			left = nil
+			p.leave()
+		case <-patience.C:
+			p.settle(Unknown, "the customer's deadline has passed")
+		}
+	}
+}
+
+// leave takes the news that the customer has left.
+func (p *pending) leave() {
+	p.mu.Lock()
+	joined := p.joined
+	p.mu.Unlock()
+	if !joined {
+		p.settle(Left, "the customer has left")
+	}
+}
+
+// settle gives the verdict, once, and withdraws what is still offered.
+func (p *pending) settle(v Verdict, reason string) {
+	p.mu.Lock()
+	if p.settled {
+		p.mu.Unlock()
+		return
+	}
+	p.settled = true
+	if v == Unknown && !p.begun && len(p.parts) == 0 {
+		v = NotRun
+	}
+	p.answer = Answered{v, reason, p.begun, p.offers, strings.Join(p.asked, ","), p.owners, p.ownersAge}
+	close(p.decided)
+	parts := slices.Collect(maps.Values(p.parts))
+	p.mu.Unlock()
+	for _, part := range parts {
+		p.c.owners.Withdraw(part.group, schedule.JobKey{ID: p.Job.ID, Part: part.number}, reason)
+	}
+}
+
+// offerIdle offers the tasks that no owner has, until one takes them or there
+// is nobody left to ask.
+func (p *pending) offerIdle() {
+	for {
+		p.mu.Lock()
+		if p.settled || len(p.idle) == 0 {
+			p.mu.Unlock()
+			return
+		}
+		loads := p.c.owners.Loads()
+		p.owners = len(loads)
+		p.ownersAge = lo.MaxBy(loads, func(a, b OwnerLoad) bool { return a.Age > b.Age }).Age
+		choice, found := choose(p.usable(loads), p.c.zone, p.tried)
+		if !found {
+			p.mu.Unlock()
+			p.unplaced()
+			return
+		}
+		part, offer := p.offer(choice)
+		p.mu.Unlock()
+		err := p.c.owners.Offer(choice.Group, offer, owner.Answer{
+			Returned: func(r schedule.Result, _ schedule.Load) { p.returned(part, r) },
+			Ended:    func(r schedule.Result, _ schedule.Load) { p.ended(part, r) },
+		})
+		if err == nil {
+			return
+		}
+		p.unsent(part)
+	}
+}
+
+// usable leaves out the groups that can never run the job, and those that could
+// not be reached.
+func (p *pending) usable(loads []OwnerLoad) []OwnerLoad {
+	return lo.Filter(loads, func(l OwnerLoad, _ int) bool { return !p.never[l.Group] && !p.cut[l.Group] })
+}
+
+// offer makes an offer of the idle tasks. The lock is held.
+func (p *pending) offer(choice Choice) (*part, schedule.Offer) {
+	step := p.Job.Steps[0]
+	age := time.Since(p.began)
+	p.offers++
+	o := schedule.Offer{
+		Key:     schedule.JobKey{ID: p.Job.ID, Part: p.offers},
+		Service: p.Route.Service, Route: p.Route.Name, Spec: p.Job.Spec, Demand: step.Demand, Estimate: step.Estimate,
+		Priority: p.Route.Priority, MaxAttempts: p.Route.MaxAttempts, Tasks: p.idle,
+		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: age, Patience: p.Patience - age, MayQueue: choice.Queue,
+	}
+	part := &part{number: p.offers, group: choice.Group, tasks: lo.Keyify(p.idle), queue: choice.Queue}
+	p.idle = nil
+	p.parts[part.number] = part
+	p.tried[choice.Group] = true
+	if len(p.asked) < maxAsked {
+		p.asked = append(p.asked, choice.Group)
+	}
+	return part, o
+}
+
+// unsent takes an offer back that never reached its owner.
+func (p *pending) unsent(part *part) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.takeBack(part, lo.Keys(part.tasks))
+	delete(p.parts, part.number)
+	p.cut[part.group] = true // not again for this job
+}
+
+// takeBack makes tasks idle that an offer still has. The lock is held.
+func (p *pending) takeBack(part *part, tasks []int) {
+	for _, t := range tasks {
+		if _, has := part.tasks[t]; has {
+			delete(part.tasks, t)
+			p.idle = append(p.idle, t)
+		}
+	}
+	slices.Sort(p.idle)
+}
+
+// unplaced decides on tasks that no owner can be offered now: they wait for an
+// owner as long as the job could still be in time.
+func (p *pending) unplaced() {
+	p.mu.Lock()
+	waits := len(p.parts) > 0
+	begun, never := p.begun, len(p.never) > 0 && len(p.cut) == 0
+	clear(p.cut)
+	clear(p.tried)
+	p.mu.Unlock()
+	switch {
+	case waits:
+		return // its other tasks are under way; these go on when one of them ends
+	case never && !begun:
+		p.settle(Failed, "no upstream is large enough")
+	case time.Since(p.began) < p.Objective():
+		select {
+		case p.again <- struct{}{}:
+		default: // it is asked for already
+		}
+	case begun:
+		p.settle(Unknown, "no owner can be reached")
+	default:
+		p.settle(NotRun, "no owner can be reached")
+	}
+}
+
+// returned takes tasks back that never began.
+func (p *pending) returned(part *part, r schedule.Result) {
+	p.mu.Lock()
+	p.takeBack(part, r.Returned)
+	p.begun = p.begun || len(part.tasks) > 0 // the others run there
+	p.mu.Unlock()
+	p.offerIdle()
+}
+
+// ended takes the end of an offer.
+func (p *pending) ended(part *part, r schedule.Result) {
+	p.mu.Lock()
+	delete(p.parts, part.number)
+	p.begun = p.begun || r.Begun
+	for _, t := range r.Done {
+		delete(p.left, t)
+		delete(part.tasks, t)
+	}
+	if r.Outcome == schedule.Completed || r.Outcome == schedule.NeverFits {
+		p.takeBack(part, lo.Keys(part.tasks)) // they never began
+	}
+	if r.Outcome == schedule.NeverFits {
+		p.never[part.group] = true
+	}
+	complete, begun := len(p.left) == 0, p.begun
+	p.mu.Unlock()
+	switch {
+	case complete:
+		p.settle(Completed, "")
+	case r.Outcome == schedule.Failed:
+		p.settle(Failed, "a task failed as often as it may")
+	case r.Outcome == schedule.Expired && !begun:
+		p.settle(NotRun, "no room in time")
+	case r.Outcome == schedule.Expired:
+		p.settle(Unknown, "no room in time for all of it")
+	case r.Outcome == schedule.Unknown:
+		p.settle(Unknown, "the owner of upstreams was lost")
+	default:
+		p.offerIdle()
+	}
+}
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -2,110 +2,14 @@
 
 import (
 	"log/slog"
-	"maps"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/event"
-	"github.com/sedgehatch/sedgehatch/failure"
-	"github.com/sedgehatch/sedgehatch/fleet"
-	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/owner"
-	"github.com/sedgehatch/sedgehatch/platform"
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
-// held is a group that this instance owns.
-type held struct {
-	*owner.Group
-	since time.Time
-	// handing is set while the group goes to a better owner. The upstreams
-	// that were let go already are in released.
-	handing  bool
-	released []string
-}
-
-// groupName names one group of an availability zone.
-func groupName(zone string, index int) string { return zone + "/" + strconv.Itoa(index) }
-
-// zoneOf returns the availability zone of a group.
-func zoneOf(group string) string { return group[:strings.LastIndexByte(group, '/')] }
-
-// groupOf returns the group of an upstream, "" before the number of groups of
-// its availability zone is known. The lock is held.
-func (n *Node) groupOf(u fleet.Upstream) string {
-	count := n.groupCounts[u.Zone]
-	if count == 0 {
-		return ""
-	}
-	return groupName(u.Zone, membership.GroupIndex(u.ID, count))
-}
-
-// zoneGroups returns the groups of the own availability zone. The lock is held.
-func (n *Node) zoneGroups() []string {
-	var groups []string
-	for i := range n.groupCounts[n.in.Zone] {
-		groups = append(groups, groupName(n.in.Zone, i))
-	}
-	return groups
-}
-
-// ownedGroups returns the groups that this instance owns, by name. The lock is
-// held.
-func (n *Node) ownedGroups() []*held {
-	return slices.SortedFunc(maps.Values(n.groups), func(a, b *held) int { return strings.Compare(a.Name, b.Name) })
-}
-
-// membersOf returns the upstreams of a group that this instance may own: while
-// a peer hands the group over, those that it has let go. The lock is held.
-func (n *Node) membersOf(group string) []fleet.Upstream {
-	_, leaving := n.claimOf(group, true)
-	var list []fleet.Upstream
-	for _, u := range n.upstreams {
-		if n.groupOf(u) == group && (leaving == nil || slices.Contains(leaving.GetReleased(), u.ID)) {
-			_, draining := n.drainedAt[u.ID]
-			u.Draining = u.Draining || draining
-			list = append(list, u)
-		}
-	}
-	slices.SortFunc(list, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
-	return list
-}
-
-// updateGroups gives each owned group its upstreams.
-func (n *Node) updateGroups() {
-	n.mu.Lock()
-	members := map[*held][]fleet.Upstream{}
-	for _, g := range n.groups {
-		members[g] = n.membersOf(g.Name)
-	}
-	n.mu.Unlock()
-	for g, list := range members {
-		g.SetUpstreams(list)
-	}
-}
-
-// claimOf returns the live peer that owns a group, with the highest token, if
-// any does: one that keeps it, or one that hands it over. The lock is held.
-func (n *Node) claimOf(group string, leaving bool) (string, *inner.Claim) {
-	var best *inner.Claim
-	name := ""
-	for _, p := range n.table.Peers() {
-		if p.State == membership.Dead || p.State == membership.Listed {
-			continue
-		}
-		for _, c := range n.heard[p.Instance].GetClaims() {
-			if c.GetGroup() == group && c.GetLeaving() == leaving && (best == nil || c.GetToken() > best.GetToken()) {
-				best, name = c, p.Instance
-			}
-		}
-	}
-	return name, best
-}
-
 // reconsider takes and gives up groups as peers come and go.
 func (n *Node) reconsider() {
 	n.countGroups()
@@ -116,55 +20,6 @@
 	n.takeGroups()
 }
 
-// listingTime is how long the upstreams take to enter themselves into the store
-// at the first start of the whole system.
-const listingTime = 1500 * time.Millisecond
-
-// countGroups settles how many groups the own availability zone has, once and
-// for all instances, through the store.
-func (n *Node) countGroups() {
-	n.mu.Lock()
-	known := n.groupCounts[n.in.Zone] > 0
-	early := n.in.FirstStart && time.Since(n.began) < listingTime
-	wait := known || early || n.counting || !n.listed
-	count := 0
-	for _, u := range n.upstreams {
-		if u.Zone == n.in.Zone {
-			count++
-		}
-	}
-	if wait || count == 0 {
-		n.mu.Unlock()
-		return
-	}
-	n.counting = true
-	n.mu.Unlock()
-	go n.createCount(membership.GroupCount(count))
-}
-
-func (n *Node) createCount(groups int) {
-	err := n.store.Create(platform.GroupPrefix+n.in.Zone, []byte(strconv.Itoa(groups)))
-	if err == nil {
-		n.takeCount(n.in.Zone, groups)
-	} else if !failure.Is(err, failure.Conflict) { // where it is there already, the watch tells
-		event.RegisterFailed.Log(n.log, slog.String("what", "number of groups"), slog.String("error", err.Error()))
-	}
-	n.pause(firstRetry)
-	n.mu.Lock()
-	n.counting = false
-	n.mu.Unlock()
-}
-
-// takeCount learns the number of groups of an availability zone.
-func (n *Node) takeCount(zone string, groups int) {
-	n.mu.Lock()
-	known := n.groupCounts[zone] > 0
-	if !known && groups > 0 {
-		n.groupCounts[zone] = groups
-	}
-	n.mu.Unlock()
-}
-
 // yieldGroups gives up groups that a peer owns under a higher token: upstreams
 // do not listen to this instance any more.
 func (n *Node) yieldGroups() {
--- a/node/router.go
+++ b/node/router.go
@@ -11,7 +11,6 @@
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
-	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/ingress"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/owner"
@@ -269,52 +268,3 @@
 		g.WithdrawAll(coordinatorOf(link, from), "the connection to the coordinator closed")
 	}
 }
-
-// claimFor words the ownership of a group, and its load.
-func claimFor(g *owner.Group, l schedule.Load) *inner.Claim {
-	return &inner.Claim{Group: g.Name, Token: g.Token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity}
-}
-
-func loadFrom(c *inner.Claim) schedule.Load {
-	return schedule.Load{Free: int(c.GetFree()), Waiting: int(c.GetWaiting()), Capacity: c.GetCapacity()}
-}
-
-func toInts(list []uint32) []int { return lo.Map(list, func(v uint32, _ int) int { return int(v) }) }
-
-func fromInts(list []int) []uint32 {
-	return lo.Map(list, func(v int, _ int) uint32 { return uint32(v) })
-}
-
-func returnedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
-	return &inner.Frame{Body: &inner.Frame_OfferReturned{OfferReturned: &inner.OfferReturned{
-		Group: g.Name, Job: r.Key.ID, Part: uint32(r.Key.Part), Tasks: fromInts(r.Returned), Load: claimFor(g, l),
-	}}}
-}
-
-func endedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
-	return &inner.Frame{Body: &inner.Frame_OfferEnded{OfferEnded: &inner.OfferEnded{
-		Outcome: string(r.Outcome), Done: fromInts(r.Done), Returned: fromInts(r.Returned), Begun: r.Begun, Load: claimFor(g, l),
-	}}}
-}
-
-func offerTo(group string, o schedule.Offer) *inner.Offer {
-	return &inner.Offer{
-		Group: group, Job: o.Key.ID, Part: uint32(o.Key.Part), Service: o.Service, Route: o.Route, Spec: o.Spec,
-		MilliCpu: o.Demand.MilliCPU, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
-		EstimateMs: uint32(o.Estimate.Milliseconds()), Priority: uint32(o.Priority), MaxAttempts: uint32(o.MaxAttempts),
-		Tasks: fromInts(o.Tasks), Stretch: o.Stretch, SlackMs: uint32(o.Slack.Milliseconds()),
-		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Patience, 0).Milliseconds()), MayQueue: o.MayQueue,
-	}
-}
-
-func offerFrom(m *inner.Offer) schedule.Offer {
-	return schedule.Offer{
-		Key:     schedule.JobKey{ID: m.GetJob(), Part: int(m.GetPart())},
-		Service: m.GetService(), Route: m.GetRoute(), Spec: m.GetSpec(),
-		Demand:   fleet.Demand{MilliCPU: m.GetMilliCpu(), MemoryMB: m.GetMemoryMb(), GPUs: m.GetGpus()},
-		Estimate: time.Duration(m.GetEstimateMs()) * time.Millisecond, Priority: int(m.GetPriority()),
-		MaxAttempts: int(m.GetMaxAttempts()), Tasks: toInts(m.GetTasks()), Stretch: m.GetStretch(),
-		Slack: time.Duration(m.GetSlackMs()) * time.Millisecond, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
-		Patience: time.Duration(m.GetPatienceMs()) * time.Millisecond, MayQueue: m.GetMayQueue(),
-	}
-}
