A begun job is given up once the rest of it finds no room in time

Ruled out: silent upstreams, for whose leases such a job must be able to wait. Change: what waits for room past three times the objective is given up at once, what waits for the end of a run that may still be at work goes on; a table holds both. A new instance settles in 200 ms.

--- a/node/node.go
+++ b/node/node.go
@@ -52,8 +52,9 @@
 	// seconds.
 	dialTimeout = 250 * time.Millisecond
 	// settleTime is how long a new instance listens at most before it owns
-	// anything: peers that live answer within a few round trips.
-	settleTime = 300 * time.Millisecond
+	// anything: peers that live answer within a few round trips, and after a
+	// restart of all every moment is one without service.
+	settleTime = 200 * time.Millisecond
 	// seedAfter is when an instance without peers tries those of its settings.
 	seedAfter = 100 * time.Millisecond
 )
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -306,6 +306,7 @@
 		for _, u := range slices.Clone(p.sorted) {
 			p.tickUpstream(u)
 		}
+		p.place()
 		for _, key := range p.jobKeys() {
 			p.expire(p.jobs[key])
 		}
@@ -331,10 +332,17 @@
 	}
 }
 
-// expire gives up a job that cannot end while that is of use.
+// expire gives up a job that cannot end while that is of use, because tasks of
+// it wait and there is no room. One whose tasks wait for the end of a run that
+// may still be at work goes on.
 func (p *Pool) expire(j *job) {
-	if j == nil || !j.hasWaiting() || p.now.Add(j.expect/2).Before(j.expiry()) {
+	if j == nil || p.now.Add(j.expect/2).Before(j.expiry()) {
 		return
 	}
-	p.end(j, Expired)
+	for _, t := range j.order {
+		if t.state == waiting && p.byTask[p.ref(j, t)] == nil {
+			p.end(j, Expired)
+			return
+		}
+	}
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -42,14 +42,13 @@
 // latestStart is when a task has to start for its job to be in time.
 func (j *job) latestStart() time.Time { return j.sent().Add(j.allowed() - j.expect) }
 
-// expiry is when the job is given up. One that has begun goes on as long as its
-// customer waits: it goes behind those that can be in time.
+// expiry is when the job is given up if tasks of it still wait for room.
 func (j *job) expiry() time.Time {
-	waits := j.offered.Add(j.Patience)
-	if useful := j.sent().Add(lateFactor * j.allowed()); !j.begun && useful.Before(waits) {
-		return useful
+	useful := j.sent().Add(lateFactor * j.allowed())
+	if waits := j.offered.Add(j.Patience); waits.Before(useful) {
+		return waits
 	}
-	return waits
+	return useful
 }
 
 // sortQueue puts first what can still be in time, by how soon it must start;
