Soak: programs that are ended twice at once are waited for; a group is not handed over for the hash alone

Cause: two overlapping faults on one process called Wait twice; the second came back at once, a new program was started beside the old one, could not listen, and the old one stayed behind. The logs also showed groups handed to an equal instance that merely came first by hash. Change: one waiter for each program; runs claim their addresses; a run that is broken off ends its processes; a group goes to an equal only if that leaves both more even. TestEndTwice and TestBetterOwner fail without.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
@@ -27,9 +29,16 @@
 			&cli.IntFlag{Name: "customers", Value: 12, Usage: "customers that send one job after the other"},
 			&cli.StringFlag{Name: "keep", Usage: "a `DIRECTORY` where the logs of all instances stay"},
 		},
-		Action: func(_ context.Context, c *cli.Command) error {
+		Action: func(ctx context.Context, c *cli.Command) error {
+			// A run that is broken off, also by a pipe that closes, still ends
+			// its processes.
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM, syscall.SIGPIPE)
+			defer stop()
 			for i := range c.Int("seeds") {
-				if err := soakSeed(c, c.Uint64("seed")+uint64(i)); err != nil {
+				if ctx.Err() != nil {
+					return failure.Stopping.New("the soak was broken off")
+				}
+				if err := soakSeed(ctx, c, c.Uint64("seed")+uint64(i)); err != nil {
 					return err
 				}
 			}
@@ -39,7 +48,7 @@
 }
 
 // soakSeed runs one seed. The error is Invariant where a promise was broken.
-func soakSeed(c *cli.Command, seed uint64) error {
+func soakSeed(ctx context.Context, c *cli.Command, seed uint64) error {
 	dir := c.String("keep")
 	if dir == "" {
 		temporary, err := os.MkdirTemp("", "sedgehatch-soak-")
@@ -50,7 +59,7 @@
 	} else if err := os.MkdirAll(dir, 0o700); err != nil {
 		return failure.Field(failure.InvalidInput, "keep", "cannot make the directory: %v", err)
 	}
-	report, err := soak.Run(soak.Config{
+	report, err := soak.Run(ctx, soak.Config{
 		Daemon: c.String("daemon"), Dir: dir, Seed: seed, Length: c.Duration("length"),
 		Zones: c.Int("zones"), Instances: c.Int("instances"), Upstreams: c.Int("upstreams"), Customers: c.Int("customers"),
 	})
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -138,7 +138,8 @@
 			fair++
 		}
 	}
-	return len(n.groups) > fair && len(n.heard[peer].GetClaims()) < len(n.groups)
+	// It must leave the two more even than they are.
+	return len(n.groups) > fair && len(n.heard[peer].GetClaims())+1 < len(n.groups)
 }
 
 // release lets go of upstreams in a planned stop, and tells peers at once.
--- /dev/null
+++ b/node/ownership_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/inner"
+)
+
+// TestBetterOwner: a group is handed over to a much larger instance, or to one
+// that owns at least two fewer, never for the sake of the hash alone.
+func TestBetterOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		share  float64
+		claims int
+		own    int
+		fair   int
+		want   bool
+	}{
+		"the only group, equal sizes":       {0.4, 0, 1, 0, false},
+		"the only group, much larger":       {0.8, 0, 1, 0, true},
+		"four groups, the peer has none":    {0.4, 0, 4, 2, true},
+		"three groups, the peer has one":    {0.4, 1, 3, 2, true},
+		"two groups each":                   {0.4, 2, 2, 2, false},
+		"one more than the peer":            {0.4, 1, 2, 1, false},
+		"fewer than its fair part already":  {0.4, 0, 2, 2, false},
+		"much larger, and owns many itself": {0.8, 3, 1, 0, true},
+	} {
+		n := &Node{in: fleet.Instance{Name: "self", CPUShare: 0.4}, groups: map[string]*held{}, heard: map[string]*inner.Presence{}}
+		for i := range c.own {
+			n.groups[groupName("a", i)] = &held{}
+		}
+		owners := map[string]string{}
+		for i := range c.fair {
+			owners[groupName("a", i)] = "self"
+		}
+		p := &inner.Presence{Share: c.share}
+		for range c.claims {
+			p.Claims = append(p.Claims, &inner.Claim{})
+		}
+		n.heard["peer"] = p
+		if got := n.betterOwner("peer", owners); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -50,7 +51,8 @@
 	daemon         string
 
 	mu     sync.Mutex
-	cmd    *exec.Cmd
+	cmd    *exec.Cmd     // nil while the program does not run
+	ended  chan struct{} // closed once cmd has ended
 	paused bool
 	life   int
 }
@@ -90,8 +92,13 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd, p.paused = cmd, false
+	ended := make(chan struct{})
+	p.cmd, p.ended, p.paused = cmd, ended, false
 	p.life++
+	go func() {
+		_ = cmd.Wait() // however it ended
+		close(ended)
+	}()
 	return nil
 }
 
@@ -106,20 +113,23 @@
 	_ = p.cmd.Process.Signal(s) // one that has just ended needs none
 }
 
-// end waits until the program has ended, after a signal that makes it.
+// end waits until the program has ended, after a signal that makes it. Several
+// may end the same program at once.
 func (p *process) end(s syscall.Signal) {
 	p.signal(syscall.SIGCONT)
 	p.signal(s)
 	p.mu.Lock()
-	cmd := p.cmd
+	cmd, ended := p.cmd, p.ended
 	p.mu.Unlock()
 	if cmd == nil {
 		return
 	}
-	_ = cmd.Wait() // however it ended
+	<-ended
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cmd = nil
+	if p.cmd == cmd {
+		p.cmd = nil
+	}
 }
 
 // installation is the whole: processes, upstreams, the store, and proxies
@@ -130,6 +140,8 @@
 	store     *standin.Store
 	ledger    *standin.Ledger
 	processes []*process
+	network   int          // of the addresses of the processes
+	claim     net.Listener // keeps other runs from the same network
 	version   int
 	extra     int // routes beyond the first
 
@@ -154,7 +166,9 @@
 	if err := in.configure(); err != nil {
 		return nil, err
 	}
-	network := os.Getpid() % networks
+	if err := in.claimNetwork(); err != nil {
+		return nil, err
+	}
 	for z := range cfg.Zones {
 		zone := fmt.Sprintf("z%d", z)
 		for range cfg.Upstreams {
@@ -168,7 +182,7 @@
 				return nil, err
 			}
 			p := &process{
-				name: fmt.Sprintf("%s-%d", zone, i), ip: fmt.Sprintf("127.%d.%d.%d", 20+z, network, 10+i), zone: zone,
+				name: fmt.Sprintf("%s-%d", zone, i), ip: fmt.Sprintf("127.%d.%d.%d", firstNet+z, in.network, 10+i), zone: zone,
 				store: proxy, dir: cfg.Dir, daemon: cfg.Daemon,
 			}
 			in.processes = append(in.processes, p)
@@ -177,6 +191,22 @@
 	return in, nil
 }
 
+// firstNet is the second number of the addresses of the first availability zone.
+const firstNet = 20
+
+// claimNetwork picks addresses of loopback that no other run uses.
+func (in *installation) claimNetwork() error {
+	var err error
+	for i := range networks {
+		in.network = (os.Getpid() + i) % networks
+		address := fmt.Sprintf("127.%d.%d.9:%d", firstNet, in.network, peersPort)
+		if in.claim, err = net.Listen("tcp4", address); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 // configure writes the next version: the first route always, others come and go.
 func (in *installation) configure() error {
 	in.version += 1 + in.rng.IntN(3)
@@ -226,4 +256,5 @@
 		u.Close()
 	}
 	in.store.Close()
+	_ = in.claim.Close() // nothing was accepted on it
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -39,8 +39,9 @@
 )
 
 // Run starts an installation, injects faults for a while, and checks the
-// promises. The error is that of starting it.
-func Run(cfg Config) (Report, error) {
+// promises. The error is that of starting it. It ends early with ctx; every
+// process that it started has ended when it returns.
+func Run(ctx context.Context, cfg Config) (Report, error) {
 	in, err := newInstallation(cfg)
 	if err != nil {
 		return Report{}, err
@@ -56,7 +57,8 @@
 		t.breaks("the installation is not ready after %v", readyLimit)
 		return in.report(t, 0), nil
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var customers sync.WaitGroup
 	for i := range cfg.Customers {
 		c := &customer{
@@ -65,8 +67,8 @@
 		}
 		customers.Go(func() { c.run(ctx) })
 	}
-	faults := in.injectFaults(t)
-	in.checkRecovery(t)
+	faults := in.injectFaults(ctx, t)
+	in.checkRecovery(ctx, t)
 	cancel()
 	customers.Wait()
 	in.checkEnd(t)
@@ -105,11 +107,11 @@
 
 // injectFaults lets one trouble begin after the other for the length of the run,
 // and returns how many. They overlap; all have ended when it returns.
-func (in *installation) injectFaults(t *tally) int {
+func (in *installation) injectFaults(ctx context.Context, t *tally) int {
 	end := time.Now().Add(in.cfg.Length)
 	var running sync.WaitGroup
 	count := 0
-	for time.Now().Before(end) {
+	for time.Now().Before(end) && ctx.Err() == nil {
 		fault := in.pickFault(t)
 		length := time.Duration(in.rng.Int64N(int64(longestFault)))
 		running.Go(func() { fault(length) })
@@ -194,10 +196,10 @@
 }
 
 // checkRecovery waits until nearly all jobs are served again.
-func (in *installation) checkRecovery(t *tally) {
+func (in *installation) checkRecovery(ctx context.Context, t *tally) {
 	t.forget()
 	deadline := time.Now().Add(recoverLimit)
-	for !t.recovered() {
+	for !t.recovered() && ctx.Err() == nil {
 		if time.Now().After(deadline) {
 			t.breaks("jobs are not served again %v after the faults", recoverLimit)
 			return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"os/exec"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -30,7 +32,7 @@
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		report, err := Run(Config{
+		report, err := Run(t.Context(), Config{
 			Daemon: daemon, Dir: t.TempDir(), Seed: seed, Length: 4 * time.Second, Zones: 2, Instances: 2, Upstreams: 3, Customers: 6,
 		})
 		if err != nil {
@@ -45,6 +47,35 @@
 	}
 }
 
+// TestEndTwice ends one program from two sides, as overlapping faults do: it is
+// gone before another is started.
+func TestEndTwice(t *testing.T) {
+	sleeper, err := exec.LookPath("sleep")
+	if err != nil {
+		t.Skip("there is no program that does nothing")
+	}
+	p := &process{name: "p", cmd: exec.Command(sleeper, "60"), ended: make(chan struct{})}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	cmd := p.cmd
+	go func() {
+		_ = cmd.Wait()
+		close(p.ended)
+	}()
+	p.signal(syscall.SIGSTOP)
+	var both sync.WaitGroup
+	for range 2 {
+		both.Go(func() {
+			p.end(syscall.SIGKILL)
+			if cmd.ProcessState == nil {
+				t.Error("the program counts as ended and has not")
+			}
+		})
+	}
+	both.Wait()
+}
+
 // TestProxy checks each mode against an echo.
 func TestProxy(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
