A task that failed goes to the same upstream again where there is no other

Cause: a task never went back to the upstream that it failed on or was moved from; in a group of one usable upstream it waited until its job was given up. Also reasons and comments in plainer words.

--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -41,7 +41,7 @@
 	Offers  int    // that were made
 	Groups  string // they went to, in order
 	// Owners is how many owners were known at the last offer, and OwnersAge
-	// the age of the oldest word of them.
+	// the age of the oldest of their load reports.
 	Owners    int
 	OwnersAge time.Duration
 }
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -33,7 +33,7 @@
 	offers int      // that were made
 	asked  []string // groups that were offered tasks, in order
 	owners int      // known at the last offer
-	// ownersAge is the age of the oldest word of them.
+	// ownersAge is the age of the oldest of their load reports.
 	ownersAge time.Duration
 	joined    bool // its customer has sent it again, and waits there
 	settled   bool
--- a/node/router.go
+++ b/node/router.go
@@ -88,7 +88,7 @@
 	return loads
 }
 
-// staleLoad is how old the word of an owner may be for jobs to go there while
+// staleLoad is how old the load report of an owner may be for jobs to go there while
 // others can take them: it is about to be found lost.
 const staleLoad = 350 * time.Millisecond
 
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -113,7 +113,7 @@
 	if remaining < j.expect*3/2+moveCost {
 		return
 	}
-	if !stalled && p.choose(j, &task{avoid: r.up.ID}) == nil {
+	if !stalled && p.chooseBut(j, r.up.ID) == nil {
 		return // nowhere to go: slow is better than waiting
 	}
 	t.moves++
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -205,7 +205,7 @@
 	}
 	r := &run{id: id, up: u, unknown: true, state: running, ordered: p.now, acked: p.now, moved: p.now, seen: p.now}
 	p.add(r)
-	p.stop(r, "nobody's")
+	p.stop(r, "started by a former owner")
 }
 
 // ended takes one end of a run.
@@ -253,7 +253,7 @@
 	t := j.tasks[r.id.Task.Index]
 	t.attempts++
 	if len(j.failed) == 0 {
-		r.up.health.failures++ // a job that fails everywhere blackens one upstream only
+		r.up.health.failures++ // a job that fails everywhere counts against one upstream only
 	}
 	j.failed[r.up.ID] = true
 	if r.up.health.failures >= failuresToDoubt {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -83,11 +83,30 @@
 }
 
 // choose returns the upstream with the least room left over for a task, or nil.
+// The one that the task was moved from is taken only where there is no other,
+// whether that has room or not.
 func (p *Pool) choose(j *job, t *task) *upstream {
+	avoid := t.avoid
+	if avoid != "" && !p.hasOther(j, avoid) {
+		avoid = ""
+	}
+	return p.chooseBut(j, avoid)
+}
+
+// hasOther reports whether any upstream but one could run a task of j.
+func (p *Pool) hasOther(j *job, but string) bool {
+	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
+		return u.ID != but && u.Service == j.Service && j.Demand.Within(u.Capacity) && p.usable(u, p.now)
+	})
+}
+
+// chooseBut returns the upstream but one with the least room left over for a
+// task, or nil.
+func (p *Pool) chooseBut(j *job, but string) *upstream {
 	var best *upstream
 	var least int64
 	for _, u := range p.sorted {
-		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == t.avoid {
+		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == but {
 			continue
 		}
 		left := u.Capacity.Minus(u.used)
