Connections that go silent without a reset are told from peers that are gone

Each instance sent on a connection of its own to each peer; one that went silent was never closed at its sender, so that the peer lost the sender and answered nobody any more. Calls to the store and to upstreams met one dead idle connection after another.

Ruled out: TCP_USER_TIMEOUT and yamux' keep-alive alone; they close a silent connection after a second or more, and jobs have 1.5 s. Severing on suspicion: a frozen peer would lose its jobs for nothing.

Change: a mesh may share connections: either end sends on any open one, heartbeats pass on each, a suspected peer is dialed again beside the old connection, and the silent one is closed once another is heard. What belongs to an offer follows it on its connection. Starts that were on their way together and go unanswered are one miss, not two. Lanes read 4 KB ahead, not 64.

--- a/inner/introduce.go
+++ b/inner/introduce.go
@@ -46,10 +46,13 @@
 		k.close()
 		return
 	}
+	m.serve(k)
+}
+
+// serve takes the frames of an open connection until it closes.
+func (m *Mesh) serve(k *link) {
 	k.run(func(f *Frame) { m.take(k, f) })
-	m.mu.Lock()
-	delete(m.accepted, k)
-	m.mu.Unlock()
+	m.leave(k)
 	m.ended(k)
 }
 
@@ -59,7 +62,7 @@
 	if m.closed {
 		return false
 	}
-	m.accepted[k] = struct{}{}
+	m.enter(k)
 	return true
 }
 
@@ -137,10 +140,15 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	m.running.Go(func() {
-		k.run(func(f *Frame) { m.take(k, f) })
-		m.ended(k)
-	})
+	k.opened = true
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		k.close()
+		return nil, failure.Unreachable.New("the mesh is closed")
+	}
+	m.enter(k)
+	m.running.Go(func() { m.serve(k) })
 	return k, nil
 }
 
--- a/inner/link.go
+++ b/inner/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -15,7 +16,12 @@
 // maxQueued bounds the bytes that wait on one lane for a slow peer.
 const maxQueued = 64 << 20
 
-const readBuffer = 64 << 10
+// readBuffer holds what a lane has read ahead, in bytes. There are two for each
+// connection, and yamux reads the socket in larger pieces itself.
+const readBuffer = 4 << 10
+
+// spareBuffer bounds the buffer that a lane keeps to queue in, in bytes.
+const spareBuffer = 64 << 10
 
 // lane is one ordered stream of frames of a connection.
 type lane struct {
@@ -89,7 +95,7 @@
 	_, err := l.stream.Write(batch)
 	l.mu.Lock()
 	l.writing = false
-	if cap(batch) <= readBuffer {
+	if cap(batch) <= spareBuffer {
 		l.spare = batch
 	}
 	if len(l.queued) > 0 {
@@ -148,6 +154,9 @@
 	number  uint64 // names the connection within this process
 	peer    fate.Incarnation
 	zone    string
+	opened  bool         // by this instance
+	heard   atomic.Int64 // when the last frame came, nanoseconds of steady
+	called  atomic.Int64 // when the last call was made here, as heard
 
 	mu    sync.Mutex
 	calls map[uint64]func(*Frame) // by id; nil stands for a broken connection
@@ -165,6 +174,16 @@
 	return k
 }
 
+var processBegan = time.Now()
+
+// steady is the time since the process began, on the steady clock.
+func steady() time.Duration { return time.Since(processBegan) }
+
+func (k *link) heardNow()               { k.heard.Store(int64(steady())) }
+func (k *link) heardAt() time.Duration  { return time.Duration(k.heard.Load()) }
+func (k *link) calledNow()              { k.called.Store(int64(steady())) }
+func (k *link) calledAt() time.Duration { return time.Duration(k.called.Load()) }
+
 // Number implements Link.
 func (k *link) Number() uint64 { return k.number }
 
@@ -191,6 +210,7 @@
 		if err != nil {
 			return
 		}
+		k.heardNow()
 		k.traffic.handling.Add(1)
 		if f.GetReply() {
 			k.answered(f)
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
+
+	"github.com/samber/lo"
 )
 
 // Handler takes the frames of other instances.
@@ -61,6 +65,12 @@
 	DialTimeout time.Duration     // zero is DefaultDialTimeout
 	Count       func(kind string) // counts each frame that is sent; may be nil
 	Met         func(*Hello)      // takes what each peer says of itself; may be nil
+	// Shared makes the mesh send on any open connection to a peer, whoever opened
+	// it. Beat has to be called on both sides then, a few times in Silence.
+	Shared bool
+	// Silence is how long a connection to a peer of a zone may be silent before
+	// it counts as broken; for Shared.
+	Silence func(zone string) time.Duration
 	// QueueOnly makes Post, Notify and replies never wait for a peer that does
 	// not read. Frames take a wake-up more.
 	QueueOnly bool
@@ -75,13 +85,13 @@
 // Mesh keeps the connections to other instances: one for what this instance
 // asks, opened on first use, and one for what each peer asks.
 type Mesh struct {
-	cfg      Config
-	mu       sync.Mutex
-	links    map[string]*dialed // by instance
-	accepted map[*link]struct{}
-	closed   bool
-	running  sync.WaitGroup
-	traffic  traffic
+	cfg     Config
+	mu      sync.Mutex
+	links   map[string]*dialed // by instance
+	byPeer  map[string][]*link // every open connection, by instance
+	closed  bool
+	running sync.WaitGroup
+	traffic traffic
 }
 
 // dialed is the connection to one peer, or the last failure to open it.
@@ -109,7 +119,7 @@
 	if cfg.Count == nil {
 		cfg.Count = func(string) {}
 	}
-	m := &Mesh{cfg: cfg, links: map[string]*dialed{}, accepted: map[*link]struct{}{}}
+	m := &Mesh{cfg: cfg, links: map[string]*dialed{}, byPeer: map[string][]*link{}}
 	m.traffic.queueOnly = cfg.QueueOnly
 	return m
 }
@@ -153,24 +163,17 @@
 // Sever closes every connection with an instance, also those that it opened.
 func (m *Mesh) Sever(instance string) {
 	m.Drop(instance)
-	m.mu.Lock()
-	var open []*link
-	for k := range m.accepted {
-		if k.peer.Instance() == instance {
-			open = append(open, k)
-		}
-	}
-	m.mu.Unlock()
-	for _, k := range open {
+	for _, k := range m.linksTo(instance) {
 		k.close()
 	}
 }
 
-// connect returns the open connection to an instance, opening it if needed.
-func (m *Mesh) connect(instance string) (*link, error) {
+// slot returns what is kept of the connections to an instance that this one
+// opens. The error is Unreachable once the mesh is closed.
+func (m *Mesh) slot(instance string) (*dialed, error) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.closed {
-		m.mu.Unlock()
 		return nil, failure.Unreachable.New("the mesh is closed")
 	}
 	d := m.links[instance]
@@ -178,10 +181,20 @@
 		d = &dialed{}
 		m.links[instance] = d
 	}
-	m.mu.Unlock()
+	return d, nil
+}
 
+// connect returns the open connection to an instance, opening it if needed.
+func (m *Mesh) connect(instance string) (*link, error) {
+	d, err := m.slot(instance)
+	if err != nil {
+		return nil, err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if k := m.sharedWith(instance); k != nil {
+		return k, nil
+	}
 	if d.link != nil && !d.link.isDown() {
 		return d.link, nil
 	}
@@ -259,12 +272,20 @@
 // Notify sends f as a call, as Post does, and hands its reply to done, or the
 // errors of Wait but for Timeout. Done must not block: replies behind it wait.
 func (m *Mesh) Notify(peer fate.Incarnation, f *Frame, done func(*Frame, error)) error {
+	_, err := m.Ask(peer, f, done)
+	return err
+}
+
+// Ask is Notify, and returns the connection that the call went on: what belongs
+// to the call has to follow it there.
+func (m *Mesh) Ask(peer fate.Incarnation, f *Frame, done func(*Frame, error)) (Link, error) {
 	k, err := m.opened(peer)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	m.cfg.Count(KindOf(f))
-	return k.call(f, func(reply *Frame) { done(replyOf(peer, reply)) })
+	k.calledNow()
+	return k, k.call(f, func(reply *Frame) { done(replyOf(peer, reply)) })
 }
 
 // opened returns the connection to one incarnation, if it is open.
@@ -273,7 +294,10 @@
 	d := m.links[peer.Instance()]
 	closed := m.closed
 	m.mu.Unlock()
-	k := d.open()
+	k := m.sharedWith(peer.Instance())
+	if k == nil {
+		k = d.open()
+	}
 	if k != nil && k.peer != peer {
 		return nil, failure.Gone.New("%s is gone: its instance is %s now", peer, k.peer)
 	}
@@ -377,20 +401,9 @@
 func (m *Mesh) Close() {
 	m.mu.Lock()
 	m.closed = true
-	links := m.links
 	m.links = map[string]*dialed{}
-	var open []*link
-	for k := range m.accepted {
-		open = append(open, k)
-	}
+	open := lo.Flatten(slices.Collect(maps.Values(m.byPeer)))
 	m.mu.Unlock()
-	for _, d := range links {
-		d.mu.Lock()
-		if d.link != nil {
-			open = append(open, d.link)
-		}
-		d.mu.Unlock()
-	}
 	for _, k := range open {
 		k.close()
 	}
--- a/membership/table.go
+++ b/membership/table.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/sedgehatch/sedgehatch/fate"
 )
@@ -39,6 +40,11 @@
 	return max(c.AwayFactor, 1)
 }
 
+// Allowed is how long a peer of a zone may be silent before it is dead.
+func (c *Config) Allowed(zone string) time.Duration {
+	return time.Duration(c.DeadMs*c.allowance(zone)) * time.Millisecond
+}
+
 // DefaultConfig fits heartbeats every half second.
 var DefaultConfig = Config{SuspectMs: 1600, DeadMs: 3000}
 
--- a/node/node.go
+++ b/node/node.go
@@ -129,6 +129,13 @@
 	return membership.NewTable(cfg)
 }
 
+// silenceOf is how long a connection to a peer of a zone may be silent.
+func (n *Node) silenceOf(zone string) time.Duration {
+	cfg := silence
+	cfg.Zone = n.in.Zone
+	return cfg.Allowed(zone)
+}
+
 func newStore(i do.Injector) (*platform.Store, error) {
 	counters := do.MustInvoke[*metrics.Set](i)
 	return platform.NewStore(do.MustInvoke[fleet.Instance](i).StoreAddress, func(kind string, status int, took time.Duration) {
@@ -160,6 +167,7 @@
 	n.mesh = inner.NewMesh(inner.Config{
 		Fleet: fleetName, Self: n.self, Region: in.Region, Zone: in.Zone, Address: n.in.PeerAddress,
 		Directory: n, Handler: n, Met: n.met, DialTimeout: dialTimeout, Count: n.metrics.Sent, QueueOnly: true,
+		Shared: true, Silence: n.silenceOf,
 	})
 	return n, nil
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -124,11 +124,20 @@
 	if err != nil {
 		in.t.Fatal(err)
 	}
+	n.listener = standin.NewSilencer(n.listener)
 	in.nodes[name] = n
 	n.Run()
 	return n
 }
 
+// silencePeers makes the open connections between instances go silent for good;
+// new ones work.
+func (in *installation) silencePeers() {
+	for _, n := range in.nodes {
+		n.listener.(*standin.Silencer).SilenceOpen()
+	}
+}
+
 // kill ends an instance at once.
 func (in *installation) kill(name string) {
 	in.nodes[name].Close()
--- a/node/peers.go
+++ b/node/peers.go
@@ -89,7 +89,7 @@
 		switch p.State {
 		case membership.Alive, membership.Suspect, membership.Leaving:
 			if away || p.Zone == n.in.Zone {
-				_ = n.mesh.Post(p.Incarnation, frame) // silence is noticed at the other end
+				_ = n.mesh.Beat(p.Incarnation, frame) // silence is noticed at the other end
 			}
 		default:
 			n.introduce(p.Instance)
@@ -100,6 +100,10 @@
 	}
 }
 
+// yieldDial is how long the instance of two whose name sorts last leaves opening
+// a connection to the other: one between them is enough.
+const yieldDial = 30 * time.Millisecond
+
 // introduce connects to an instance that is not heard, once at a time, and
 // tells it of this one.
 func (n *Node) introduce(instance string) {
@@ -111,6 +115,9 @@
 		return
 	}
 	go func() {
+		if n.in.Name > instance {
+			n.pause(yieldDial) // seeds, which have an address for a name, sort first
+		}
 		frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
 		err := n.mesh.Send(fate.Incarnation(instance), frame) // it is tried again with the next beat
 		n.refused(instance, err)
@@ -129,6 +136,13 @@
 	}
 }
 
+// renew opens another connection to a peer that is not heard any more: it may be
+// the connection that has gone silent, and not the peer.
+func (n *Node) renew(instance string) {
+	frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
+	n.refused(instance, n.mesh.Renew(instance, frame))
+}
+
 // refused notes that nothing listens where an instance should: it does not run.
 func (n *Node) refused(instance string, err error) {
 	n.mu.Lock()
@@ -261,6 +275,8 @@
 			event.PeerLost.Log(n.log, attrs...)
 			n.router.lost(c.Peer.Incarnation)
 			n.mesh.Sever(c.Peer.Instance)
+		case membership.Suspect:
+			go n.renew(c.Peer.Instance)
 		case membership.Leaving:
 			event.PeerLeaving.Log(n.log, attrs...)
 		case membership.Alive:
--- a/node/router.go
+++ b/node/router.go
@@ -27,7 +27,16 @@
 	// views holds what is known of owners on peers, by group.
 	views map[string]*view
 	// sent holds the offers to peers that have not ended.
-	sent map[offerKey]owner.Answer
+	sent map[offerKey]*sentOffer
+}
+
+// sentOffer is an offer to a peer.
+type sentOffer struct {
+	owner.Answer
+	link inner.Link // that it went on; nil while it is being sent
+	// withdrawn is set once the offer is not wanted any more, for a reason.
+	withdrawn bool
+	reason    string
 }
 
 // view is what is known of the owner of a group on a peer.
@@ -45,7 +54,7 @@
 }
 
 func newRouter(n *Node) *router {
-	return &router{n: n, views: map[string]*view{}, sent: map[offerKey]owner.Answer{}}
+	return &router{n: n, views: map[string]*view{}, sent: map[offerKey]*sentOffer{}}
 }
 
 // group returns a group that this instance owns, and whether it takes offers.
@@ -140,31 +149,40 @@
 		return failure.Unreachable.New("no owner of group %s is known", group)
 	}
 	k := offerKey{group, o.Key}
-	r.sent[k] = answer
+	sent := &sentOffer{Answer: answer}
+	r.sent[k] = sent
 	v.load.Free -= len(o.Tasks)
 	peer := v.peer
 	r.mu.Unlock()
 	frame := &inner.Frame{Body: &inner.Frame_Offer{Offer: offerTo(group, o)}}
-	err := r.n.mesh.Notify(peer, frame, func(f *inner.Frame, err error) { r.offerEnded(k, f, err) })
+	link, err := r.n.mesh.Ask(peer, frame, func(f *inner.Frame, err error) { r.offerEnded(k, f, err) })
 	if err != nil {
 		r.take(k)
+		return err
+	}
+	r.mu.Lock()
+	sent.link = link
+	withdrawn, reason := sent.withdrawn, sent.reason
+	r.mu.Unlock()
+	if withdrawn {
+		r.sendWithdrawal(link, k, reason)
 	}
-	return err
+	return nil
 }
 
-// take removes an open offer and returns who waits for it.
-func (r *router) take(k offerKey) (owner.Answer, bool) {
+// take removes an open offer, and returns nil where it is not open.
+func (r *router) take(k offerKey) *sentOffer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	answer, open := r.sent[k]
+	sent := r.sent[k]
 	delete(r.sent, k)
-	return answer, open
+	return sent
 }
 
 // offerEnded takes the reply to an offer, or the loss of its connection.
 func (r *router) offerEnded(k offerKey, f *inner.Frame, err error) {
-	answer, open := r.take(k)
-	if !open {
+	answer := r.take(k)
+	if answer == nil {
 		return
 	}
 	switch {
@@ -197,16 +215,18 @@
 	r.updateLoad(m.GetLoad())
 	k := offerKey{m.GetGroup(), schedule.JobKey{ID: m.GetJob(), Part: int(m.GetPart())}}
 	r.mu.Lock()
-	answer, open := r.sent[k]
+	answer := r.sent[k]
 	r.mu.Unlock()
-	if open {
+	if answer != nil {
 		answer.Returned(schedule.Result{Key: k.key, Returned: toInts(m.GetTasks())}, loadFrom(m.GetLoad()))
 	}
 }
 
 // Withdraw implements ingress.Owners.
 func (r *router) Withdraw(group string, key schedule.JobKey, reason string) {
-	if _, remote := r.take(offerKey{group, key}); !remote {
+	k := offerKey{group, key}
+	sent := r.take(k)
+	if sent == nil {
 		if g, _ := r.group(group); g != nil {
 			key.Coordinator = string(r.n.self)
 			g.Withdraw(key, reason)
@@ -214,16 +234,22 @@
 		return
 	}
 	r.mu.Lock()
-	v := r.views[group]
+	sent.withdrawn, sent.reason = true, reason
+	link := sent.link
 	r.mu.Unlock()
-	if v == nil {
-		return // its owner is lost, and stops what it has of this instance
+	if link != nil {
+		r.sendWithdrawal(link, k, reason)
 	}
+}
+
+// sendWithdrawal follows an offer on its connection. Once that is closed, its
+// owner has ended the offer by itself.
+func (r *router) sendWithdrawal(link inner.Link, k offerKey, reason string) {
 	frame := &inner.Frame{Body: &inner.Frame_OfferWithdrawn{OfferWithdrawn: &inner.OfferWithdrawn{
-		Group: group, Job: key.ID, Part: uint32(key.Part), Reason: reason,
+		Group: k.group, Job: k.key.ID, Part: uint32(k.key.Part), Reason: reason,
 	}}}
-	if err := r.n.mesh.Post(v.peer, frame); err != nil {
-		event.PeerUnsent.Log(r.n.log, slog.String("what", "withdrawal"), slog.String("job", key.ID), slog.String("error", err.Error()))
+	if err := link.Send(frame); err != nil {
+		event.PeerUnsent.Log(r.n.log, slog.String("what", "withdrawal"), slog.String("job", k.key.ID), slog.String("error", err.Error()))
 	}
 }
 
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -23,16 +23,23 @@
 
 // health is what is believed of an upstream's work.
 type health struct {
-	failures int // jobs that failed there first, without a success since
-	missed   int // starts without an answer, without a success since
+	failures int       // jobs that failed there first, without a success since
+	missed   int       // starts without an answer, without a success since
+	missedAt time.Time // when the last of them counted
 	doubted  bool
 	pause    time.Duration
 	until    time.Time // no trial before
 }
 
-// missedStart takes a start without an answer.
-func (p *Pool) missedStart(u *upstream) {
+// missedStart takes a start without an answer. Those that were on their way
+// together count once: one connection may have broken under all of them.
+func (p *Pool) missedStart(r *run) {
+	u := r.up
+	if r.ordered.Before(u.health.missedAt) {
+		return
+	}
 	u.health.missed++
+	u.health.missedAt = p.now
 	if u.health.missed >= missesToDoubt {
 		p.doubt(u, "starts without answer")
 	}
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -20,7 +20,7 @@
 		case failure.Is(err, failure.Gone):
 			p.gone(u, "another life answers")
 		case err != nil:
-			p.missedStart(u)
+			p.missedStart(r)
 			p.stop(r, "start without answer")
 		case refusal == fleet.RefusedNot:
 			r.acked = now
