Large availability zones have hubs; an instance's heartbeats do not grow with the fleet's square

Cause: each instance exchanged heartbeats with each other one.

Ruled out: gossip with random peers (takeover and stopping the work of a lost coordinator would wait several rounds); digests between zones (as many bytes as direct heartbeats between hubs, and two hops older).

Change: in a zone of more than 12 instances the largest, 8 or one for two groups, are hubs: they may own groups, hear all of their zone and the hubs of others, and pass on what they know of owners elsewhere. The others hear their hubs alone, do not follow the upstreams' entries, and beside that the owners that they use. membership.Around decides that, purely. A heartbeat says whether it wants one back; pairs that neither side needs part without being lost. A beat is encoded once for each kind of receiver. claimOf walks what was heard instead of sorting all peers for each group. An instance that refused a connection counts as absent for a second, not until it is heard. peerEntry.Weight, which nothing read, is Share and ranks hubs.

Tests: TestNeighboursSmall, TestNeighboursLarge, TestHubLost; TestLargeZone, TestLargeZoneLosses, TestLargeZoneConfig with 16 instances in one zone; TestZoneCutHeals.

--- a/inner/link.go
+++ b/inner/link.go
@@ -57,6 +57,16 @@
 // each other to read could stand still: while any reader of this instance
 // handles a frame, all is left to the writers.
 func (l *lane) send(f *Frame) error {
+	return l.queue(func(queued []byte) ([]byte, error) { return AppendFrame(queued, f) })
+}
+
+// sendRaw queues a frame that is encoded already, as send does.
+func (l *lane) sendRaw(frame []byte) error {
+	return l.queue(func(queued []byte) ([]byte, error) { return append(queued, frame...), nil })
+}
+
+// queue lets add append to what is queued, and has it written.
+func (l *lane) queue(add func(queued []byte) ([]byte, error)) error {
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
@@ -66,7 +76,7 @@
 		l.mu.Unlock()
 		return failure.Unreachable.New("the peer reads too slowly: %d bytes wait", len(l.queued))
 	}
-	queued, err := AppendFrame(l.queued, f)
+	queued, err := add(l.queued)
 	if err != nil {
 		l.mu.Unlock()
 		return err
@@ -153,7 +163,6 @@
 	traffic *traffic
 	number  uint64 // names the connection within this process
 	peer    fate.Incarnation
-	zone    string
 	opened  bool         // by this instance
 	heard   atomic.Int64 // when the last frame came, nanoseconds of steady
 	called  atomic.Int64 // when the last call was made here, as heard
@@ -167,7 +176,7 @@
 var links atomic.Uint64 // connections so far
 
 func newLink(session *yamux.Session, streams [laneCount]net.Conn, hello *Hello, traffic *traffic) *link {
-	k := &link{number: links.Add(1), session: session, traffic: traffic, peer: fate.Incarnation(hello.GetIncarnation()), zone: hello.GetZone(), calls: map[uint64]func(*Frame){}}
+	k := &link{number: links.Add(1), session: session, traffic: traffic, peer: fate.Incarnation(hello.GetIncarnation()), calls: map[uint64]func(*Frame){}}
 	for i, s := range streams {
 		k.lanes[i] = newLane(s, traffic)
 	}
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -68,9 +68,9 @@
 	// Shared makes the mesh send on any open connection to a peer, whoever opened
 	// it. Beat has to be called on both sides then, a few times in Silence.
 	Shared bool
-	// Silence is how long a connection to a peer of a zone may be silent before
-	// it counts as broken; for Shared.
-	Silence func(zone string) time.Duration
+	// Silence is how long a connection to an instance may be silent before it
+	// counts as broken; for Shared.
+	Silence func(instance string) time.Duration
 	// QueueOnly makes Post, Notify and replies never wait for a peer that does
 	// not read. Frames take a wake-up more.
 	QueueOnly bool
--- a/inner/shared.go
+++ b/inner/shared.go
@@ -81,16 +81,29 @@
 
 // fresh reports whether a connection was heard lately.
 func (m *Mesh) fresh(k *link, now time.Duration) bool {
-	return now-k.heardAt() < m.cfg.Silence(k.zone)/2
+	return now-k.heardAt() < m.cfg.Silence(k.peer.Instance())/2
+}
+
+// Encoded is a frame as it stands on the wire, to be sent to many peers.
+type Encoded struct {
+	raw  []byte
+	kind string
+	lane int
+}
+
+// Encode encodes a frame that wants no reply.
+func Encode(f *Frame) (Encoded, error) {
+	raw, err := AppendFrame(nil, f)
+	return Encoded{raw, KindOf(f), laneOf(f)}, err
 }
 
 // Beat sends a heartbeat on every open connection to one incarnation. The errors
 // are those of Post.
-func (m *Mesh) Beat(peer fate.Incarnation, f *Frame) error {
+func (m *Mesh) Beat(peer fate.Incarnation, e Encoded) error {
 	sent := false
 	for _, k := range m.linksTo(peer.Instance()) {
-		if k.peer == peer && k.send(f) == nil {
-			m.cfg.Count(KindOf(f))
+		if k.peer == peer && k.lanes[e.lane].sendRaw(e.raw) == nil {
+			m.cfg.Count(e.kind)
 			sent = true
 		}
 	}
@@ -114,7 +127,7 @@
 		return
 	}
 	for _, k := range links {
-		silent := now-k.heardAt() >= m.cfg.Silence(k.zone)
+		silent := now-k.heardAt() >= m.cfg.Silence(k.peer.Instance())
 		spare := k.opened && now-k.calledAt() >= idleSpare
 		if k != best && (silent || spare) {
 			k.close()
--- /dev/null
+++ b/membership/neighbours_test.go
@@ -0,0 +1,105 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+)
+
+// zoneOf makes the members of a zone, the first few of them large.
+func zoneOf(zone string, count, large int) []Member {
+	var list []Member
+	for i := range count {
+		m := Member{Name: fmt.Sprintf("%s-%d", zone, i), Zone: zone, Share: 0.2}
+		if i < large {
+			m.Share = 0.8
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+func without(list []Member, name string) []Member {
+	var rest []Member
+	for _, m := range list {
+		if m.Name != name {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
+
+// TestNeighboursSmall: while zones are small, each instance hears each.
+func TestNeighboursSmall(t *testing.T) {
+	all := append(zoneOf("a", 12, 2), zoneOf("b", 3, 0)...)
+	for _, m := range all {
+		n := Around(m, without(all, m.Name), nil)
+		if !n.Hub || len(n.Near)+len(n.Far) != len(all)-1 || len(n.Spokes) > 0 {
+			t.Errorf("%s: %+v", m.Name, n)
+		}
+		for name := range n.Near {
+			if name[0] != m.Name[0] {
+				t.Errorf("%s is near %s of another zone", name, m.Name)
+			}
+		}
+	}
+}
+
+// TestNeighboursLarge: in a fleet of 300 the hubs are the largest instances,
+// enough of them for the groups, and both sides of each pair agree.
+func TestNeighboursLarge(t *testing.T) {
+	var all []Member
+	groups := map[string]int{}
+	for _, zone := range []string{"a", "b", "c", "d"} {
+		all = append(all, zoneOf(zone, 75, 20)...)
+		groups[zone] = 34
+	}
+	around := map[string]Neighbours{}
+	for _, m := range all {
+		around[m.Name] = Around(m, without(all, m.Name), groups)
+	}
+	hubs := 0
+	for _, m := range all {
+		n := around[m.Name]
+		if n.Hubs != 17 {
+			t.Fatalf("zone %s has %d hubs", m.Zone, n.Hubs)
+		}
+		if n.Hub {
+			hubs++
+			if m.Share < 0.8 {
+				t.Errorf("%s is a hub, and small", m.Name)
+			}
+			if len(n.Near) != 16 || len(n.Spokes) != 75-17 || len(n.Far) != 75-17+3*17 {
+				t.Errorf("hub %s has %d near, %d far", m.Name, len(n.Near), len(n.Far))
+			}
+		} else if len(n.Near)+len(n.Far) != 17 {
+			t.Errorf("%s has %d neighbours", m.Name, len(n.Near)+len(n.Far))
+		}
+		for _, o := range all {
+			other := around[o.Name]
+			if n.Has(o.Name) != other.Has(m.Name) || n.Near[o.Name] != other.Near[m.Name] {
+				t.Errorf("%s and %s do not agree", m.Name, o.Name)
+			}
+		}
+	}
+	if hubs != 4*17 {
+		t.Errorf("%d hubs", hubs)
+	}
+}
+
+// TestHubLost: without one hub the others stay, and one more comes.
+func TestHubLost(t *testing.T) {
+	all := zoneOf("a", 40, 0)
+	before := hubsOf(all, 0)
+	after := hubsOf(without(all, before[3].Name), 0)
+	kept := 0
+	for _, b := range before {
+		for _, a := range after {
+			if a.Name == b.Name {
+				kept++
+			}
+		}
+	}
+	if len(before) != minHubs || len(after) != minHubs || kept != minHubs-1 {
+		t.Errorf("%d hubs before, %d after, %d kept", len(before), len(after), kept)
+	}
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -15,7 +15,7 @@
 
 // The states of a peer.
 const (
-	Listed  State = "listed"  // on the platform's list, never heard
+	Listed  State = "listed"  // on the platform's list; not heard, and need not be
 	Alive   State = "alive"   // heard within SuspectMs
 	Suspect State = "suspect" // silent for longer: gets no new work
 	Dead    State = "dead"    // silent for DeadMs, or replaced
@@ -26,23 +26,9 @@
 type Config struct {
 	SuspectMs int64
 	DeadMs    int64
-	// Zone is the availability zone of this instance. Peers of others speak
-	// less often, and may be silent AwayFactor times as long; 0 is 1.
-	Zone       string
-	AwayFactor int64
-}
-
-// allowance is how many times longer a peer may be silent.
-func (c *Config) allowance(zone string) int64 {
-	if zone == c.Zone {
-		return 1
-	}
-	return max(c.AwayFactor, 1)
-}
-
-// Allowed is how long a peer of a zone may be silent before it is dead.
-func (c *Config) Allowed(zone string) time.Duration {
-	return time.Duration(c.DeadMs*c.allowance(zone)) * time.Millisecond
+	// FarFactor is how many times longer a peer may be silent that is not a
+	// near neighbour; 0 is 1. It speaks less often.
+	FarFactor int64
 }
 
 // DefaultConfig fits heartbeats every half second.
@@ -56,10 +42,13 @@
 	Zone     string
 	Rack     string
 	Leaving  bool
+	Share    float64 // of a processor; 0 if not known
 }
 
 // Load is what a heartbeat carries.
 type Load struct {
+	// Unwanted is said by a peer that does not need heartbeats from here.
+	Unwanted   bool
 	Leaving    bool
 	ActiveJobs uint64
 	Revision   uint64
@@ -87,6 +76,9 @@
 type Table struct {
 	cfg   Config
 	peers map[string]*Peer
+	// neighbours are those that this instance wants to hear; nil is all, and
+	// all near.
+	neighbours *Neighbours
 }
 
 // NewTable returns a table without peers.
@@ -94,6 +86,28 @@
 	return &Table{cfg: cfg, peers: map[string]*Peer{}}
 }
 
+// SetNeighbours takes whom this instance wants to hear. A peer outside of them
+// that falls silent is not lost, unless it wants to hear this instance.
+func (t *Table) SetNeighbours(n *Neighbours) { t.neighbours = n }
+
+// allowance is how many times longer a peer may be silent.
+func (t *Table) allowance(name string) int64 {
+	if t.neighbours == nil || t.neighbours.Near[name] {
+		return 1
+	}
+	return max(t.cfg.FarFactor, 1)
+}
+
+// Allowed is how long a peer may be silent before it is dead.
+func (t *Table) Allowed(name string) time.Duration {
+	return time.Duration(t.cfg.DeadMs*t.allowance(name)) * time.Millisecond
+}
+
+// parted reports whether neither side of a pair needs the other.
+func (t *Table) parted(p *Peer) bool {
+	return t.neighbours != nil && !t.neighbours.Has(p.Instance) && p.Load.Unwanted
+}
+
 // SetListed takes the platform's list. It only seeds and describes: a peer
 // that is heard stays though it is not listed, for the list lags.
 func (t *Table) SetListed(list []Listing) []Change {
@@ -109,6 +123,7 @@
 			p.Listing = l
 			p.met = false
 		}
+		p.Share = cmp.Or(l.Share, p.Share)
 	}
 	for name, p := range t.peers {
 		if !listed[name] && (p.State == Dead || p.State == Listed) {
@@ -126,6 +141,7 @@
 		p = &Peer{State: Listed}
 		t.peers[l.Instance] = p
 	}
+	l.Share = cmp.Or(l.Share, p.Share)
 	p.Listing = l
 	p.met = true
 }
@@ -169,7 +185,9 @@
 		if p.State == Listed || p.State == Dead {
 			continue
 		}
-		switch silent := (now - p.heard) / t.cfg.allowance(p.Zone); {
+		switch silent := (now - p.heard) / t.allowance(p.Instance); {
+		case silent >= t.cfg.SuspectMs && t.parted(p):
+			changes = append(changes, p.changeTo(Listed)...)
 		case silent >= t.cfg.DeadMs:
 			changes = append(changes, p.changeTo(Dead)...)
 		case silent >= t.cfg.SuspectMs && p.State == Alive:
@@ -202,6 +220,14 @@
 	return list
 }
 
+// State returns what is believed of an instance; Dead of one that is unknown.
+func (t *Table) State(instance string) State {
+	if p := t.peers[instance]; p != nil {
+		return p.State
+	}
+	return Dead
+}
+
 // Address returns where an instance listens.
 func (t *Table) Address(instance string) (string, bool) {
 	p := t.peers[instance]
--- a/node/follow.go
+++ b/node/follow.go
@@ -33,7 +33,9 @@
 	standbyRest = 1200 * time.Millisecond
 	// firstRetry and longestRetry bound the pause after a failed call to the
 	// store.
-	firstRetry   = 50 * time.Millisecond
+	firstRetry = 50 * time.Millisecond
+	// neededPoll is how often a follower looks whether its keys are needed.
+	neededPoll   = 50 * time.Millisecond
 	longestRetry = 700 * time.Millisecond
 )
 
@@ -43,6 +45,8 @@
 	wait   time.Duration
 	// rest is the pause after each answer: more changes are read together then.
 	rest func() time.Duration
+	// needed tells whether the keys are needed now; nil is always.
+	needed func() bool
 	// replace takes all keys, update those that changed.
 	replace func([]platform.Item)
 	update  func([]platform.Item)
@@ -55,6 +59,11 @@
 	pause.InitialInterval, pause.MaxInterval = firstRetry, longestRetry
 	revision, known, lost := uint64(0), false, time.Time{}
 	for n.stop.Err() == nil {
+		if f.needed != nil && !f.needed() {
+			known = false
+			n.pause(neededPoll)
+			continue
+		}
 		items, next, err := n.read(f, known, revision)
 		if err == nil {
 			revision = next
@@ -83,6 +92,26 @@
 
 func noRest() time.Duration { return 0 }
 
+// restPerPeer is how long the list of peers rests for each of them: each change
+// is read by all.
+const restPerPeer = time.Millisecond
+
+func (n *Node) peerRest() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Duration(len(n.registered)) * restPerPeer
+}
+
+// needsUpstreams reports whether this instance owns groups, or may come to: in
+// large availability zones only hubs do.
+func (n *Node) needsUpstreams() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	needed := n.around.Hub || len(n.groups) > 0
+	n.listed = n.listed && needed
+	return needed
+}
+
 // upstreamRest is the pause between reads of the upstreams' entries.
 func (n *Node) upstreamRest() time.Duration {
 	n.mu.Lock()
@@ -142,7 +171,7 @@
 
 func (n *Node) followUpstreams() {
 	n.follow(follower{
-		prefix: platform.UpstreamPrefix, wait: upstreamWait, rest: n.upstreamRest,
+		prefix: platform.UpstreamPrefix, wait: upstreamWait, rest: n.upstreamRest, needed: n.needsUpstreams,
 		replace: func(items []platform.Item) {
 			n.mu.Lock()
 			n.upstreams = map[string]fleet.Upstream{}
@@ -194,7 +223,7 @@
 	Address string
 	Region  string
 	Zone    string
-	Weight  float64
+	Share   float64 // of a processor
 }
 
 func (n *Node) followPeers() {
@@ -218,12 +247,12 @@
 				event.EntryRefused.Log(n.log, slog.String("key", item.Key), slog.String("error", err.Error()))
 				continue
 			}
-			known[name] = membership.Listing{Instance: name, Address: e.Address, Region: e.Region, Zone: e.Zone}
+			known[name] = membership.Listing{Instance: name, Address: e.Address, Region: e.Region, Zone: e.Zone, Share: e.Share}
 		}
 		n.listPeers(known)
 	}
 	n.follow(follower{
-		prefix: platform.OwnPrefix, wait: peerWait, rest: noRest,
+		prefix: platform.OwnPrefix, wait: peerWait, rest: n.peerRest,
 		replace: func(items []platform.Item) { clear(known); update(items) },
 		update:  update,
 	})
@@ -266,7 +295,7 @@
 
 // register keeps this instance's entry in the store.
 func (n *Node) register() {
-	value, err := json.Marshal(peerEntry{Address: n.in.PeerAddress, Region: n.in.Region, Zone: n.in.Zone, Weight: n.in.CPUShare})
+	value, err := json.Marshal(peerEntry{Address: n.in.PeerAddress, Region: n.in.Region, Zone: n.in.Zone, Share: n.in.CPUShare})
 	if err != nil {
 		event.ServeFailed.Log(n.log, slog.String("error", err.Error())) // cannot happen: plain fields
 		return
--- a/node/groups.go
+++ b/node/groups.go
@@ -92,13 +92,13 @@
 func (n *Node) claimOf(group string, leaving bool) (string, *inner.Claim) {
 	var best *inner.Claim
 	name := ""
-	for _, p := range n.table.Peers() {
-		if p.State == membership.Dead || p.State == membership.Listed {
+	for instance, p := range n.heard {
+		if state := n.table.State(instance); state == membership.Dead || state == membership.Listed {
 			continue
 		}
-		for _, c := range n.heard[p.Instance].GetClaims() {
+		for _, c := range p.GetClaims() {
 			if c.GetGroup() == group && c.GetLeaving() == leaving && (best == nil || c.GetToken() > best.GetToken()) {
-				best, name = c, p.Instance
+				best, name = c, instance
 			}
 		}
 	}
--- /dev/null
+++ b/node/neighbours.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
+
+	"github.com/samber/lo"
+)
+
+// updateNeighbours works out anew whom this instance exchanges heartbeats with.
+func (n *Node) updateNeighbours() {
+	used := n.router.inUse()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var live, all []membership.Member
+	for _, p := range n.table.Peers() {
+		if p.Zone == "" {
+			continue // only its address is known
+		}
+		m := membership.Member{Name: p.Instance, Zone: p.Zone, Share: p.Share}
+		all = append(all, m)
+		if p.State != membership.Dead && !(p.State == membership.Listed && n.isAbsent(p.Instance)) {
+			live = append(live, m)
+		}
+	}
+	self := membership.Member{Name: n.in.Name, Zone: n.in.Zone, Share: n.in.CPUShare}
+	around := membership.Around(self, live, n.groupCounts)
+	n.sought = &around
+	if len(live) < len(all) {
+		// Those that are lost would be neighbours again.
+		n.sought = lo.ToPtr(membership.Around(self, all, n.groupCounts))
+	}
+	for name := range used {
+		if !around.Has(name) {
+			around.Far[name] = true
+		}
+	}
+	if around.Hub != n.around.Hub || around.Hubs != n.around.Hubs {
+		event.NeighboursChanged.Log(n.log, slog.Bool("hub", around.Hub), slog.Int("hubs", around.Hubs),
+			slog.Int("near", len(around.Near)), slog.Int("far", len(around.Far)), slog.Int("known", len(all)))
+	}
+	n.around = &around
+	n.table.SetNeighbours(n.around)
+}
+
+// wants reports whether this instance needs to hear another.
+func (n *Node) wants(instance string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.around.Has(instance)
+}
+
+// silenceOf is how long a connection to an instance may be silent.
+func (n *Node) silenceOf(instance string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.table.Allowed(instance)
+}
+
+// audience is what differs between the heartbeats of one beat.
+type audience struct {
+	unwanted bool // this instance does not need to hear the receiver
+	relayed  bool // the receiver hears of owners in other zones from here
+}
+
+// relayEvery is how often a hub passes on what it hears of owners in other
+// availability zones.
+const relayEvery = 500 * time.Millisecond
+
+// beatFrames encodes the heartbeats of one beat, each when it is first needed.
+type beatFrames struct {
+	presence *inner.Presence
+	relayed  []*inner.RemoteOwner
+	encoded  map[audience]inner.Encoded
+}
+
+func (n *Node) newBeat() *beatFrames {
+	return &beatFrames{presence: n.presence(), relayed: n.relays(), encoded: map[audience]inner.Encoded{}}
+}
+
+// relays returns what this instance tells the spokes of its zone of owners in
+// others: each hub tells a part.
+func (n *Node) relays() []*inner.RemoteOwner {
+	n.mu.Lock()
+	around := n.around
+	due := len(around.Spokes) > 0 && time.Since(n.relayed) >= relayEvery
+	if due {
+		n.relayed = time.Now()
+	}
+	n.mu.Unlock()
+	if !due {
+		return nil
+	}
+	var mine []*inner.RemoteOwner
+	for i, o := range n.router.awayOwners() {
+		if i%around.Hubs == around.Rank {
+			mine = append(mine, o)
+		}
+	}
+	return mine
+}
+
+func (b *beatFrames) of(a audience) (inner.Encoded, error) {
+	if e, done := b.encoded[a]; done {
+		return e, nil
+	}
+	b.presence.Unwanted = a.unwanted
+	b.presence.Relayed = nil
+	if a.relayed {
+		b.presence.Relayed = b.relayed
+	}
+	e, err := inner.Encode(presenceFrame(b.presence))
+	b.encoded[a] = e
+	return e, err
+}
+
+func presenceFrame(p *inner.Presence) *inner.Frame {
+	return &inner.Frame{Body: &inner.Frame_Presence{Presence: p}}
+}
+
+// presenceFor is a heartbeat for one instance outside of the beat.
+func (n *Node) presenceFor(instance string) *inner.Frame {
+	p := n.presence()
+	p.Unwanted = !n.wants(instance)
+	return presenceFrame(p)
+}
+
+// dueClasses tells which neighbours hear from this instance in this beat.
+func (n *Node) dueClasses() (far bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	joining := time.Since(n.taken) < joinTime
+	far = time.Since(n.toldFar) >= farEvery || joining || n.leaving.Load()
+	if far {
+		n.toldFar = time.Now()
+	}
+	return far
+}
+
+// tellPeers sends the presence of this instance to all neighbours that are due,
+// and looks for those that are not heard.
+func (n *Node) tellPeers() {
+	far := n.dueClasses()
+	n.mu.Lock()
+	peers, around, sought := n.table.Peers(), n.around, n.sought
+	n.mu.Unlock()
+	beat := n.newBeat()
+	for _, p := range peers {
+		switch p.State {
+		case membership.Alive, membership.Suspect, membership.Leaving:
+			if far || around.Near[p.Instance] {
+				n.tellPeer(beat, around, p)
+			}
+		default:
+			if around.Has(p.Instance) || sought.Has(p.Instance) {
+				n.introduce(p.Instance)
+			}
+		}
+	}
+	if len(peers) == 0 && time.Since(n.began) > seedAfter {
+		n.trySeeds()
+	}
+}
+
+// tellPeer sends a heartbeat to a peer that either side needs, and a last one
+// once neither does.
+func (n *Node) tellPeer(beat *beatFrames, around *membership.Neighbours, p membership.Peer) {
+	wanted := around.Has(p.Instance)
+	n.mu.Lock()
+	last := !wanted && p.Load.Unwanted
+	told := n.parted[p.Instance]
+	if last {
+		n.parted[p.Instance] = true
+	} else {
+		delete(n.parted, p.Instance)
+	}
+	n.mu.Unlock()
+	if last && told {
+		return
+	}
+	e, err := beat.of(audience{unwanted: !wanted, relayed: around.Spokes[p.Instance] && len(beat.relayed) > 0})
+	if err != nil {
+		event.PeerUnsent.Log(n.log, slog.String("what", "presence"), slog.String("error", err.Error()))
+		return
+	}
+	_ = n.mesh.Beat(p.Incarnation, e) // silence is noticed at the other end
+}
+
+// hubPeers returns the peers of the own availability zone that are hubs.
+// The lock is held.
+func (n *Node) hubPeers() []membership.Peer {
+	return lo.Filter(n.table.Peers(), func(p membership.Peer, _ int) bool { return n.around.Near[p.Instance] })
+}
+
+// awayOwners returns what is known of owners in other availability zones at
+// first hand, by group.
+func (r *router) awayOwners() []*inner.RemoteOwner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*inner.RemoteOwner
+	for _, group := range slices.Sorted(maps.Keys(r.views)) {
+		v := r.views[group]
+		if v.relayed || zoneOf(group) == r.n.in.Zone {
+			continue
+		}
+		list = append(list, &inner.RemoteOwner{
+			Claim: &inner.Claim{
+				Group: group, Token: v.token, Free: uint32(max(v.load.Free, 0)), Waiting: uint32(v.load.Waiting), Capacity: v.load.Capacity,
+			},
+			Incarnation: string(v.peer), AgeMs: uint32(time.Since(v.heard).Milliseconds()),
+		})
+	}
+	return list
+}
+
+// heardOf takes what a hub passes on of owners in other availability zones. What
+// this instance heard itself lately goes before it.
+func (r *router) heardOf(owners []*inner.RemoteOwner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range owners {
+		c := o.GetClaim()
+		heard := time.Now().Add(-time.Duration(o.GetAgeMs()) * time.Millisecond)
+		v := r.views[c.GetGroup()]
+		if v != nil && (v.token > c.GetToken() || v.heard.After(heard)) {
+			continue
+		}
+		r.views[c.GetGroup()] = &view{
+			peer: fate.Incarnation(o.GetIncarnation()), token: c.GetToken(), load: loadOf(c.GetGroup(), loadFrom(c)), heard: heard, relayed: true,
+		}
+	}
+	for group, v := range r.views {
+		if v.relayed && time.Since(v.heard) > forgetRelayed {
+			delete(r.views, group)
+		}
+	}
+}
+
+const (
+	// staleRelayed is staleLoad for what a hub passes on, which comes that
+	// much later.
+	staleRelayed = staleLoad + relayEvery + farEvery
+	// forgetRelayed is when an owner that no hub speaks of is forgotten.
+	forgetRelayed = 3 * time.Second
+	// useTime is how long the owner of an offer counts as in use after it.
+	useTime = 5 * time.Second
+)
+
+// inUse returns the instances that this one has sent offers to lately: both
+// sides must notice soon when the other is lost.
+func (r *router) inUse() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	used := map[string]bool{}
+	for instance, at := range r.used {
+		if time.Since(at) > useTime {
+			delete(r.used, instance)
+			continue
+		}
+		used[instance] = true
+	}
+	return used
+}
--- /dev/null
+++ b/node/neighbours_test.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/sedgehatch/sedgehatch/membership"
+)
+
+// largeInstallation has a zone in which not all instances are hubs, and a small
+// one beside it.
+func largeInstallation(t *testing.T) (in *installation, hubs, spokes []string) {
+	t.Helper()
+	var names []string
+	for i := range 16 {
+		names = append(names, fmt.Sprintf("a-%02d", i))
+	}
+	in = newInstallation(t, []string{"a", "b"}, 2, append(names, "b-1")...)
+	in.until("the instances of the large zone agree on its hubs", func() bool {
+		hubs, spokes = nil, nil
+		for _, name := range names {
+			n := in.nodes[name]
+			n.mu.Lock()
+			hub, count := n.around.Hub, n.around.Hubs
+			n.mu.Unlock()
+			if hub {
+				hubs = append(hubs, name)
+			} else {
+				spokes = append(spokes, name)
+			}
+			if count != 8 {
+				return false
+			}
+		}
+		return len(hubs) == 8
+	})
+	return in, hubs, spokes
+}
+
+// TestLargeZone: instances that are no hubs do not hear each other, know the
+// owners of their own and of other zones, and serve with both.
+func TestLargeZone(t *testing.T) {
+	in, _, spokes := largeInstallation(t)
+	first := in.nodes[spokes[0]]
+	in.until("no spoke hears another", func() bool {
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		for _, other := range spokes[1:] {
+			if first.table.State(other) != membership.Listed {
+				return false
+			}
+		}
+		return first.table.State("b-1") == membership.Listed
+	})
+	in.until("the owner of the other zone is known", func() bool { return len(first.router.Loads()) == 2 })
+	in.want(spokes[0], 2, 20)
+	in.want(spokes[0], 6, 20)
+	in.until("its connection to the owner of the other zone is in use", func() bool { return first.wants("b-1") })
+	in.want("b-1", 6, 20)
+}
+
+// TestLargeZoneLosses loses the owner of the large zone, then a coordinator that
+// is no hub.
+func TestLargeZoneLosses(t *testing.T) {
+	in, _, spokes := largeInstallation(t)
+	owner := in.owner("a/0")
+	id := in.newID()
+	lost := in.background(spokes[0], id, 2, 5000)
+	in.until("the job runs", func() bool { return in.ledger.Runs(id) })
+	in.kill(owner)
+	if status := <-lost; status != http.StatusGatewayTimeout {
+		t.Errorf("the job of the lost owner was answered %d", status)
+	}
+	in.until("the job's tasks are stopped", func() bool { return !in.ledger.Runs(id) })
+	in.until("work is done again", func() bool {
+		status, _ := in.submit(spokes[0], in.newID(), 2, 10)
+		return status == http.StatusOK
+	})
+	id = in.newID()
+	cut := in.background(spokes[1], id, 4, 5000) // some of it in the other zone
+	in.until("the job runs", func() bool { return in.ledger.Runs(id) })
+	in.kill(spokes[1])
+	<-cut
+	in.until("its tasks are stopped", func() bool { return !in.ledger.Runs(id) })
+}
+
+// TestLargeZoneConfig: an instance that is no hub and does not reach the store
+// hears of a version from the hubs.
+func TestLargeZoneConfig(t *testing.T) {
+	in, _, spokes := largeInstallation(t)
+	n := in.nodes[spokes[0]]
+	n.store.Close()
+	in.configure(2, "/checks/")
+	in.until("the version has come", func() bool { return n.config.Load().Version == 2 })
+}
--- a/node/node.go
+++ b/node/node.go
@@ -42,9 +42,9 @@
 	// presenceEvery is how often peers hear of this instance, and joinEvery
 	// that while the upstreams of a group that it has just taken join.
 	presenceEvery = 100 * time.Millisecond
-	// awayEvery is the same for peers of other availability zones, where
-	// bytes have a price.
-	awayEvery = 250 * time.Millisecond
+	// farEvery is the same for far neighbours: bytes between availability
+	// zones have a price, and a large zone has many instances.
+	farEvery  = 250 * time.Millisecond
 	joinEvery = 20 * time.Millisecond
 	joinTime  = 400 * time.Millisecond
 	// dialTimeout bounds opening a connection to a peer: a round trip takes
@@ -61,7 +61,7 @@
 
 // silence bounds how long a peer may be silent: a job of an instance that is
 // lost must be stopped well before its customer sends it again.
-var silence = membership.Config{SuspectMs: 350, DeadMs: 600, AwayFactor: 2}
+var silence = membership.Config{SuspectMs: 350, DeadMs: 600, FarFactor: 2}
 
 // Node is one instance.
 type Node struct {
@@ -97,9 +97,9 @@
 	upstreams map[string]fleet.Upstream
 	listed    bool // the upstreams have been read once
 	groups    map[string]*held
-	highest   uint64          // fencing token heard of
-	dialing   map[string]bool // instances that are being connected to
-	absent    map[string]bool // instances where nothing listens
+	highest   uint64               // fencing token heard of
+	dialing   map[string]bool      // instances that are being connected to
+	absent    map[string]time.Time // when a connection to an instance was refused last
 	// registered are the instances that the store lists now.
 	registered map[string]bool
 	alone      time.Time // since when no peer is heard
@@ -107,9 +107,13 @@
 	groupCounts map[string]int
 	counting    bool                 // the number of groups is being written
 	drainedAt   map[string]time.Time // when an upstream was first known to drain
-	toldAway    time.Time            // when peers of other zones heard last
-	taken       time.Time            // when the last group was taken
-	leaps       uint                 // how often a token had to be raised beyond the time
+	toldFar     time.Time            // when far neighbours heard last
+	relayed     time.Time            // when spokes heard last of owners in other zones
+	around      *membership.Neighbours
+	sought      *membership.Neighbours // as around, if nobody were lost
+	parted      map[string]bool        // instances that were told that neither needs the other
+	taken       time.Time              // when the last group was taken
+	leaps       uint                   // how often a token had to be raised beyond the time
 }
 
 // New makes an instance and its listeners. Run starts it.
@@ -123,19 +127,6 @@
 	return do.Invoke[*Node](injector)
 }
 
-func newTable(zone string) *membership.Table {
-	cfg := silence
-	cfg.Zone = zone
-	return membership.NewTable(cfg)
-}
-
-// silenceOf is how long a connection to a peer of a zone may be silent.
-func (n *Node) silenceOf(zone string) time.Duration {
-	cfg := silence
-	cfg.Zone = n.in.Zone
-	return cfg.Allowed(zone)
-}
-
 func newStore(i do.Injector) (*platform.Store, error) {
 	counters := do.MustInvoke[*metrics.Set](i)
 	return platform.NewStore(do.MustInvoke[fleet.Instance](i).StoreAddress, func(kind string, status int, took time.Duration) {
@@ -153,8 +144,8 @@
 		in: in, self: fate.Incarnation(in.Name + "." + uuid.NewString()[:8]), log: do.MustInvoke[*slog.Logger](i),
 		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(),
 		began: time.Now(),
-		table: newTable(in.Zone), heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
-		groups: map[string]*held{}, dialing: map[string]bool{}, absent: map[string]bool{}, registered: map[string]bool{}, groupCounts: map[string]int{}, drainedAt: map[string]time.Time{},
+		table: membership.NewTable(silence), around: &membership.Neighbours{Hub: true, Hubs: 1}, sought: &membership.Neighbours{}, parted: map[string]bool{}, heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
+		groups: map[string]*held{}, dialing: map[string]bool{}, absent: map[string]time.Time{}, registered: map[string]bool{}, groupCounts: map[string]int{}, drainedAt: map[string]time.Time{},
 	}
 	n.decisions = newDecisionLog(n.log)
 	n.stop, n.cancel = context.WithCancel(context.Background())
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -129,7 +129,7 @@
 // betterOwner reports whether handing a group to a peer is worth the change. The
 // lock is held.
 func (n *Node) betterOwner(peer string, owners map[string]string) bool {
-	if n.heard[peer].GetShare() >= muchLarger*n.in.CPUShare {
+	if !n.around.Hub || n.heard[peer].GetShare() >= muchLarger*n.in.CPUShare {
 		return true
 	}
 	fair := 0
@@ -185,7 +185,7 @@
 	}
 	n.mu.Lock()
 	taken := false
-	if n.settled() && !n.isolated() {
+	if n.around.Hub && n.settled() && !n.isolated() {
 		owners := membership.Assign(n.zoneGroups(), n.candidates())
 		for group, name := range owners {
 			if name == n.in.Name && n.canTake(group) {
@@ -217,13 +217,12 @@
 	if time.Since(n.began) >= settleTime {
 		return true
 	}
-	peers := n.table.Peers()
-	for _, p := range peers {
-		if p.Zone == n.in.Zone && p.State == membership.Listed && !n.absent[p.Instance] {
+	for _, p := range n.hubPeers() {
+		if p.State == membership.Listed && !n.isAbsent(p.Instance) {
 			return false
 		}
 	}
-	return len(peers) > 0
+	return len(n.table.Peers()) > 0
 }
 
 // canTake reports whether a group is free. The lock is held.
@@ -250,7 +249,7 @@
 		case p.State == membership.Alive || p.State == membership.Suspect || p.State == membership.Leaving:
 			n.alone = time.Time{}
 			return false
-		case p.Zone == n.in.Zone && n.registered[p.Instance] && !n.absent[p.Instance]:
+		case p.Zone == n.in.Zone && n.registered[p.Instance] && !n.isAbsent(p.Instance):
 			listed = true
 		}
 	}
@@ -264,11 +263,14 @@
 }
 
 // candidates returns the instances of the own availability zone that may own
-// groups. The lock is held.
+// groups: its hubs. The lock is held.
 func (n *Node) candidates() []membership.Candidate {
-	list := []membership.Candidate{{Name: n.in.Name, Share: n.in.CPUShare}}
-	for _, p := range n.table.Peers() {
-		if p.Zone == n.in.Zone && p.State == membership.Alive {
+	var list []membership.Candidate
+	if n.around.Hub {
+		list = append(list, membership.Candidate{Name: n.in.Name, Share: n.in.CPUShare})
+	}
+	for _, p := range n.hubPeers() {
+		if p.State == membership.Alive {
 			list = append(list, membership.Candidate{Name: p.Instance, Share: n.heard[p.Instance].GetShare()})
 		}
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -35,6 +35,7 @@
 	changes := n.table.Tick(n.nowMs())
 	n.mu.Unlock()
 	n.changed(changes)
+	n.updateNeighbours()
 	n.reconsider()
 	n.tellPeers()
 }
@@ -74,32 +75,6 @@
 	return p
 }
 
-// tellPeers sends the presence of this instance to all peers that are due.
-func (n *Node) tellPeers() {
-	frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
-	n.mu.Lock()
-	peers := n.table.Peers()
-	joining := time.Since(n.taken) < joinTime
-	away := time.Since(n.toldAway) >= awayEvery || joining || n.leaving.Load()
-	if away {
-		n.toldAway = time.Now()
-	}
-	n.mu.Unlock()
-	for _, p := range peers {
-		switch p.State {
-		case membership.Alive, membership.Suspect, membership.Leaving:
-			if away || p.Zone == n.in.Zone {
-				_ = n.mesh.Beat(p.Incarnation, frame) // silence is noticed at the other end
-			}
-		default:
-			n.introduce(p.Instance)
-		}
-	}
-	if len(peers) == 0 && time.Since(n.began) > seedAfter {
-		n.trySeeds()
-	}
-}
-
 // yieldDial is how long the instance of two whose name sorts last leaves opening
 // a connection to the other: one between them is enough.
 const yieldDial = 30 * time.Millisecond
@@ -118,8 +93,7 @@
 		if n.in.Name > instance {
 			n.pause(yieldDial) // seeds, which have an address for a name, sort first
 		}
-		frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
-		err := n.mesh.Send(fate.Incarnation(instance), frame) // it is tried again with the next beat
+		err := n.mesh.Send(fate.Incarnation(instance), n.presenceFor(instance)) // it is tried again with the next beat
 		n.refused(instance, err)
 		n.mu.Lock()
 		delete(n.dialing, instance)
@@ -139,8 +113,18 @@
 // renew opens another connection to a peer that is not heard any more: it may be
 // the connection that has gone silent, and not the peer.
 func (n *Node) renew(instance string) {
-	frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
-	n.refused(instance, n.mesh.Renew(instance, frame))
+	n.refused(instance, n.mesh.Renew(instance, n.presenceFor(instance)))
+}
+
+// absentFor is how long an instance that refused a connection counts as not
+// running, unless it is heard or refuses another.
+const absentFor = time.Second
+
+// isAbsent reports whether nothing listens where an instance should. The lock is
+// held.
+func (n *Node) isAbsent(instance string) bool {
+	at, refused := n.absent[instance]
+	return refused && time.Since(at) < absentFor
 }
 
 // refused notes that nothing listens where an instance should: it does not run.
@@ -148,7 +132,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if failure.Is(err, failure.Gone) {
-		n.absent[instance] = true
+		n.absent[instance] = time.Now()
 		return
 	}
 	delete(n.absent, instance)
@@ -190,7 +174,7 @@
 // dropped; whether the peer is gone is found out at once.
 func (n *Node) LinkClosed(link inner.Link, from fate.Incarnation) {
 	n.router.linkClosed(link, from)
-	if n.stop.Err() != nil {
+	if n.stop.Err() != nil || !n.wants(from.Instance()) {
 		return
 	}
 	go n.probe(from)
@@ -215,7 +199,8 @@
 // hear takes the heartbeat of a peer.
 func (n *Node) hear(link inner.Link, from fate.Incarnation, p *inner.Presence) {
 	n.mu.Lock()
-	changes := n.table.Heard(from, membership.Load{Leaving: p.GetLeaving(), Revision: p.GetConfigVersion()}, n.nowMs())
+	load := membership.Load{Leaving: p.GetLeaving(), Revision: p.GetConfigVersion(), Unwanted: p.GetUnwanted()}
+	changes := n.table.Heard(from, load, n.nowMs())
 	before := n.heard[from.Instance()]
 	n.heard[from.Instance()] = p
 	n.highest = max(n.highest, p.GetHighestToken())
@@ -230,11 +215,12 @@
 	}
 	n.mu.Unlock()
 	n.router.heard(from, p)
+	n.router.heardOf(p.GetRelayed())
 	n.changed(changes)
 	if len(changes) > 0 {
 		// It is answered where it spoke: a connection the other way may
 		// take long to open, and it should not take itself for alone.
-		n.answer(link)
+		n.answer(link, from.Instance())
 	}
 	if leaving {
 		n.updateGroups()
@@ -249,9 +235,8 @@
 }
 
 // answer tells a peer of this instance on a connection of its own.
-func (n *Node) answer(link inner.Link) {
-	frame := &inner.Frame{Body: &inner.Frame_Presence{Presence: n.presence()}}
-	if err := link.Send(frame); err != nil {
+func (n *Node) answer(link inner.Link, peer string) {
+	if err := link.Send(n.presenceFor(peer)); err != nil {
 		event.PeerUnsent.Log(n.log, slog.String("what", "presence"), slog.String("error", err.Error()))
 	}
 }
@@ -275,6 +260,8 @@
 			event.PeerLost.Log(n.log, attrs...)
 			n.router.lost(c.Peer.Incarnation)
 			n.mesh.Sever(c.Peer.Instance)
+		case membership.Listed: // neither side needs the other any more
+			n.mesh.Sever(c.Peer.Instance)
 		case membership.Suspect:
 			go n.renew(c.Peer.Instance)
 		case membership.Leaving:
--- a/node/router.go
+++ b/node/router.go
@@ -15,8 +15,6 @@
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/owner"
 	"github.com/sedgehatch/sedgehatch/schedule"
-
-	"github.com/samber/lo"
 )
 
 // router passes offers between the coordinator of this instance and the owners
@@ -26,6 +24,8 @@
 	mu sync.Mutex
 	// views holds what is known of owners on peers, by group.
 	views map[string]*view
+	// used holds when an offer was last sent to an instance.
+	used map[string]time.Time
 	// sent holds the offers to peers that have not ended.
 	sent map[offerKey]*sentOffer
 }
@@ -45,6 +45,16 @@
 	token uint64
 	load  ingress.OwnerLoad
 	heard time.Time
+	// relayed is set where a hub has passed it on.
+	relayed bool
+}
+
+// fresh reports whether the owner was heard of lately.
+func (v *view) fresh() bool {
+	if v.relayed {
+		return time.Since(v.heard) < staleRelayed
+	}
+	return time.Since(v.heard) < staleLoad
 }
 
 // offerKey names an offer to a peer.
@@ -54,7 +64,7 @@
 }
 
 func newRouter(n *Node) *router {
-	return &router{n: n, views: map[string]*view{}, sent: map[offerKey]*sentOffer{}}
+	return &router{n: n, views: map[string]*view{}, used: map[string]time.Time{}, sent: map[offerKey]*sentOffer{}}
 }
 
 // group returns a group that this instance owns, and whether it takes offers.
@@ -76,9 +86,9 @@
 		own = slices.DeleteFunc(r.n.ownedGroups(), func(g *held) bool { return g.handing })
 	}
 	r.n.mu.Unlock()
-	var loads []ingress.OwnerLoad
+	var fresh, stale []ingress.OwnerLoad
 	for _, g := range own {
-		loads = append(loads, loadOf(g.Name, g.Load()))
+		fresh = append(fresh, loadOf(g.Name, g.Load()))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,13 +98,17 @@
 		}
 		l := v.load
 		l.Age = time.Since(v.heard)
-		loads = append(loads, l)
+		if v.fresh() {
+			fresh = append(fresh, l)
+		} else {
+			stale = append(stale, l)
+		}
 	}
-	slices.SortFunc(loads, func(a, b ingress.OwnerLoad) int { return strings.Compare(a.Group, b.Group) })
-	if fresh := lo.Filter(loads, func(l ingress.OwnerLoad, _ int) bool { return l.Age < staleLoad }); len(fresh) > 0 {
-		return fresh
+	if len(fresh) == 0 {
+		fresh = stale
 	}
-	return loads
+	slices.SortFunc(fresh, func(a, b ingress.OwnerLoad) int { return strings.Compare(a.Group, b.Group) })
+	return fresh
 }
 
 // staleLoad is how old the load report of an owner may be for jobs to go there while
@@ -116,7 +130,7 @@
 		if c.GetLeaving() || v != nil && v.token > c.GetToken() {
 			continue
 		}
-		r.views[c.GetGroup()] = &view{from, c.GetToken(), loadOf(c.GetGroup(), loadFrom(c)), time.Now()}
+		r.views[c.GetGroup()] = &view{peer: from, token: c.GetToken(), load: loadOf(c.GetGroup(), loadFrom(c)), heard: time.Now()}
 	}
 	for group, v := range r.views {
 		if v.peer == from && !claimed[group] {
@@ -153,6 +167,7 @@
 	r.sent[k] = sent
 	v.load.Free -= len(o.Tasks)
 	peer := v.peer
+	r.used[peer.Instance()] = time.Now()
 	r.mu.Unlock()
 	frame := &inner.Frame{Body: &inner.Frame_Offer{Offer: offerTo(group, o)}}
 	link, err := r.n.mesh.Ask(peer, frame, func(f *inner.Frame, err error) { r.offerEnded(k, f, err) })
--- a/node/silence_test.go
+++ b/node/silence_test.go
@@ -78,3 +78,28 @@
 		in.want("a-1", 2, 20)
 	}
 }
+
+// TestZoneCutHeals: instances that took each other for lost find each other once
+// they can be reached again.
+func TestZoneCutHeals(t *testing.T) {
+	in := newInstallation(t, []string{"a", "b"}, 2, "a-1", "b-1")
+	a, b := in.nodes["a-1"], in.nodes["b-1"]
+	lost := func(n *Node, peer string) {
+		n.mu.Lock()
+		p := n.heard[peer]
+		n.mu.Unlock()
+		if p == nil {
+			t.Fatalf("%s has never heard %s", n.in.Name, peer)
+		}
+		n.mu.Lock()
+		n.table.Tick(n.nowMs() + time.Hour.Milliseconds())
+		n.mu.Unlock()
+		n.mesh.Sever(peer)
+	}
+	lost(a, "b-1")
+	lost(b, "a-1")
+	for _, n := range []*Node{a, b} {
+		in.until(n.in.Name+" hears every owner", func() bool { return len(n.router.Loads()) == 2 })
+	}
+	in.until("they are neighbours", func() bool { return a.wants("b-1") && b.wants("a-1") })
+}
