A job of which something began goes before one that has not

Ruled out: starting nothing of a job before all of it has room; wide jobs would wait for ever beside narrow ones.

Change: among the jobs that can still be in time, begun ones go first; an offer says whether other tasks of its job have begun elsewhere.

--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -168,7 +168,7 @@
 		Key:     schedule.JobKey{ID: p.Job.ID, Part: p.offers},
 		Service: p.Route.Service, Route: p.Route.Name, Spec: p.Job.Spec, Demand: step.Demand, Estimate: step.Estimate,
 		Priority: p.Route.Priority, MaxAttempts: p.Route.MaxAttempts, Tasks: p.idle,
-		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: age, Patience: p.Patience - age, MayQueue: choice.Queue,
+		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: age, Patience: p.Patience - age, MayQueue: choice.Queue, Begun: p.begun,
 	}
 	part := &part{number: p.offers, group: choice.Group, tasks: lo.Keyify(p.idle), queue: choice.Queue}
 	p.idle = nil
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -51,8 +51,9 @@
 	return useful
 }
 
-// sortQueue puts first what can still be in time, by how soon it must start;
-// behind it what is late anyway, by priority and age.
+// sortQueue puts first what can still be in time: what has begun, so that its
+// work is not lost for the rest of it, then by how soon it must start. Behind it
+// comes what is late anyway, by priority and age.
 func (p *Pool) sortQueue() {
 	slices.SortStableFunc(p.queue, func(a, b *job) int {
 		aLate, bLate := a.latestStart().Before(p.now), b.latestStart().Before(p.now)
@@ -61,6 +62,10 @@
 			return 1
 		case aLate != bLate:
 			return -1
+		case a.hasBegun() != b.hasBegun() && a.hasBegun():
+			return -1
+		case a.hasBegun() != b.hasBegun():
+			return 1
 		case aLate:
 			return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.offered.Compare(b.offered))
 		default:
@@ -69,6 +74,9 @@
 	})
 }
 
+// hasBegun reports whether a task of the job began, here or elsewhere.
+func (j *job) hasBegun() bool { return j.begun || j.Begun }
+
 func (p *Pool) placeJob(j *job) {
 	for _, t := range j.order {
 		if t.state != waiting || p.byTask[p.ref(j, t)] != nil {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -85,6 +85,8 @@
 	Slack    time.Duration
 	Age      time.Duration
 	Patience time.Duration
+	// Begun is set where other tasks of the job have begun elsewhere.
+	Begun bool
 	// MayQueue lets tasks wait that no upstream has room for now. Others are
 	// returned at once.
 	MayQueue bool
