The upstreams of a zone without instances are owned from other zones

Ruled out: taking over as soon as no instance is heard; a zone that is cut off has owners of its own, and both would take turns.

They go back to the next instance of the zone as any group is handed back.

--- a/node/follow.go
+++ b/node/follow.go
@@ -278,7 +278,8 @@
 		}
 	}
 	n.mu.Lock()
-	n.registered = lo.MapValues(known, func(membership.Listing, string) bool { return true })
+	n.peersRead = true
+	n.registered = lo.MapValues(known, func(l membership.Listing, _ string) string { return l.Zone })
 	n.table.SetListed(list)
 	n.mu.Unlock()
 	n.tick() // new peers hear of this instance at once
--- a/node/groups.go
+++ b/node/groups.go
@@ -43,15 +43,18 @@
 	return groupName(u.Zone, membership.GroupIndex(u.ID, count))
 }
 
-// zoneGroups returns the groups of the own availability zone. The lock is held.
-func (n *Node) zoneGroups() []string {
+// groupsOf names the groups of a zone.
+func groupsOf(zone string, count int) []string {
 	var groups []string
-	for i := range n.groupCounts[n.in.Zone] {
-		groups = append(groups, groupName(n.in.Zone, i))
+	for i := range count {
+		groups = append(groups, groupName(zone, i))
 	}
 	return groups
 }
 
+// zoneGroups returns the groups of the own availability zone. The lock is held.
+func (n *Node) zoneGroups() []string { return groupsOf(n.in.Zone, n.groupCounts[n.in.Zone]) }
+
 // ownedGroups returns the groups that this instance owns, by name. The lock is
 // held.
 func (n *Node) ownedGroups() []*held {
--- a/node/node.go
+++ b/node/node.go
@@ -101,9 +101,13 @@
 	highest   uint64               // fencing token heard of
 	dialing   map[string]bool      // instances that are being connected to
 	absent    map[string]time.Time // when a connection to an instance was refused last
-	// registered are the instances that the store lists now.
-	registered map[string]bool
-	alone      time.Time // since when no peer is heard
+	// registered holds the zones of the instances that the store lists now.
+	registered map[string]string
+	peersRead  bool // the instances have been read once
+	// unstaffed holds since when a zone has no instance, and orphanRetry when
+	// its groups may be tried again.
+	unstaffed, orphanRetry map[string]time.Time
+	alone                  time.Time // since when no peer is heard
 	// groupCounts is how many groups each availability zone has.
 	groupCounts map[string]int
 	counting    bool                 // the number of groups is being written
@@ -146,7 +150,7 @@
 		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(),
 		began: time.Now(),
 		table: membership.NewTable(silence), around: &membership.Neighbours{Hub: true, Hubs: 1}, sought: &membership.Neighbours{}, parted: map[string]bool{}, heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
-		groups: map[string]*held{}, dialing: map[string]bool{}, absent: map[string]time.Time{}, registered: map[string]bool{}, groupCounts: map[string]int{}, drainedAt: map[string]time.Time{},
+		groups: map[string]*held{}, dialing: map[string]bool{}, absent: map[string]time.Time{}, registered: map[string]string{}, unstaffed: map[string]time.Time{}, orphanRetry: map[string]time.Time{}, groupCounts: map[string]int{}, drainedAt: map[string]time.Time{},
 	}
 	n.decisions = newDecisionLog(n.log)
 	n.stop, n.cancel = context.WithCancel(context.Background())
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -14,6 +14,7 @@
 func (n *Node) reconsider() {
 	n.countGroups()
 	n.yieldGroups()
+	n.dropForeign()
 	n.dropFenced()
 	n.handBack()
 	n.releaseGroups() // the beat that follows tells peers
@@ -105,14 +106,14 @@
 	}
 	n.mu.Lock()
 	var given *held
-	owners := membership.Assign(n.zoneGroups(), n.candidates())
+	owners := n.rightfulOwners()
 	for _, g := range n.ownedGroups() {
 		if g.handing {
 			n.mu.Unlock()
 			return // one at a time
 		}
 		to := owners[g.Name]
-		if given == nil && to != "" && to != n.in.Name && time.Since(g.since) > handBackAfter && n.betterOwner(to, owners) {
+		if given == nil && to != "" && to != n.in.Name && time.Since(g.since) > handBackAfter && (n.isForeign(g.Name) || n.betterOwner(to, owners)) {
 			given = g
 		}
 	}
@@ -177,8 +178,8 @@
 	return count
 }
 
-// takeGroups takes the groups of the own availability zone that nobody owns and
-// that this instance should own.
+// takeGroups takes the groups that nobody owns and that this instance should own:
+// of its own availability zone, and of those without any instance.
 func (n *Node) takeGroups() {
 	if n.leaving.Load() || n.stop.Err() != nil {
 		return
@@ -186,13 +187,8 @@
 	n.mu.Lock()
 	taken := false
 	if n.around.Hub && n.settled() && !n.isolated() {
-		owners := membership.Assign(n.zoneGroups(), n.candidates())
-		for group, name := range owners {
-			if name == n.in.Name && n.canTake(group) {
-				n.take(group)
-				taken = true
-			}
-		}
+		taken = n.takeOwn(membership.Assign(n.zoneGroups(), n.candidates()))
+		taken = n.takeOwn(membership.Assign(n.orphaned(), n.foreignCandidates())) || taken
 	}
 	n.mu.Unlock()
 	if taken {
@@ -201,6 +197,19 @@
 	}
 }
 
+// takeOwn takes the free groups whose owner should be this instance, and reports
+// whether there are any. The lock is held.
+func (n *Node) takeOwn(owners map[string]string) bool {
+	taken := false
+	for group, name := range owners {
+		if name == n.in.Name && n.canTake(group) {
+			n.take(group)
+			taken = true
+		}
+	}
+	return taken
+}
+
 // take begins to own a group. The lock is held.
 func (n *Node) take(group string) {
 	n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
@@ -249,7 +258,7 @@
 		case p.State == membership.Alive || p.State == membership.Suspect || p.State == membership.Leaving:
 			n.alone = time.Time{}
 			return false
-		case p.Zone == n.in.Zone && n.registered[p.Instance] && !n.isAbsent(p.Instance):
+		case p.Zone == n.in.Zone && n.registered[p.Instance] != "" && !n.isAbsent(p.Instance):
 			listed = true
 		}
 	}
