--- a/node/follow.go
+++ b/node/follow.go
@@ -19,26 +19,6 @@
 	"github.com/samber/lo"
 )
 
-const (
-	// configWait bounds a watch on the configuration: an answer that is lost
-	// is noticed that late, and versions must be in force within seconds.
-	configWait = 900 * time.Millisecond
-	// upstreamWait and peerWait bound the other watches.
-	upstreamWait = 1500 * time.Millisecond
-	peerWait     = 3 * time.Second
-	// The entries of upstreams change with every heartbeat, so that a watch
-	// returns at once. An owner must hear soon that an upstream drains; others
-	// only need the list for a takeover.
-	ownerRest   = 400 * time.Millisecond
-	standbyRest = 1200 * time.Millisecond
-	// firstRetry and longestRetry bound the pause after a failed call to the
-	// store.
-	firstRetry = 50 * time.Millisecond
-	// neededPoll is how often a follower looks whether its keys are needed.
-	neededPoll   = 50 * time.Millisecond
-	longestRetry = 700 * time.Millisecond
-)
-
 // follower keeps a copy of the store's keys below a prefix.
 type follower struct {
 	prefix string
@@ -285,15 +265,6 @@
 	n.tick() // new peers hear of this instance at once
 }
 
-const (
-	// registrationTTL is how long the entry of a lost instance stays. Peers
-	// find each other by it, and one that is cut off from them sees by it that
-	// they live.
-	registrationTTL = 4 * time.Second
-	// renewEvery keeps the entry through a lost renewal or two.
-	renewEvery = 1200 * time.Millisecond
-)
-
 // register keeps this instance's entry in the store.
 func (n *Node) register() {
 	value, err := json.Marshal(peerEntry{Address: n.in.PeerAddress, Region: n.in.Region, Zone: n.in.Zone, Share: n.in.CPUShare})
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -77,10 +77,6 @@
 	relayed  bool // the receiver hears of owners in other zones from here
 }
 
-// relayEvery is how often a hub passes on what it hears of owners in other
-// availability zones.
-const relayEvery = 500 * time.Millisecond
-
 // beatFrames encodes the heartbeats of one beat, each when it is first needed.
 type beatFrames struct {
 	presence *inner.Presence
@@ -250,16 +246,6 @@
 	}
 }
 
-const (
-	// staleRelayed is staleLoad for what a hub passes on, which comes that
-	// much later.
-	staleRelayed = staleLoad + relayEvery + farEvery
-	// forgetRelayed is when an owner that no hub speaks of is forgotten.
-	forgetRelayed = 3 * time.Second
-	// useTime is how long the owner of an offer counts as in use after it.
-	useTime = 5 * time.Second
-)
-
 // inUse returns the instances that this one has sent offers to lately: both
 // sides must notice soon when the other is lost.
 func (r *router) inUse() map[string]bool {
--- a/node/node.go
+++ b/node/node.go
@@ -39,31 +39,6 @@
 // fleetName keeps instances of other products from joining.
 const fleetName = "sedgehatch"
 
-const (
-	// presenceEvery is how often peers hear of this instance, and joinEvery
-	// that while the upstreams of a group that it has just taken join.
-	presenceEvery = 100 * time.Millisecond
-	// farEvery is the same for far neighbours: bytes between availability
-	// zones have a price, and a large zone has many instances.
-	farEvery  = 250 * time.Millisecond
-	joinEvery = 20 * time.Millisecond
-	joinTime  = 400 * time.Millisecond
-	// dialTimeout bounds opening a connection to a peer: a round trip takes
-	// about a millisecond, and a lost opening packet is sent again only after
-	// seconds.
-	dialTimeout = 250 * time.Millisecond
-	// settleTime is how long a new instance listens at most before it owns
-	// anything: peers that live answer within a few round trips, and after a
-	// restart of all every moment is one without service.
-	settleTime = 200 * time.Millisecond
-	// seedAfter is when an instance without peers tries those of its settings.
-	seedAfter = 100 * time.Millisecond
-)
-
-// silence bounds how long a peer may be silent: a job of an instance that is
-// lost must be stopped well before its customer sends it again.
-var silence = membership.Config{SuspectMs: 350, DeadMs: 600, FarFactor: 2}
-
 // Node is one instance.
 type Node struct {
 	in        fleet.Instance
@@ -285,18 +260,6 @@
 	return time.Until(*ends), true
 }
 
-const (
-	// drainPoll is how often a planned stop looks whether it is done.
-	drainPoll = 20 * time.Millisecond
-	// minDrain is how long customers may still come after a planned stop
-	// began: the platform asks once a second and believes the second refusal.
-	minDrain = 3200 * time.Millisecond
-	// graceMargin is kept of the grace for the end itself, and flushTime of
-	// that for the last answers.
-	graceMargin = 500 * time.Millisecond
-	flushTime   = 50 * time.Millisecond
-)
-
 // Stop is a planned stop: customers are sent elsewhere, owned groups go to
 // others, and what is open is finished. It reports false where the grace ended
 // first.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -264,8 +264,8 @@
 func TestAnswers(t *testing.T) {
 	in := newInstallation(t, []string{"a"}, 1, "a-1")
 	address := in.nodes["a-1"].in.CustomerAddress
-	kept := []byte(`{"TaskSpec":"1","Steps":[{"Count":1,"Cpu":100}]}`)
-	huge := []byte(`{"TaskSpec":"1","BestEffort":true,"Steps":[{"Count":1,"Cpu":99000,"EstimatedMs":10}]}`)
+	kept := standin.Job{Tasks: 1, MilliCPU: 100, Takes: time.Millisecond, Kept: true}.Body()
+	huge := standin.Job{Tasks: 1, MilliCPU: 99000, Takes: 10 * time.Millisecond}.Body()
 	for _, c := range []struct {
 		method, path string
 		body         []byte
--- a/node/peers.go
+++ b/node/peers.go
@@ -43,10 +43,6 @@
 // nowMs is a steady clock, in milliseconds.
 func (n *Node) nowMs() int64 { return time.Since(n.began).Milliseconds() }
 
-// tellDrains is how long a drain is passed on: every peer has heard of it then,
-// or reads it in the store.
-const tellDrains = 3 * time.Second
-
 // presence is what peers hear of this instance.
 func (n *Node) presence() *inner.Presence {
 	n.mu.Lock()
@@ -75,10 +71,6 @@
 	return p
 }
 
-// yieldDial is how long the instance of two whose name sorts last leaves opening
-// a connection to the other: one between them is enough.
-const yieldDial = 30 * time.Millisecond
-
 // introduce connects to an instance that is not heard, once at a time, and
 // tells it of this one.
 func (n *Node) introduce(instance string) {
--- a/node/router.go
+++ b/node/router.go
@@ -111,10 +111,6 @@
 	return fresh
 }
 
-// staleLoad is how old the load report of an owner may be for jobs to go there while
-// others can take them: it is about to be found lost.
-const staleLoad = 350 * time.Millisecond
-
 func loadOf(group string, l schedule.Load) ingress.OwnerLoad {
 	return ingress.OwnerLoad{Group: group, Zone: zoneOf(group), Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity}
 }
--- /dev/null
+++ b/node/timing.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/membership"
+)
+
+// The timings of an instance, in one list: several of them have to fit together.
+
+// Heartbeats.
+
+const (
+	// presenceEvery is how often peers hear of this instance, and joinEvery
+	// that while the upstreams of a group that it has just taken join.
+	presenceEvery = 100 * time.Millisecond
+	// farEvery is the same for far neighbours: bytes between availability
+	// zones have a price, and a large zone has many instances.
+	farEvery  = 250 * time.Millisecond
+	joinEvery = 20 * time.Millisecond
+	joinTime  = 400 * time.Millisecond
+	// dialTimeout bounds opening a connection to a peer: a round trip takes
+	// about a millisecond, and a lost opening packet is sent again only after
+	// seconds.
+	dialTimeout = 250 * time.Millisecond
+	// settleTime is how long a new instance listens at most before it owns
+	// anything: peers that live answer within a few round trips, and after a
+	// restart of all every moment is one without service.
+	settleTime = 200 * time.Millisecond
+	// seedAfter is when an instance without peers tries those of its settings.
+	seedAfter = 100 * time.Millisecond
+)
+
+// silence bounds how long a peer may be silent: a job of an instance that is
+// lost must be stopped well before its customer sends it again.
+var silence = membership.Config{SuspectMs: 350, DeadMs: 600, FarFactor: 2}
+
+// yieldDial is how long the instance of two whose name sorts last leaves opening
+// a connection to the other: one between them is enough.
+const yieldDial = 30 * time.Millisecond
+
+// tellDrains is how long a drain is passed on: every peer has heard of it then,
+// or reads it in the store.
+const tellDrains = 3 * time.Second
+
+// relayEvery is how often a hub passes on what it hears of owners in other
+// availability zones.
+const relayEvery = 500 * time.Millisecond
+
+// Loads of owners.
+
+// staleLoad is how old the load report of an owner may be for jobs to go there while
+// others can take them: it is about to be found lost.
+const staleLoad = 350 * time.Millisecond
+
+const (
+	// staleRelayed is staleLoad for what a hub passes on, which comes that
+	// much later.
+	staleRelayed = staleLoad + relayEvery + farEvery
+	// forgetRelayed is when an owner that no hub speaks of is forgotten.
+	forgetRelayed = 3 * time.Second
+	// useTime is how long the owner of an offer counts as in use after it.
+	useTime = 5 * time.Second
+)
+
+// The store.
+
+const (
+	// configWait bounds a watch on the configuration: an answer that is lost
+	// is noticed that late, and versions must be in force within seconds.
+	configWait = 900 * time.Millisecond
+	// upstreamWait and peerWait bound the other watches.
+	upstreamWait = 1500 * time.Millisecond
+	peerWait     = 3 * time.Second
+	// The entries of upstreams change with every heartbeat, so that a watch
+	// returns at once. An owner must hear soon that an upstream drains; others
+	// only need the list for a takeover.
+	ownerRest   = 400 * time.Millisecond
+	standbyRest = 1200 * time.Millisecond
+	// firstRetry and longestRetry bound the pause after a failed call to the
+	// store.
+	firstRetry = 50 * time.Millisecond
+	// neededPoll is how often a follower looks whether its keys are needed.
+	neededPoll   = 50 * time.Millisecond
+	longestRetry = 700 * time.Millisecond
+)
+
+const (
+	// registrationTTL is how long the entry of a lost instance stays. Peers
+	// find each other by it, and one that is cut off from them sees by it that
+	// they live.
+	registrationTTL = 4 * time.Second
+	// renewEvery keeps the entry through a lost renewal or two.
+	renewEvery = 1200 * time.Millisecond
+)
+
+// A planned stop.
+
+const (
+	// drainPoll is how often a planned stop looks whether it is done.
+	drainPoll = 20 * time.Millisecond
+	// minDrain is how long customers may still come after a planned stop
+	// began: the platform asks once a second and believes the second refusal.
+	minDrain = 3200 * time.Millisecond
+	// graceMargin is kept of the grace for the end itself, and flushTime of
+	// that for the last answers.
+	graceMargin = 500 * time.Millisecond
+	flushTime   = 50 * time.Millisecond
+)
--- a/owner/group.go
+++ b/owner/group.go
@@ -15,7 +15,7 @@
 // is over, Conflict where it has seen a higher fencing token, Refused where it
 // declines, and Lost where no answer came.
 type Upstreams interface {
-	Start(to fleet.Upstream, o fleet.StartOrder, timeout time.Duration) (fleet.Refusal, int64, error)
+	Start(to fleet.Upstream, o fleet.StartOrder, timeout time.Duration) (fleet.Refusal, error)
 	Stop(to fleet.Upstream, run fleet.Run, token uint64, timeout time.Duration) error
 	Hold(to fleet.Upstream, o fleet.HoldOrder, timeout time.Duration) (fleet.Report, error)
 }
@@ -141,7 +141,7 @@
 	timeout := g.rtt.timeout()
 	g.mu.Unlock()
 	began := time.Now()
-	refusal, _, err := g.calls.Start(s.Upstream, s.Order, timeout)
+	refusal, err := g.calls.Start(s.Upstream, s.Order, timeout)
 	took := time.Since(began)
 	g.seen.Called("start", err, took)
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -237,7 +237,7 @@
 func (p *Pool) done(r *run) {
 	j := r.job
 	t := j.tasks[r.id.Task.Index]
-	t.state = ended
+	p.setState(t, ended)
 	j.left--
 	j.done = append(j.done, t.index)
 	took := p.now.Sub(r.ordered)
@@ -309,8 +309,8 @@
 			p.tickUpstream(u)
 		}
 		p.place()
-		for _, key := range p.jobKeys() {
-			p.expire(p.jobs[key])
+		for _, j := range slices.Clone(p.queue) {
+			p.expire(j)
 		}
 	})
 }
@@ -338,7 +338,7 @@
 // it wait and there is no room. One whose tasks wait for the end of a run that
 // may still be at work goes on.
 func (p *Pool) expire(j *job) {
-	if j == nil || p.now.Add(j.expect/2).Before(j.expiry()) {
+	if p.jobs[j.Key] != j || p.now.Add(j.expect/2).Before(j.expiry()) {
 		return
 	}
 	for _, t := range j.order {
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -36,6 +36,7 @@
 }
 
 func (w *world) apply(e Effects) {
+	w.checkWaiting()
 	for _, s := range e.Starts {
 		w.start(s)
 	}
@@ -52,6 +53,21 @@
 	}
 }
 
+// checkWaiting counts the tasks that wait anew.
+func (w *world) checkWaiting() {
+	count := 0
+	for _, j := range w.pool.queue {
+		for _, t := range j.order {
+			if t.state == waiting {
+				count++
+			}
+		}
+	}
+	if w.pool.Waiting() != count {
+		w.t.Fatalf("the pool counts %d waiting tasks, and has %d", w.pool.Waiting(), count)
+	}
+}
+
 // result checks a result: nothing that was returned as never begun has begun.
 func (w *world) result(r Result) {
 	j := w.open[r.Key]
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -144,7 +144,7 @@
 
 func (p *Pool) start(j *job, t *task, u *upstream) {
 	t.number++
-	t.state = placed
+	p.setState(t, placed)
 	j.begun = true
 	r := &run{
 		id: fleet.Run{Task: p.ref(j, t), Number: t.number}, job: j, up: u, demand: j.Demand,
@@ -213,7 +213,7 @@
 	if t.state != placed {
 		return
 	}
-	t.state = waiting
+	p.setState(t, waiting)
 	if !slices.Contains(p.queue, j) {
 		p.queue = append(p.queue, j)
 	}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -20,6 +20,7 @@
 	byID       map[string][]*job
 	byTask     map[fleet.TaskRef]*run
 	queue      []*job // with waiting tasks
+	waiting    int    // tasks that wait
 	times      map[string]*runTimes
 	fencedIDs  map[string]bool // upstreams that have seen a higher token
 	fencedAt   time.Time       // when the first of them was lost
@@ -147,6 +148,7 @@
 		j.tasks[index] = t
 		j.order = append(j.order, t)
 	}
+	p.waiting += len(j.order)
 	p.jobs[o.Key] = j
 	p.byID[o.Key.ID] = append(p.byID[o.Key.ID], j)
 	switch {
@@ -234,6 +236,22 @@
 		delete(p.byID, j.Key.ID)
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
+	for _, t := range j.order {
+		if t.state == waiting {
+			p.setState(t, ended)
+		}
+	}
+}
+
+// setState changes the state of a task, and counts those that wait.
+func (p *Pool) setState(t *task, s taskState) {
+	if t.state == waiting {
+		p.waiting--
+	}
+	t.state = s
+	if s == waiting {
+		p.waiting++
+	}
 }
 
 // stopRuns stops what still runs of a job.
@@ -257,7 +275,7 @@
 	var returned []int
 	for _, t := range j.order {
 		if t.state == waiting && t.number == 0 {
-			t.state = ended
+			p.setState(t, ended)
 			j.left--
 			returned = append(returned, t.index)
 		}
@@ -301,17 +319,7 @@
 }
 
 // Waiting returns how many tasks wait.
-func (p *Pool) Waiting() int {
-	n := 0
-	for _, j := range p.queue {
-		for _, t := range j.order {
-			if t.state == waiting {
-				n++
-			}
-		}
-	}
-	return n
-}
+func (p *Pool) Waiting() int { return p.waiting }
 
 // Load is what a pool tells its coordinators.
 type Load struct {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/connset"
+	"github.com/sedgehatch/sedgehatch/platform/standin"
 )
 
 // Mode is what a Proxy does to the bytes that pass.
@@ -36,7 +37,7 @@
 	Address string
 	target  string
 	mode    atomic.Int32
-	l       net.Listener
+	l       *standin.Silencer
 	conns   connset.Set
 	running sync.WaitGroup
 }
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Address: l.Addr().String(), target: target, l: l}
+	p := &Proxy{Address: l.Addr().String(), target: target, l: standin.NewSilencer(l)}
 	p.running.Go(p.accept)
 	return p, nil
 }
@@ -55,6 +56,10 @@
 // Set changes the mode. Refuse also resets what is open.
 func (p *Proxy) Set(m Mode) { p.mode.Store(int32(m)) }
 
+// SilenceOpen makes the open connections pass nothing any more, for good; new ones
+// work.
+func (p *Proxy) SilenceOpen() { p.l.SilenceOpen() }
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.l.Close() // a second close changes nothing
--- a/soak/run.go
+++ b/soak/run.go
@@ -127,7 +127,7 @@
 	p := in.processes[in.rng.IntN(len(in.processes))]
 	u := in.pickUpstream()
 	mode := Mode(1 + in.rng.IntN(modes-1))
-	switch in.rng.IntN(13) {
+	switch in.rng.IntN(15) {
 	case 0:
 		return func(d time.Duration) { p.end(syscall.SIGKILL); time.Sleep(d / 3); in.restart(p, t) }
 	case 1:
@@ -161,6 +161,10 @@
 			t.breaks("a configuration is not written: %v", err)
 		}
 		return func(time.Duration) {}
+	case 12:
+		return func(time.Duration) { p.store.SilenceOpen() }
+	case 13:
+		return func(time.Duration) { u.proxy.SilenceOpen() }
 	default:
 		return func(d time.Duration) { in.replaceUpstream(u, d, t) }
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,12 +103,23 @@
 			return false
 		}
 		defer func() { _ = c.Close() }()
-		_ = c.SetDeadline(time.Now().Add(300 * time.Millisecond))
-		if _, err := c.Write([]byte("x")); err != nil {
-			return false
-		}
-		_, err = io.ReadFull(c, make([]byte, 1))
-		return err == nil
+		return echoes(c)
+	}
+	p.Set(Pass)
+	open, err := net.Dial("tcp4", p.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = open.Close() }()
+	if !echoes(open) {
+		t.Error("an open connection does not echo")
+	}
+	p.SilenceOpen()
+	if echoes(open) {
+		t.Error("a connection that went silent echoes")
+	}
+	if !echo() {
+		t.Error("a new connection does not echo beside a silent one")
 	}
 	for mode, want := range map[Mode]bool{Pass: true, Delay: true, Silence: false, OneWay: false, Refuse: false} {
 		p.Set(mode)
@@ -117,3 +128,13 @@
 		}
 	}
 }
+
+// echoes reports whether a byte comes back soon.
+func echoes(c net.Conn) bool {
+	_ = c.SetDeadline(time.Now().Add(300 * time.Millisecond))
+	if _, err := c.Write([]byte("x")); err != nil {
+		return false
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return err == nil
+}
