Soak: a drain is not held against an owner while the store answers nobody; the proxy closes in every mode

Cause, by its logs: two overlapping outages kept the store from answering any instance from 18:04:05.4 to 10.5; the drain was written in between. The first instance that read it (started anew at 10.19, store back at 10.51) told the owner 75 ms later. So the check was wrong: nobody could know. It now leaves out exactly the time in which the store answers nobody, told in outages.within, and the outage lasts until the last fault that asked for it has ended.

TestProxy hung once for ten minutes: a proxy that holds bytes in Silence or OneWay never closed, and the test took its modes in the random order of a map.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -144,6 +144,7 @@
 	claim     net.Listener // keeps other runs from the same network
 	version   int
 	extra     int // routes beyond the first
+	outages   outages
 
 	mu        sync.Mutex
 	upstreams []*upstream
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -37,6 +37,7 @@
 	Address string
 	target  string
 	mode    atomic.Int32
+	closed  atomic.Bool
 	l       *standin.Silencer
 	conns   connset.Set
 	running sync.WaitGroup
@@ -62,6 +63,7 @@
 
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
+	p.closed.Store(true)
 	_ = p.l.Close() // a second close changes nothing
 	p.conns.Close()
 	p.running.Wait()
@@ -129,7 +131,7 @@
 func (p *Proxy) hold(request bool) bool {
 	for {
 		switch mode := p.current(); {
-		case mode == Refuse:
+		case mode == Refuse, p.closed.Load():
 			return false
 		case mode == Delay:
 			time.Sleep(heldFor)
--- a/soak/run.go
+++ b/soak/run.go
@@ -27,7 +27,8 @@
 	// long service takes to come back after the faults.
 	readyLimit   = 20 * time.Second
 	recoverLimit = 12 * time.Second
-	// drainBound is how long after its drain an upstream may still get tasks.
+	// drainBound is how long after its drain an upstream may still get tasks, not
+	// counting the time in which nobody can read of it.
 	drainBound = 3 * time.Second
 	// regretBound is how long after a refusal a start is still seen as late
 	// bookkeeping of this program.
@@ -150,9 +151,12 @@
 		return func(d time.Duration) { u.Delay(0.2, 2*time.Second); time.Sleep(d); u.Delay(0, 0) }
 	case 9:
 		return func(d time.Duration) {
+			in.outages.begin(time.Now())
 			in.store.SetTrouble(standin.Busy, 0)
 			time.Sleep(d)
-			in.store.SetTrouble(standin.Fine, 0)
+			if in.outages.end(time.Now()) {
+				in.store.SetTrouble(standin.Fine, 0)
+			}
 		}
 	case 10:
 		return func(time.Duration) { in.store.Forget() }
@@ -226,8 +230,10 @@
 		}
 	}
 	for _, u := range in.upstreams {
-		if late := in.ledger.LastStart(u.ID).Sub(u.drained); !u.drained.IsZero() && late > drainBound {
-			t.breaks("%s got a task %v after its drain", u.ID, late)
+		last := in.ledger.LastStart(u.ID)
+		late := last.Sub(u.drained) - in.outages.within(u.drained, last)
+		if !u.drained.IsZero() && late > drainBound {
+			t.breaks("%s got a task %v after its drain, of which the store was there for %v", u.ID, last.Sub(u.drained), late)
 		}
 	}
 }
