An upstream that leaves stays so for its life; updates of groups do not overtake each other

Of two at once the older could come last and make a draining upstream usable again, until the next change.

Change: draining is for the rest of an upstream's life in the pool, and one update is carried out after the other.

--- a/node/groups.go
+++ b/node/groups.go
@@ -77,8 +77,11 @@
 	return list
 }
 
-// updateGroups gives each owned group its upstreams.
+// updateGroups gives each owned group its upstreams. One update is carried out
+// after the other, so that none is overtaken by an older one.
 func (n *Node) updateGroups() {
+	n.updating.Lock()
+	defer n.updating.Unlock()
 	n.mu.Lock()
 	members := map[*held][]fleet.Upstream{}
 	for _, g := range n.groups {
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,8 @@
 	figures   net.Listener  // of metrics
 	sink      *logging.Sink // of the log; nil where it is written otherwise
 
+	updating sync.Mutex // held while groups are given their upstreams; taken before mu
+
 	mu        sync.Mutex // guards what follows
 	table     *membership.Table
 	heard     map[string]*inner.Presence // by instance
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -74,9 +74,11 @@
 	return added, effects
 }
 
-// upsert reports whether the upstream is new.
+// upsert reports whether the upstream is new. One that is draining stays so for
+// the rest of its life.
 func (p *Pool) upsert(listed fleet.Upstream) bool {
 	if u := p.upstreams[listed.ID]; u != nil {
+		listed.Draining = listed.Draining || u.Draining
 		u.Upstream = listed
 		u.listed = true
 		return false
