--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -2,12 +2,9 @@
 
 import (
 	"log/slog"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/event"
-	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
 
@@ -88,28 +85,6 @@
 	return &beatFrames{presence: n.presence(), relayed: n.relays(), encoded: map[audience]inner.Encoded{}}
 }
 
-// relays returns what this instance tells the spokes of its zone of owners in
-// others: each hub tells a part.
-func (n *Node) relays() []*inner.RemoteOwner {
-	n.mu.Lock()
-	around := n.around
-	due := len(around.Spokes) > 0 && time.Since(n.relayed) >= relayEvery
-	if due {
-		n.relayed = time.Now()
-	}
-	n.mu.Unlock()
-	if !due {
-		return nil
-	}
-	var mine []*inner.RemoteOwner
-	for i, o := range n.router.awayOwners() {
-		if i%around.Hubs == around.Rank {
-			mine = append(mine, o)
-		}
-	}
-	return mine
-}
-
 func (b *beatFrames) of(a audience) (inner.Encoded, error) {
 	if e, done := b.encoded[a]; done {
 		return e, nil
@@ -201,63 +176,3 @@
 func (n *Node) hubPeers() []membership.Peer {
 	return lo.Filter(n.table.Peers(), func(p membership.Peer, _ int) bool { return n.around.Near[p.Instance] })
 }
-
-// awayOwners returns what is known of owners in other availability zones at
-// first hand, by group.
-func (r *router) awayOwners() []*inner.RemoteOwner {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var list []*inner.RemoteOwner
-	for _, group := range slices.Sorted(maps.Keys(r.views)) {
-		v := r.views[group]
-		if v.relayed || zoneOf(group) == r.n.in.Zone {
-			continue
-		}
-		list = append(list, &inner.RemoteOwner{
-			Claim: &inner.Claim{
-				Group: group, Token: v.token, Free: uint32(max(v.load.Free, 0)), Waiting: uint32(v.load.Waiting), Capacity: v.load.Capacity,
-			},
-			Incarnation: string(v.peer), AgeMs: uint32(time.Since(v.heard).Milliseconds()),
-		})
-	}
-	return list
-}
-
-// heardOf takes what a hub passes on of owners in other availability zones. What
-// this instance heard itself lately goes before it.
-func (r *router) heardOf(owners []*inner.RemoteOwner) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, o := range owners {
-		c := o.GetClaim()
-		heard := time.Now().Add(-time.Duration(o.GetAgeMs()) * time.Millisecond)
-		v := r.views[c.GetGroup()]
-		if v != nil && (v.token > c.GetToken() || v.heard.After(heard)) {
-			continue
-		}
-		r.views[c.GetGroup()] = &view{
-			peer: fate.Incarnation(o.GetIncarnation()), token: c.GetToken(), load: loadOf(c.GetGroup(), loadFrom(c)), heard: heard, relayed: true,
-		}
-	}
-	for group, v := range r.views {
-		if v.relayed && time.Since(v.heard) > forgetRelayed {
-			delete(r.views, group)
-		}
-	}
-}
-
-// inUse returns the instances that this one has sent offers to lately: both
-// sides must notice soon when the other is lost.
-func (r *router) inUse() map[string]bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	used := map[string]bool{}
-	for instance, at := range r.used {
-		if time.Since(at) > useTime {
-			delete(r.used, instance)
-			continue
-		}
-		used[instance] = true
-	}
-	return used
-}
--- a/node/node.go
+++ b/node/node.go
@@ -227,6 +227,10 @@
 		version = c.Version
 	}
 	fmt.Fprintf(w, "sedgehatch_config_version %d\nsedgehatch_open_jobs %d\n", version, n.ingress.Open())
+	n.mu.Lock()
+	near, far := len(n.around.Near), len(n.around.Far)
+	n.mu.Unlock()
+	fmt.Fprintf(w, "sedgehatch_neighbours{kind=\"near\"} %d\nsedgehatch_neighbours{kind=\"far\"} %d\n", near, far)
 	for _, l := range n.router.Loads() {
 		fmt.Fprintf(w, "sedgehatch_group_free{group=%q} %d\nsedgehatch_group_waiting{group=%q} %d\nsedgehatch_group_age_ms{group=%q} %d\n",
 			l.Group, l.Free, l.Group, l.Waiting, l.Group, l.Age.Milliseconds())
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/inner"
+)
+
+// Hubs pass on what they hear of owners in other availability zones to the
+// instances of their own that hear none of them.
+
+// relays returns what this instance tells the spokes of its zone of owners in
+// others: each hub tells a part.
+func (n *Node) relays() []*inner.RemoteOwner {
+	n.mu.Lock()
+	around := n.around
+	due := len(around.Spokes) > 0 && time.Since(n.relayed) >= relayEvery
+	if due {
+		n.relayed = time.Now()
+	}
+	n.mu.Unlock()
+	if !due {
+		return nil
+	}
+	var mine []*inner.RemoteOwner
+	for i, o := range n.router.awayOwners() {
+		if i%around.Hubs == around.Rank {
+			mine = append(mine, o)
+		}
+	}
+	return mine
+}
+
+// awayOwners returns what is known of owners in other availability zones at
+// first hand, by group.
+func (r *router) awayOwners() []*inner.RemoteOwner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*inner.RemoteOwner
+	for _, group := range slices.Sorted(maps.Keys(r.views)) {
+		v := r.views[group]
+		if v.relayed || zoneOf(group) == r.n.in.Zone {
+			continue
+		}
+		list = append(list, &inner.RemoteOwner{
+			Claim: &inner.Claim{
+				Group: group, Token: v.token, Free: uint32(max(v.load.Free, 0)), Waiting: uint32(v.load.Waiting), Capacity: v.load.Capacity,
+			},
+			Incarnation: string(v.peer), AgeMs: uint32(time.Since(v.heard).Milliseconds()),
+		})
+	}
+	return list
+}
+
+// heardOf takes what a hub passes on of owners in other availability zones. What
+// this instance heard itself lately goes before it.
+func (r *router) heardOf(owners []*inner.RemoteOwner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, o := range owners {
+		c := o.GetClaim()
+		heard := time.Now().Add(-time.Duration(o.GetAgeMs()) * time.Millisecond)
+		v := r.views[c.GetGroup()]
+		if v != nil && (v.token > c.GetToken() || v.heard.After(heard)) {
+			continue
+		}
+		r.views[c.GetGroup()] = &view{
+			peer: fate.Incarnation(o.GetIncarnation()), token: c.GetToken(), load: loadOf(c.GetGroup(), loadFrom(c)), heard: heard, relayed: true,
+		}
+	}
+	for group, v := range r.views {
+		if v.relayed && time.Since(v.heard) > forgetRelayed {
+			delete(r.views, group)
+		}
+	}
+}
--- a/node/router.go
+++ b/node/router.go
@@ -305,3 +305,19 @@
 		g.WithdrawAll(coordinatorOf(link, from), "the connection to the coordinator closed")
 	}
 }
+
+// inUse returns the instances that this one has sent offers to lately: both
+// sides must notice soon when the other is lost.
+func (r *router) inUse() map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	used := map[string]bool{}
+	for instance, at := range r.used {
+		if time.Since(at) > useTime {
+			delete(r.used, instance)
+			continue
+		}
+		used[instance] = true
+	}
+	return used
+}
