An instance with an open offer stays a neighbour, however long the offer takes

Cause, found by reading: a coordinator that is no hub parted from an owner of another zone 5 s after its last offer, also while that offer was open; its job would have been answered 504 with the connection.

Test that failed first by its type: TestInUse (offers did not know their instance).

--- a/node/neighbours_test.go
+++ b/node/neighbours_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sedgehatch/sedgehatch/ingress"
 	"github.com/sedgehatch/sedgehatch/membership"
@@ -118,3 +119,20 @@
 	}
 	return b.String()
 }
+
+// TestInUse: an instance that still has an offer is a neighbour, however long ago
+// it was sent; one whose offers have ended is one for a while.
+func TestInUse(t *testing.T) {
+	r := newRouter(nil)
+	now := time.Now()
+	r.sent[offerKey{group: "b/0"}] = &sentOffer{peer: "long"}
+	r.used["long"] = now.Add(-2 * useTime)
+	r.used["lately"] = now.Add(-useTime / 2)
+	r.used["before"] = now.Add(-2 * useTime)
+	used := r.inUse()
+	for name, want := range map[string]bool{"long": true, "lately": true, "before": false} {
+		if used[name] != want {
+			t.Errorf("%s in use: %v", name, used[name])
+		}
+	}
+}
--- a/node/router.go
+++ b/node/router.go
@@ -33,6 +33,7 @@
 // sentOffer is an offer to a peer.
 type sentOffer struct {
 	owner.Answer
+	peer string     // the instance that it went to
 	link inner.Link // that it went on; nil while it is being sent
 	// withdrawn is set once the offer is not wanted any more, for a reason.
 	withdrawn bool
@@ -159,10 +160,10 @@
 		return failure.Unreachable.New("no owner of group %s is known", group)
 	}
 	k := offerKey{group, o.Key}
-	sent := &sentOffer{Answer: answer}
+	peer := v.peer
+	sent := &sentOffer{Answer: answer, peer: peer.Instance()}
 	r.sent[k] = sent
 	v.load.Free -= len(o.Tasks)
-	peer := v.peer
 	r.used[peer.Instance()] = time.Now()
 	r.mu.Unlock()
 	frame := &inner.Frame{Body: &inner.Frame_Offer{Offer: offerTo(group, o)}}
@@ -306,12 +307,15 @@
 	}
 }
 
-// inUse returns the instances that this one has sent offers to lately: both
-// sides must notice soon when the other is lost.
+// inUse returns the instances that have an offer of this one, or had one lately:
+// both sides must notice soon when the other is lost.
 func (r *router) inUse() map[string]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	used := map[string]bool{}
+	for _, sent := range r.sent {
+		used[sent.peer] = true
+	}
 	for instance, at := range r.used {
 		if time.Since(at) > useTime {
 			delete(r.used, instance)
