--- a/inner/mesh_test.go
+++ b/inner/mesh_test.go
@@ -45,7 +45,7 @@
 		t.Fatal(err)
 	}
 	e := &echo{kept: make(chan *Frame, 1)}
-	m := NewMesh(Config{Fleet: fleet, Self: self, Directory: dir, Handler: e})
+	m := NewMesh(Config{Fleet: fleet, Self: self, Directory: dir, Handler: e, Silence: func(string) time.Duration { return time.Minute }})
 	dir.mu.Lock()
 	dir.addresses[self.Instance()] = l.Addr().String()
 	dir.mu.Unlock()
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -110,12 +110,12 @@
 	return presenceFrame(p)
 }
 
-// dueClasses tells which neighbours hear from this instance in this beat.
-func (n *Node) dueClasses() (far bool) {
+// farDue tells whether far neighbours hear from this instance in this beat.
+func (n *Node) farDue() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	joining := time.Since(n.taken) < joinTime
-	far = time.Since(n.toldFar) >= farEvery || joining || n.leaving.Load()
+	far := time.Since(n.toldFar) >= farEvery || joining || n.leaving.Load()
 	if far {
 		n.toldFar = time.Now()
 	}
@@ -125,7 +125,7 @@
 // tellPeers sends the presence of this instance to all neighbours that are due,
 // and looks for those that are not heard.
 func (n *Node) tellPeers() {
-	far := n.dueClasses()
+	far := n.farDue()
 	n.mu.Lock()
 	peers, around, sought := n.table.Peers(), n.around, n.sought
 	n.mu.Unlock()
