Laboratory of policies; jobs begin whole, and are rejected once their forecast is too late

The pool knew neither when room frees nor how much of it a job needs before it began the first task.

Change: `sedgehatch lab` draws deployments and plays the product's pools and coordinators on them in virtual time (the model's world, moved to platform/standin and shared with it); rules can be switched off one by one. A forecast lists when room frees. A job begins only where all of it is expected to start in time (WholeJobs), and one that is expected to end too late is returned at once (RejectEarly); its coordinator asks the other groups before it refuses.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -92,7 +92,7 @@
 			"10 failed, 11 not run, 12 unknown, 13 pending, 20 a promise was broken.",
 		Commands: []*cli.Command{
 			demoCommand(), submitCommand(), jobCommand(), settingsCommand(), instancesCommand(),
-			benchCommand(), explainCommand(), soakCommand(), standinCommand(), versionCommand(),
+			benchCommand(), explainCommand(), soakCommand(), labCommand(), standinCommand(), versionCommand(),
 		},
 	}
 }
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -56,10 +56,25 @@
 
 const shardCount = 16
 
+// Clock tells the time and calls back later: the real one, or a simulated one.
+type Clock interface {
+	Now() time.Time
+	AfterFunc(d time.Duration, f func())
+}
+
+// realClock is the clock of the process.
+type realClock struct{}
+
+func (realClock) Now() time.Time { return time.Now() }
+
+func (realClock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
+
 // Coordinator coordinates the jobs of this instance.
 type Coordinator struct {
 	zone   string
 	owners Owners
+	clock  Clock
+	policy Policy
 	shards [shardCount]shard
 }
 
@@ -71,7 +86,12 @@
 
 // NewCoordinator returns a coordinator without jobs.
 func NewCoordinator(zone string, owners Owners) *Coordinator {
-	c := &Coordinator{zone: zone, owners: owners}
+	return NewSimulated(zone, owners, realClock{}, DefaultPolicy)
+}
+
+// NewSimulated is NewCoordinator on another clock and under another policy.
+func NewSimulated(zone string, owners Owners, clock Clock, policy Policy) *Coordinator {
+	c := &Coordinator{zone: zone, owners: owners, clock: clock, policy: policy}
 	for i := range c.shards {
 		c.shards[i].open = map[string]*pending{}
 	}
@@ -87,14 +107,7 @@
 // Run coordinates a job until it has a verdict, or left is closed because its
 // customer is gone.
 func (c *Coordinator) Run(r Request, left <-chan struct{}) Answered {
-	p := &pending{
-		Request: r, c: c, began: time.Now(), decided: make(chan struct{}), again: make(chan struct{}, 1), left: map[int]bool{},
-		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{}, cut: map[string]bool{},
-	}
-	for i := range r.Job.Steps[0].Count {
-		p.left[i] = true
-		p.idle = append(p.idle, i)
-	}
+	p := c.newPending(r)
 	if other := c.open(p); other != p {
 		return other.join(left, r.Patience)
 	}
@@ -103,6 +116,28 @@
 	return p.wait(left)
 }
 
+// Begin coordinates a job without waiting, and calls decided with its verdict.
+// It returns what
+// a simulation calls when the customer's patience is over.
+func (c *Coordinator) Begin(r Request, decided func(Answered)) (timeUp func()) {
+	p := c.newPending(r)
+	p.onVerdict = decided
+	p.offerIdle()
+	return p.timeUp
+}
+
+func (c *Coordinator) newPending(r Request) *pending {
+	p := &pending{
+		Request: r, c: c, began: c.clock.Now(), decided: make(chan struct{}), left: map[int]bool{},
+		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{}, cut: map[string]bool{}, full: map[string]bool{},
+	}
+	for i := range r.Job.Steps[0].Count {
+		p.left[i] = true
+		p.idle = append(p.idle, i)
+	}
+	return p
+}
+
 // open enters a job and returns the one that stands in the books: another,
 // where the same is open already.
 func (c *Coordinator) open(p *pending) *pending {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -33,7 +33,7 @@
 		for _, g := range c.tried {
 			tried[g] = true
 		}
-		if got, found := choose(c.loads, "a", tried); got != c.want || found != c.found {
+		if got, found := DefaultPolicy.choose(c.loads, "a", tried, 1, false); got != c.want || found != c.found {
 			t.Errorf("%s: %+v %v, want %+v %v", name, got, found, c.want, c.found)
 		}
 	}
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -20,7 +20,8 @@
 	began   time.Time
 	decided chan struct{} // closed once answer holds the verdict
 	answer  Answered
-	again   chan struct{} // tells that tasks are to be offered again later
+	// onVerdict is called with the verdict, where it is set.
+	onVerdict func(Answered)
 
 	mu     sync.Mutex
 	left   map[int]bool    // tasks that are not done
@@ -29,6 +30,7 @@
 	tried  map[string]bool // groups that had no room
 	never  map[string]bool // groups where no task can ever fit
 	cut    map[string]bool // groups whose owner could not be reached
+	full   map[string]bool // groups that expect no room in time
 	begun  bool
 	offers int      // that were made
 	asked  []string // groups that were offered tasks, in order
@@ -37,6 +39,7 @@
 	ownersAge time.Duration
 	joined    bool // its customer has sent it again, and waits there
 	settled   bool
+	retrying  bool // the idle tasks are offered again after a pause
 }
 
 // part is an offer of some of the tasks.
@@ -81,17 +84,18 @@
 		select {
 		case <-p.decided:
 			return p.answer
-		case <-p.again:
-			time.AfterFunc(retryOwners, p.offerIdle)
 		case <-left:
 			left = nil
 			p.leave()
 		case <-patience.C:
-			p.settle(Unknown, "the customer's deadline has passed")
+			p.timeUp()
 		}
 	}
 }
 
+// timeUp takes the end of the customer's patience.
+func (p *pending) timeUp() { p.settle(Unknown, "the customer's deadline has passed") }
+
 // leave takes the news that the customer has left.
 func (p *pending) leave() {
 	p.mu.Lock()
@@ -117,6 +121,9 @@
 	close(p.decided)
 	parts := slices.Collect(maps.Values(p.parts))
 	p.mu.Unlock()
+	if p.onVerdict != nil {
+		p.onVerdict(p.answer)
+	}
 	for _, part := range parts {
 		p.c.owners.Withdraw(part.group, schedule.JobKey{ID: p.Job.ID, Part: part.number}, reason)
 	}
@@ -134,7 +141,7 @@
 		loads := p.c.owners.Loads()
 		p.owners = len(loads)
 		p.ownersAge = lo.MaxBy(loads, func(a, b OwnerLoad) bool { return a.Age > b.Age }).Age
-		choice, found := choose(p.usable(loads), p.c.zone, p.tried)
+		choice, found := p.c.policy.choose(p.usable(loads), p.c.zone, p.tried, len(p.idle), p.begun || len(p.parts) > 0)
 		if !found {
 			p.mu.Unlock()
 			p.unplaced()
@@ -153,22 +160,22 @@
 	}
 }
 
-// usable leaves out the groups that can never run the job, and those that could
-// not be reached.
+// usable leaves out the groups that can never run the job or not in time, and
+// those that could not be reached.
 func (p *pending) usable(loads []OwnerLoad) []OwnerLoad {
-	return lo.Filter(loads, func(l OwnerLoad, _ int) bool { return !p.never[l.Group] && !p.cut[l.Group] })
+	return lo.Filter(loads, func(l OwnerLoad, _ int) bool { return !p.never[l.Group] && !p.cut[l.Group] && !p.full[l.Group] })
 }
 
 // offer makes an offer of the idle tasks. The lock is held.
 func (p *pending) offer(choice Choice) (*part, schedule.Offer) {
 	step := p.Job.Steps[0]
-	age := time.Since(p.began)
+	age := p.c.clock.Now().Sub(p.began)
 	p.offers++
 	o := schedule.Offer{
 		Key:     schedule.JobKey{ID: p.Job.ID, Part: p.offers},
 		Service: p.Route.Service, Route: p.Route.Name, Spec: p.Job.Spec, Demand: step.Demand, Estimate: step.Estimate,
 		Priority: p.Route.Priority, MaxAttempts: p.Route.MaxAttempts, Tasks: p.idle,
-		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: age, Patience: p.Patience - age, MayQueue: choice.Queue, Begun: p.begun,
+		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: age, Patience: p.Patience - age, MayQueue: choice.Queue, Whole: choice.Whole, Begun: p.begun,
 	}
 	part := &part{number: p.offers, group: choice.Group, tasks: lo.Keyify(p.idle), queue: choice.Queue}
 	p.idle = nil
@@ -205,20 +212,21 @@
 func (p *pending) unplaced() {
 	p.mu.Lock()
 	waits := len(p.parts) > 0
-	begun, never := p.begun, len(p.never) > 0 && len(p.cut) == 0
+	begun, never, full := p.begun, len(p.never) > 0 && len(p.cut)+len(p.full) == 0, len(p.full) > 0
 	clear(p.cut)
 	clear(p.tried)
 	p.mu.Unlock()
 	switch {
+	case full && begun:
+		p.settle(Unknown, "no room in time for all of it")
 	case waits:
 		return // its other tasks are under way; these go on when one of them ends
 	case never && !begun:
 		p.settle(Failed, "no upstream is large enough")
-	case time.Since(p.began) < p.Objective():
-		select {
-		case p.again <- struct{}{}:
-		default: // it is asked for already
-		}
+	case full:
+		p.settle(NotRun, "no room in time")
+	case p.c.clock.Now().Sub(p.began) < p.Objective():
+		p.offerLater()
 	case begun:
 		p.settle(Unknown, "no owner can be reached")
 	default:
@@ -226,6 +234,24 @@
 	}
 }
 
+// offerLater offers the idle tasks again after a pause, unless that is due
+// already.
+func (p *pending) offerLater() {
+	p.mu.Lock()
+	due := p.retrying
+	p.retrying = true
+	p.mu.Unlock()
+	if due {
+		return
+	}
+	p.c.clock.AfterFunc(retryOwners, func() {
+		p.mu.Lock()
+		p.retrying = false
+		p.mu.Unlock()
+		p.offerIdle()
+	})
+}
+
 // returned takes tasks back that never began.
 func (p *pending) returned(part *part, r schedule.Result) {
 	p.mu.Lock()
@@ -244,22 +270,23 @@
 		delete(p.left, t)
 		delete(part.tasks, t)
 	}
-	if r.Outcome == schedule.Completed || r.Outcome == schedule.NeverFits {
+	if r.Outcome == schedule.Completed || !r.Begun {
 		p.takeBack(part, lo.Keys(part.tasks)) // they never began
 	}
-	if r.Outcome == schedule.NeverFits {
+	switch r.Outcome {
+	case schedule.NeverFits:
 		p.never[part.group] = true
+	case schedule.Expired:
+		p.full[part.group] = true
 	}
-	complete, begun := len(p.left) == 0, p.begun
+	complete := len(p.left) == 0
 	p.mu.Unlock()
 	switch {
 	case complete:
 		p.settle(Completed, "")
 	case r.Outcome == schedule.Failed:
 		p.settle(Failed, "a task failed as often as it may")
-	case r.Outcome == schedule.Expired && !begun:
-		p.settle(NotRun, "no room in time")
-	case r.Outcome == schedule.Expired:
+	case r.Outcome == schedule.Expired && r.Begun:
 		p.settle(Unknown, "no room in time for all of it")
 	case r.Outcome == schedule.Unknown:
 		p.settle(Unknown, "the owner of upstreams was lost")
--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -20,41 +20,89 @@
 	Group string
 	// Queue lets the tasks wait there: nobody has room now.
 	Queue bool
+	// Whole starts all tasks there at once, or none.
+	Whole bool
 }
 
 // awayBias is how many waiting tasks the own zone may have more before a job
 // waits elsewhere: another zone costs a round trip and bytes between zones.
 const awayBias = 2
 
-// choose picks an owner for tasks that were not taken by those in tried. The
-// own zone goes first, then who has the most room; where nobody has any, the
-// tasks wait where the fewest wait for its size. It returns false without owners.
-func choose(loads []OwnerLoad, zone string, tried map[string]bool) (Choice, bool) {
+// Policy switches the rules by which a coordinator picks owners. The laboratory
+// measures what each of them is worth.
+type Policy struct {
+	// OwnZoneFirst offers a job to the owner of the own zone before others.
+	OwnZoneFirst bool
+	// Spill offers what finds no room to the owners of other groups.
+	Spill bool
+	// ShortestQueue lets what finds room nowhere wait where the least waits for
+	// its size; otherwise it waits in the own zone.
+	ShortestQueue bool
+	// WholeJobs offers a job to one owner that has room for all of it, and to
+	// several only where they have room for all of it together; otherwise it
+	// waits whole.
+	WholeJobs bool
+}
+
+// DefaultPolicy is the policy of the product.
+var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true}
+
+// choose picks an owner for a number of tasks that were not taken by those in
+// tried. The own zone goes first, then who has the most room; where nobody has
+// any, the tasks wait where the fewest wait for its size. Begun is set where
+// other tasks of the job have begun. It returns false without owners.
+func (y Policy) choose(loads []OwnerLoad, zone string, tried map[string]bool, tasks int, begun bool) (Choice, bool) {
+	together := 0
+	for _, l := range loads {
+		if !tried[l.Group] {
+			together += max(l.Free, 0)
+		}
+	}
+	if y.WholeJobs && !begun {
+		if group := y.roomiest(loads, zone, tried, tasks); group != "" {
+			return Choice{Group: group, Whole: true}, true
+		}
+		if together < tasks {
+			return y.shortestQueue(loads, zone)
+		}
+	}
+	if group := y.roomiest(loads, zone, tried, 1); group != "" {
+		return Choice{Group: group}, true
+	}
+	return y.shortestQueue(loads, zone)
+}
+
+// roomiest returns the group of the own zone, or else the one with the most
+// room, that has room for some tasks and was not tried; "" where there is none.
+func (y Policy) roomiest(loads []OwnerLoad, zone string, tried map[string]bool, tasks int) string {
 	best := -1
 	for i, l := range loads {
-		if tried[l.Group] || l.Free <= 0 {
+		if tried[l.Group] || l.Free < tasks || !y.Spill && l.Zone != zone {
 			continue
 		}
-		if l.Zone == zone {
-			return Choice{Group: l.Group}, true
+		if l.Zone == zone && y.OwnZoneFirst {
+			return l.Group
 		}
 		if best < 0 || l.Free > loads[best].Free {
 			best = i
 		}
 	}
-	if best >= 0 {
-		return Choice{Group: loads[best].Group}, true
+	if best < 0 {
+		return ""
 	}
-	return shortestQueue(loads, zone)
+	return loads[best].Group
 }
 
-func shortestQueue(loads []OwnerLoad, zone string) (Choice, bool) {
+func (y Policy) shortestQueue(loads []OwnerLoad, zone string) (Choice, bool) {
 	best := -1
 	var least float64
 	for i, l := range loads {
 		if l.Capacity <= 0 {
 			continue
 		}
+		if l.Zone == zone && !y.ShortestQueue {
+			return Choice{Group: l.Group, Queue: true}, true
+		}
 		waiting := float64(l.Waiting)
 		if l.Zone != zone {
 			waiting += awayBias
--- /dev/null
+++ b/lab/world.go
@@ -0,0 +1,334 @@
+package lab
+
+import (
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/ingress"
+	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/platform/standin"
+	"github.com/sedgehatch/sedgehatch/schedule"
+)
+
+const (
+	// zoneHop is how long a message between availability zones takes.
+	zoneHop = 500 * time.Microsecond
+	// loadEvery is how often zones hear of each other's load.
+	loadEvery = 250 * time.Millisecond
+	// startTimeout and callTimeout are when calls to upstreams count as
+	// unanswered: those that the product's owners use on a sound network.
+	startTimeout = 20 * time.Millisecond
+	callTimeout  = 150 * time.Millisecond
+	// stopTime is the longest time that an upstream takes to stop a task,
+	// milliseconds.
+	stopTime = 50
+	// retryPause is the pause after a report that did not come.
+	retryPause = 20 * time.Millisecond
+	tick       = 25 * time.Millisecond
+	patience   = 10 * time.Second
+)
+
+// world is a deployment at work: a group and a coordinator in each zone.
+type world struct {
+	*standin.Simulation
+	d         *deployment
+	began     time.Time
+	upstreams map[string]*standin.SimulatedUpstream
+	groups    []*group
+	outcomes  []outcome
+	wasted    float64 // core-seconds of work that did not serve
+	doubts    int     // of upstreams that the trouble does not strike
+}
+
+// outcome is what became of a customer's job.
+type outcome struct {
+	ingress.Answered
+	job  *customerJob
+	took time.Duration
+}
+
+// group is the pool of one zone, and the coordinator beside it.
+type group struct {
+	w           *world
+	name        string
+	pool        *schedule.Pool
+	answers     map[schedule.JobKey]owner.Answer
+	coordinator *ingress.Coordinator
+	views       map[string]ingress.OwnerLoad // of the other zones
+}
+
+// Policies are the rules of one run.
+type Policies struct {
+	Schedule schedule.Policy
+	Ingress  ingress.Policy
+}
+
+// run plays a deployment's day.
+func run(d *deployment, seed uint64, p Policies) *world {
+	began := time.Unix(1_000_000, 0)
+	w := &world{Simulation: standin.NewSimulation(began, seed), d: d, began: began, upstreams: map[string]*standin.SimulatedUpstream{}}
+	byID := map[string]*customerJob{}
+	for _, j := range d.jobs {
+		byID[j.id] = j
+	}
+	for _, u := range d.upstreams {
+		w.upstreams[u.ID] = w.newUpstream(u, byID)
+	}
+	for _, zone := range d.zones {
+		w.groups = append(w.groups, w.newGroup(zone, p))
+	}
+	w.tellLoads()
+	for _, j := range d.jobs {
+		w.AfterFunc(time.Second+j.sent, func() { w.submit(j) })
+	}
+	w.AfterFunc(time.Second+troubleFrom, func() { w.setTrouble(true) })
+	w.AfterFunc(time.Second+troubleUntil, func() { w.setTrouble(false) })
+	w.Run(began.Add(time.Second + dayLength + patience))
+	return w
+}
+
+func (w *world) newUpstream(u fleet.Upstream, byID map[string]*customerJob) *standin.SimulatedUpstream {
+	starts := map[fleet.Run]time.Time{}
+	s := w.NewUpstream(u, func(r fleet.Run) (time.Duration, fleet.Demand) {
+		j := byID[r.Task.Job]
+		return j.works[r.Task.Index], j.demand
+	})
+	s.StopTime = func() time.Duration { return w.Millis(0, stopTime) }
+	s.Began = func(r fleet.Run) { starts[r] = w.Now() }
+	s.FailsTask = func(r fleet.Run) bool { return byID[r.Task.Job].ownFault }
+	freed := s.Ended
+	s.Ended = func(r fleet.Run, end fleet.End) {
+		if end != fleet.EndDone {
+			w.wasted += w.Now().Sub(starts[r]).Seconds() * float64(byID[r.Task.Job].demand.MilliCPU) / 1000
+		}
+		delete(starts, r)
+		freed(r, end)
+	}
+	return s
+}
+
+// setTrouble begins or ends the trouble of the day.
+func (w *world) setTrouble(on bool) {
+	for i, u := range w.d.upstreams {
+		s := w.upstreams[u.ID]
+		struck := on && w.d.strikes(i)
+		switch w.d.trouble {
+		case Failing:
+			s.Fails = struck
+		case Slow:
+			s.Slow = 1
+			if struck {
+				s.Slow = w.d.slowness
+			}
+		case Stalled:
+			s.Stalls = struck
+		case Cut:
+			s.Cut = struck
+		case Unanswered:
+			s.LateShare = 0
+			if on {
+				s.LateShare = w.d.troubled / 2
+			}
+		}
+	}
+}
+
+// strikes reports whether the trouble strikes the upstream of a number. Those
+// struck are spread over the zones.
+func (d *deployment) strikes(i int) bool {
+	if d.trouble == Calm || d.trouble == Unanswered {
+		return false
+	}
+	return int(float64(i+1)*d.troubled) > int(float64(i)*d.troubled)
+}
+
+func (w *world) newGroup(zone string, p Policies) *group {
+	cfg := schedule.DefaultConfig
+	cfg.Policy = p.Schedule
+	g := &group{
+		w: w, name: zone, pool: schedule.NewPool(cfg, 1), answers: map[schedule.JobKey]owner.Answer{}, views: map[string]ingress.OwnerLoad{},
+	}
+	g.coordinator = ingress.NewSimulated(zone, g, w, p.Ingress)
+	var list []fleet.Upstream
+	for _, u := range w.d.upstreams {
+		if u.Zone == zone {
+			list = append(list, u)
+		}
+	}
+	added, effects := g.pool.SetUpstreams(w.Now(), list)
+	g.apply(effects)
+	for _, id := range added {
+		g.follow(id)
+	}
+	g.ticks()
+	return g
+}
+
+func (w *world) submit(j *customerJob) {
+	k := w.d.kinds[j.kind]
+	job := &fleet.Job{ID: j.id, Steps: []fleet.Step{{Count: len(j.works), Demand: j.demand, Estimate: j.estimate}}}
+	sent := w.Now()
+	timeUp := w.groups[j.zone].coordinator.Begin(ingress.Request{Job: job, Route: &k.route, Patience: patience}, func(a ingress.Answered) {
+		w.outcomes = append(w.outcomes, outcome{Answered: a, job: j, took: w.Now().Sub(sent)})
+	})
+	w.AfterFunc(patience, timeUp)
+}
+
+func (w *world) tellLoads() {
+	for _, g := range w.groups {
+		for _, o := range w.groups {
+			if o != g {
+				g.views[o.name] = loadOf(o.name, o.pool.Load(w.Now()))
+			}
+		}
+	}
+	w.AfterFunc(loadEvery, w.tellLoads)
+}
+
+func loadOf(zone string, l schedule.Load) ingress.OwnerLoad {
+	return ingress.OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity}
+}
+
+// Loads implements ingress.Owners.
+func (g *group) Loads() []ingress.OwnerLoad {
+	var list []ingress.OwnerLoad
+	for _, o := range g.w.groups {
+		if o == g {
+			list = append(list, loadOf(g.name, g.pool.Load(g.w.Now())))
+		} else {
+			list = append(list, g.views[o.name])
+		}
+	}
+	return list
+}
+
+// Offer implements ingress.Owners.
+func (g *group) Offer(name string, o schedule.Offer, answer owner.Answer) error {
+	o.Key.Coordinator = g.name
+	to := g.find(name)
+	if to == g {
+		g.take(o, answer)
+		return nil
+	}
+	view := g.views[name]
+	view.Free -= len(o.Tasks)
+	g.views[name] = view
+	back := func(tell func(schedule.Result, schedule.Load)) func(schedule.Result, schedule.Load) {
+		return func(r schedule.Result, l schedule.Load) {
+			g.w.AfterFunc(zoneHop, func() {
+				g.views[name] = loadOf(name, l)
+				tell(r, l)
+			})
+		}
+	}
+	g.w.AfterFunc(zoneHop, func() {
+		to.take(o, owner.Answer{Returned: back(answer.Returned), Ended: back(answer.Ended)})
+	})
+	return nil
+}
+
+func (g *group) find(name string) *group {
+	for _, o := range g.w.groups {
+		if o.name == name {
+			return o
+		}
+	}
+	panic("no group " + name)
+}
+
+func (g *group) take(o schedule.Offer, answer owner.Answer) {
+	g.answers[o.Key] = answer
+	g.apply(g.pool.Offer(g.w.Now(), o))
+}
+
+// Withdraw implements ingress.Owners.
+func (g *group) Withdraw(name string, key schedule.JobKey, reason string) {
+	key.Coordinator = g.name
+	to := g.find(name)
+	withdraw := func() {
+		delete(to.answers, key)
+		to.apply(to.pool.Withdraw(g.w.Now(), key, reason))
+	}
+	if to == g {
+		withdraw()
+		return
+	}
+	g.w.AfterFunc(zoneHop, withdraw)
+}
+
+// apply carries out what the pool decided.
+func (g *group) apply(e schedule.Effects) {
+	for _, d := range e.Decisions {
+		if d.Kind == schedule.DecidedDoubt && !g.w.struck(d.Upstream) {
+			g.w.doubts++
+		}
+	}
+	for _, s := range e.Starts {
+		g.w.upstreams[s.Upstream.ID].CallStart(s.Order, startTimeout, func(r fleet.Refusal, err error) {
+			g.apply(g.pool.Started(g.w.Now(), s.Upstream.ID, s.Order.Run, r, err))
+		})
+	}
+	for _, s := range e.Stops {
+		g.w.upstreams[s.Upstream.ID].CallStop(s.Run, g.pool.Token(), callTimeout, func(err error) {
+			g.apply(g.pool.Stopped(g.w.Now(), s.Upstream.ID, s.Run, err))
+		})
+	}
+	for _, id := range e.Looks {
+		if _, o, known := g.pool.LookOrder(id); known {
+			g.hold(id, o, func(bool) {})
+		}
+	}
+	g.tell(e)
+}
+
+// tell passes results on.
+func (g *group) tell(e schedule.Effects) {
+	for _, r := range e.Returns {
+		if a, known := g.answers[r.Key]; known {
+			a.Returned(r, g.pool.Load(g.w.Now()))
+		}
+	}
+	for _, r := range e.Results {
+		if a, known := g.answers[r.Key]; known {
+			delete(g.answers, r.Key)
+			a.Ended(r, g.pool.Load(g.w.Now()))
+		}
+	}
+}
+
+func (w *world) struck(id string) bool {
+	for i, u := range w.d.upstreams {
+		if u.ID == id {
+			return w.d.strikes(i)
+		}
+	}
+	return false
+}
+
+func (g *group) hold(id string, o fleet.HoldOrder, then func(ok bool)) {
+	sent := g.w.Now()
+	g.w.upstreams[id].CallHold(o, callTimeout, func(report fleet.Report, err error) {
+		g.apply(g.pool.Held(g.w.Now(), id, sent, report, err))
+		then(err == nil)
+	})
+}
+
+// follow keeps asking for the reports of one upstream.
+func (g *group) follow(id string) {
+	_, o, known := g.pool.HoldOrder(g.w.Now(), id)
+	if !known {
+		return
+	}
+	g.hold(id, o, func(ok bool) {
+		if ok {
+			g.follow(id)
+			return
+		}
+		g.w.AfterFunc(retryPause, func() { g.follow(id) })
+	})
+}
+
+func (g *group) ticks() {
+	g.apply(g.pool.Tick(g.w.Now()))
+	g.w.AfterFunc(tick, g.ticks)
+}
--- a/node/convert.go
+++ b/node/convert.go
@@ -44,7 +44,7 @@
 		MilliCpu: o.Demand.MilliCPU, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
 		EstimateMs: uint32(o.Estimate.Milliseconds()), Priority: uint32(o.Priority), MaxAttempts: uint32(o.MaxAttempts),
 		Tasks: fromInts(o.Tasks), Stretch: o.Stretch, SlackMs: uint32(o.Slack.Milliseconds()),
-		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Patience, 0).Milliseconds()), MayQueue: o.MayQueue, Begun: o.Begun,
+		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Patience, 0).Milliseconds()), MayQueue: o.MayQueue, Begun: o.Begun, Whole: o.Whole,
 	}
 }
 
@@ -56,6 +56,6 @@
 		Estimate: time.Duration(m.GetEstimateMs()) * time.Millisecond, Priority: int(m.GetPriority()),
 		MaxAttempts: int(m.GetMaxAttempts()), Tasks: toInts(m.GetTasks()), Stretch: m.GetStretch(),
 		Slack: time.Duration(m.GetSlackMs()) * time.Millisecond, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
-		Patience: time.Duration(m.GetPatienceMs()) * time.Millisecond, MayQueue: m.GetMayQueue(), Begun: m.GetBegun(),
+		Patience: time.Duration(m.GetPatienceMs()) * time.Millisecond, MayQueue: m.GetMayQueue(), Begun: m.GetBegun(), Whole: m.GetWhole(),
 	}
 }
--- /dev/null
+++ b/schedule/forecast.go
@@ -0,0 +1,165 @@
+package schedule
+
+import (
+	"container/heap"
+	"time"
+)
+
+// forecast tells when room is expected to free, from what runs now: each end
+// frees the room of one task. It is used up as waiting tasks are given their
+// places in the order in which they would start.
+type forecast struct {
+	now  time.Time
+	free freeTimes
+}
+
+// freeTimes is a heap of times, the earliest first.
+type freeTimes []time.Time
+
+func (f freeTimes) Len() int           { return len(f) }
+func (f freeTimes) Less(i, j int) bool { return f[i].Before(f[j]) }
+func (f freeTimes) Swap(i, j int)      { f[i], f[j] = f[j], f[i] }
+func (f *freeTimes) Push(v any)        { *f = append(*f, v.(time.Time)) }
+func (f *freeTimes) Pop() any {
+	old := *f
+	v := old[len(old)-1]
+	*f = old[:len(old)-1]
+	return v
+}
+
+// overdueShare is how much longer a run is expected to take that is over its
+// expected time already, as a share of that time: times differ by some 40%.
+const overdueShare = 0.25
+
+// newForecast returns the forecast for the tasks of one service.
+func (p *Pool) newForecast(service string) *forecast {
+	f := &forecast{now: p.now}
+	for _, u := range p.sorted {
+		if u.Service != service || !p.usable(u, p.now) {
+			continue
+		}
+		for _, r := range u.runs {
+			f.free = append(f.free, r.expectedEnd(p.now))
+		}
+	}
+	heap.Init(&f.free)
+	return f
+}
+
+// expectedEnd is when a run is expected to free its room, by its pace where
+// that is known.
+func (r *run) expectedEnd(now time.Time) time.Time {
+	if r.job == nil {
+		return now.Add(stopRetry) // it is being stopped
+	}
+	expect := r.job.expect
+	end := r.ordered.Add(expect)
+	if r.percent > 0 && r.seen.After(r.ordered) {
+		age := r.seen.Sub(r.ordered)
+		end = r.seen.Add(age * time.Duration(100-min(r.percent, 100)) / time.Duration(r.percent))
+	}
+	if latest := now.Add(time.Duration(overdueShare * float64(expect))); r.ordered.Add(expect).Before(now) && end.Before(latest) {
+		return latest
+	}
+	return end
+}
+
+// add takes room that is free now.
+func (f *forecast) add(places int) {
+	for range places {
+		heap.Push(&f.free, f.now)
+	}
+}
+
+// start gives places to a number of tasks, and returns when the last of them is
+// expected to start. It reports false where there is no room at all.
+func (f *forecast) start(tasks int, takes time.Duration) (time.Time, bool) {
+	last := f.now
+	for range tasks {
+		if len(f.free) == 0 {
+			return time.Time{}, false
+		}
+		at := f.free[0]
+		if at.Before(f.now) {
+			at = f.now
+		}
+		if at.After(last) {
+			last = at
+		}
+		f.free[0] = at.Add(takes)
+		heap.Fix(&f.free, 0)
+	}
+	return last, true
+}
+
+// waitingTasks counts the tasks of a job that wait.
+func (j *job) waitingTasks() int {
+	n := 0
+	for _, t := range j.order {
+		if t.state == waiting {
+			n++
+		}
+	}
+	return n
+}
+
+// endsBy is when a job is expected to end whose last task starts at a time.
+func (j *job) endsBy(start time.Time) time.Time {
+	return start.Add(time.Duration(longestTask * float64(j.expect)))
+}
+
+// rejectHopeless gives up the jobs of which nothing began and that are expected
+// to end too late to be of use, in the order in which they would start: those
+// behind them move up. Their customers hear it at once, and can go elsewhere,
+// rather than wait for room that does not come.
+func (p *Pool) rejectHopeless() {
+	if !p.cfg.Policy.RejectEarly || len(p.queue) == 0 {
+		return
+	}
+	p.sortQueue()
+	forecasts := map[string]*forecast{}
+	var hopeless []*job
+	for _, j := range p.queue {
+		f := forecasts[j.Service]
+		if f == nil {
+			f = p.newForecast(j.Service)
+			forecasts[j.Service] = f
+		}
+		if p.hopeless(j, f) {
+			hopeless = append(hopeless, j)
+		}
+	}
+	for _, j := range hopeless {
+		p.end(j, Expired)
+	}
+}
+
+// hopeless reports whether a job is expected to end too late to be of use. The
+// room of one that is not is taken from the forecast.
+func (p *Pool) hopeless(j *job, f *forecast) bool {
+	tasks := j.waitingTasks()
+	if j.hasBegun() {
+		f.start(tasks, j.expect)
+		return false
+	}
+	before := append(freeTimes(nil), f.free...)
+	start, found := f.start(tasks, j.expect)
+	if !found || !j.endsBy(start).After(j.useful()) {
+		return false
+	}
+	f.free = before
+	return true
+}
+
+// useful is when a job has to end to be of use.
+func (j *job) useful() time.Time {
+	useful := j.sent().Add(time.Duration(hopelessFactor * float64(j.allowed())))
+	if waits := j.offered.Add(j.Patience); waits.Before(useful) {
+		return waits
+	}
+	return useful
+}
+
+// hopelessFactor is how many times its objective a job may be expected to take
+// before it is rejected.
+var hopelessFactor = 1.0
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -40,7 +40,7 @@
 	}
 	u.health.missed++
 	u.health.missedAt = p.now
-	if u.health.missed >= missesToDoubt {
+	if p.cfg.Policy.DoubtUnanswered && u.health.missed >= missesToDoubt {
 		p.doubt(u, "starts without answer")
 	}
 }
@@ -104,7 +104,7 @@
 // checkProgress moves a run that stands still or crawls, if that pays.
 func (p *Pool) checkProgress(r *run) {
 	j := r.job
-	if j == nil {
+	if j == nil || !p.cfg.Policy.MoveSlow {
 		return
 	}
 	t := j.tasks[r.id.Task.Index]
@@ -125,7 +125,9 @@
 	}
 	t.moves++
 	t.avoid = r.up.ID
-	p.doubt(r.up, "slow")
+	if p.cfg.Policy.DoubtSlow {
+		p.doubt(r.up, "slow")
+	}
 	p.stop(r, "slow")
 }
 
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -51,7 +51,9 @@
 			t.number += oldRunStep
 		case fleet.RefusedUnhealthy, fleet.RefusedRoom, fleet.RefusedBad:
 			t.avoid = u.ID
-			p.doubt(u, string(refusal))
+			if p.cfg.Policy.DoubtUnanswered {
+				p.doubt(u, string(refusal))
+			}
 		}
 	}
 	p.again(r, "refused: "+string(refusal))
@@ -241,8 +243,12 @@
 	j.left--
 	j.done = append(j.done, t.index)
 	took := p.now.Sub(r.ordered)
-	p.timesOf(j.Route).learn(took)
-	j.learn(took)
+	if p.cfg.Policy.LearnTimes {
+		p.timesOf(j.Route).learn(took)
+	}
+	if p.cfg.Policy.LearnJob {
+		j.learn(took)
+	}
 	p.trust(r.up)
 	if j.left == 0 {
 		p.forget(j)
@@ -258,7 +264,7 @@
 		r.up.health.failures++ // a job that fails everywhere counts against one upstream only
 	}
 	j.failed[r.up.ID] = true
-	if r.up.health.failures >= failuresToDoubt {
+	if p.cfg.Policy.DoubtFailing && r.up.health.failures >= failuresToDoubt {
 		p.doubt(r.up, "tasks fail")
 	}
 	if t.attempts >= j.MaxAttempts {
@@ -309,6 +315,7 @@
 			p.tickUpstream(u)
 		}
 		p.place()
+		p.rejectHopeless()
 		for _, j := range slices.Clone(p.queue) {
 			p.expire(j)
 		}
@@ -338,7 +345,7 @@
 // it wait and there is no room. One whose tasks wait for the end of a run that
 // may still be at work goes on.
 func (p *Pool) expire(j *job) {
-	if p.jobs[j.Key] != j || p.now.Add(j.expect/2).Before(j.expiry()) {
+	if !p.cfg.Policy.GiveUp || p.jobs[j.Key] != j || p.now.Add(j.expect/2).Before(j.expiry()) {
 		return
 	}
 	for _, t := range j.order {
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/platform/standin"
 
 	"pgregory.net/rapid"
 )
@@ -21,15 +22,15 @@
 }
 
 // check holds what runs against what must always hold.
-func (w *world) check(u *simUpstream, started fleet.Run) {
+func (w *world) check(u *standin.SimulatedUpstream, started fleet.Run) {
 	if used := u.Used(); !used.Within(u.Core.Capacity) {
-		w.t.Fatalf("%s at %v: %v of %v in use after the start of %v", u.ID, w.now.Sub(epochZero), used, u.Core.Capacity, started)
+		w.t.Fatalf("%s at %v: %v of %v in use after the start of %v", u.ID, w.Now().Sub(epochZero), used, u.Core.Capacity, started)
 	}
 	for _, o := range w.upstreams {
-		o.Advance(w.now)
+		o.Advance(w.Now())
 		for _, id := range o.Running() {
 			if id.Task == started.Task && (o != u || id != started) {
-				w.t.Fatalf("%v runs on %s while %v starts on %s at %v", id, o.ID, started, u.ID, w.now.Sub(epochZero))
+				w.t.Fatalf("%v runs on %s while %v starts on %s at %v", id, o.ID, started, u.ID, w.Now().Sub(epochZero))
 			}
 		}
 	}
@@ -101,7 +102,7 @@
 		if epoch != w.epoch {
 			return
 		}
-		_, o, known := w.pool.HoldOrder(w.now, id)
+		_, o, known := w.pool.HoldOrder(w.Now(), id)
 		if !known {
 			return
 		}
@@ -110,7 +111,7 @@
 				next()
 				return
 			}
-			w.after(20*time.Millisecond, next)
+			w.AfterFunc(20*time.Millisecond, next)
 		})
 	}
 	next()
@@ -128,7 +129,7 @@
 	for _, u := range w.upstreams {
 		list = append(list, u.Upstream)
 	}
-	added, effects := w.pool.SetUpstreams(w.now, list)
+	added, effects := w.pool.SetUpstreams(w.Now(), list)
 	w.apply(effects)
 	for _, id := range added {
 		w.follow(id)
@@ -140,15 +141,15 @@
 	if epoch != w.epoch {
 		return
 	}
-	w.apply(w.pool.Tick(w.now))
-	w.after(25*time.Millisecond, func() { w.ticks(epoch) })
+	w.apply(w.pool.Tick(w.Now()))
+	w.AfterFunc(25*time.Millisecond, func() { w.ticks(epoch) })
 }
 
 // drain drains the pool; another takes over some time later.
 func (w *world) drain() {
-	w.apply(w.pool.Drain(w.now))
+	w.apply(w.pool.Drain(w.Now()))
 	epoch := w.epoch
-	w.after(w.millis(100, 800), func() {
+	w.AfterFunc(w.Millis(100, 800), func() {
 		if epoch == w.epoch {
 			w.takeOver()
 		}
@@ -160,7 +161,7 @@
 func (w *world) offer(n int) {
 	key := JobKey{"home", fmt.Sprintf("%016x", n), 1}
 	for other := range w.open {
-		if w.rng.IntN(10) == 0 {
+		if w.Rand.IntN(10) == 0 {
 			key = JobKey{fmt.Sprintf("home-%d", n), other.ID, 1}
 			for i := range w.open[other].offer.Tasks {
 				delete(w.begun, fleet.TaskRef{Job: other.ID, Index: i})
@@ -171,13 +172,13 @@
 	o := Offer{
 		Key: key, Service: "s", Route: "r", Spec: "x",
 		Demand: fleet.Demand{MilliCPU: 3000}, Estimate: 150 * time.Millisecond, MaxAttempts: 4,
-		Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 5 * time.Second, MayQueue: w.rng.IntN(2) == 0,
+		Stretch: 1.6, Slack: 60 * time.Millisecond, Patience: 5 * time.Second, MayQueue: w.Rand.IntN(2) == 0,
 	}
-	for i := range 1 + w.rng.IntN(8) {
+	for i := range 1 + w.Rand.IntN(8) {
 		o.Tasks = append(o.Tasks, i)
 	}
 	w.open[o.Key] = &simJob{offer: o, done: map[int]bool{}}
-	w.apply(w.pool.Offer(w.now, o))
+	w.apply(w.pool.Offer(w.Now(), o))
 }
 
 // TestModel runs pools against simulated upstreams under faults. No task has two
@@ -186,19 +187,19 @@
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, rapid.Uint64().Draw(t, "seed"))
-		w.lossShare = rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss")
-		w.lateShare = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late")
+		lossShare := rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss")
+		lateShare := rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late")
 		w.takeOver()
-		w.run(epochZero.Add(300 * time.Millisecond))
-		w.faults = true
+		w.Run(epochZero.Add(300 * time.Millisecond))
+		w.setFaults(lossShare, lateShare)
 		for i := range rapid.IntRange(20, 80).Draw(t, "jobs") {
 			w.step(i)
 		}
-		w.faults = false
+		w.setFaults(0, 0)
 		for _, u := range w.upstreams {
-			u.cut, u.Stalls, u.Fails = false, false, false
+			u.Cut, u.Stalls, u.Fails = false, false, false
 		}
-		w.run(w.now.Add(15 * time.Second))
+		w.Run(w.Now().Add(15 * time.Second))
 		if len(w.open) > 0 || !w.pool.Idle() {
 			t.Fatalf("%d jobs are open long after the faults, idle %v", len(w.open), w.pool.Idle())
 		}
@@ -207,10 +208,10 @@
 
 // step lets one thing happen, and some time pass.
 func (w *world) step(i int) {
-	u := w.upstreams[w.rng.IntN(len(w.upstreams))]
-	switch w.rng.IntN(12) {
+	u := w.upstreams[w.Rand.IntN(len(w.upstreams))]
+	switch w.Rand.IntN(12) {
 	case 0:
-		u.cut = !u.cut
+		u.Cut = !u.Cut
 	case 1:
 		u.Stalls = !u.Stalls
 	case 2:
@@ -222,11 +223,11 @@
 	case 4:
 		for key := range w.open {
 			delete(w.open, key)
-			w.apply(w.pool.Withdraw(w.now, key, "test"))
+			w.apply(w.pool.Withdraw(w.Now(), key, "test"))
 			break
 		}
 	default:
 		w.offer(i)
 	}
-	w.run(w.now.Add(w.millis(1, 120)))
+	w.Run(w.Now().Add(w.Millis(1, 120)))
 }
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -15,7 +15,9 @@
 	}
 	p.sortQueue()
 	for _, j := range p.queue {
-		p.placeJob(j)
+		if p.mayBegin(j) {
+			p.placeJob(j)
+		}
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return !j.hasWaiting() })
 }
@@ -55,17 +57,20 @@
 // work is not lost for the rest of it, then by how soon it must start. Behind it
 // comes what is late anyway, by priority and age.
 func (p *Pool) sortQueue() {
+	y := p.cfg.Policy
 	slices.SortStableFunc(p.queue, func(a, b *job) int {
-		aLate, bLate := a.latestStart().Before(p.now), b.latestStart().Before(p.now)
+		aLate, bLate := y.LateBehind && a.latestStart().Before(p.now), y.LateBehind && b.latestStart().Before(p.now)
 		switch {
 		case aLate != bLate && aLate:
 			return 1
 		case aLate != bLate:
 			return -1
-		case a.hasBegun() != b.hasBegun() && a.hasBegun():
+		case y.BegunFirst && a.hasBegun() != b.hasBegun() && a.hasBegun():
 			return -1
-		case a.hasBegun() != b.hasBegun():
+		case y.BegunFirst && a.hasBegun() != b.hasBegun():
 			return 1
+		case !y.EarliestFirst:
+			return a.offered.Compare(b.offered)
 		case aLate:
 			return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.offered.Compare(b.offered))
 		default:
@@ -90,11 +95,68 @@
 	}
 }
 
+// mayBegin reports whether tasks of a job may start now: something of it began
+// already, or all of it is expected to start early enough. What it cannot use
+// yet is left to the jobs behind it.
+func (p *Pool) mayBegin(j *job) bool {
+	if !p.cfg.Policy.WholeJobs || j.hasBegun() {
+		return true
+	}
+	tasks := j.waitingTasks()
+	free := p.roomFor(j, tasks)
+	switch {
+	case free == 0:
+		return false
+	case free >= tasks:
+		return true
+	case j.Whole:
+		return false
+	}
+	f := p.newForecast(j.Service)
+	for _, o := range p.queue {
+		if o != j && o.hasBegun() {
+			f.start(o.waitingTasks(), o.expect) // it goes first
+		}
+	}
+	f.add(free)
+	start, found := f.start(tasks, j.expect)
+	limit := j.latestStart()
+	if limit.Before(p.now) {
+		limit = j.expiry().Add(-j.expect)
+	}
+	return !found || !start.After(limit)
+}
+
+// roomFor counts the tasks of a job that fit now, up to most.
+func (p *Pool) roomFor(j *job, most int) int {
+	n := 0
+	for _, u := range p.sorted {
+		if u.Service != j.Service || !p.usable(u, p.now) {
+			continue
+		}
+		left := u.Capacity.Minus(u.used)
+		for n < most && j.Demand.Within(left) {
+			left = left.Minus(j.Demand)
+			n++
+			if u.health.doubted {
+				break // a single trial
+			}
+		}
+		if n == most {
+			break
+		}
+	}
+	return n
+}
+
 // choose returns the upstream with the least room left over for a task, or nil.
 // The one that the task was moved from is taken only where there is no other,
 // whether that has room or not.
 func (p *Pool) choose(j *job, t *task) *upstream {
 	avoid := t.avoid
+	if !p.cfg.Policy.AvoidLast {
+		avoid = ""
+	}
 	if avoid != "" && !p.hasOther(j, avoid) {
 		avoid = ""
 	}
@@ -121,7 +183,11 @@
 		if !j.Demand.Within(left) {
 			continue
 		}
-		if rest := left.MilliCPU - j.Demand.MilliCPU; best == nil || rest < least {
+		rest := left.MilliCPU - j.Demand.MilliCPU
+		if !p.cfg.Policy.BestFit {
+			rest = -rest
+		}
+		if best == nil || rest < least {
 			best, least = u, rest
 		}
 	}
@@ -136,7 +202,7 @@
 	case !u.listed && now.Sub(u.removed) > p.cfg.Removal:
 		return false
 	case u.health.doubted:
-		return now.After(u.health.until) && len(u.runs) == 0 // a single trial
+		return now.After(u.health.until) && (len(u.runs) == 0 || !p.cfg.Policy.SingleTrial)
 	default:
 		return true
 	}
--- /dev/null
+++ b/schedule/policy.go
@@ -0,0 +1,46 @@
+package schedule
+
+// Policy switches the rules by which a pool decides. The laboratory measures
+// what each of them is worth; the product runs with all of DefaultPolicy.
+type Policy struct {
+	// EarliestFirst starts first what must start soonest to be in time; without
+	// it, what was offered first.
+	EarliestFirst bool
+	// LateBehind puts jobs that cannot be in time any more behind those that can.
+	LateBehind bool
+	// BegunFirst puts jobs of which something began before others.
+	BegunFirst bool
+	// GiveUp ends jobs that cannot end while that is of use.
+	GiveUp bool
+	// MoveSlow stops runs that crawl or stand still, and starts them elsewhere.
+	MoveSlow bool
+	// DoubtFailing, DoubtUnanswered and DoubtSlow leave alone for a while the
+	// upstreams whose tasks fail, that do not answer starts, or that are slow.
+	DoubtFailing    bool
+	DoubtUnanswered bool
+	DoubtSlow       bool
+	// SingleTrial gives one task only to an upstream that was left alone.
+	SingleTrial bool
+	// AvoidLast starts a task elsewhere than where it failed or was slow.
+	AvoidLast bool
+	// LearnTimes corrects declared times by those seen on the route, and
+	// LearnJob by those of other tasks of the same job.
+	LearnTimes bool
+	LearnJob   bool
+	// BestFit chooses the upstream with the least room left over; without it,
+	// the one with the most.
+	BestFit bool
+	// RejectEarly ends jobs of which nothing began once they are expected to end
+	// too late to be of use.
+	RejectEarly bool
+	// WholeJobs starts no task of a job before all of it is expected to start
+	// in time.
+	WholeJobs bool
+}
+
+// DefaultPolicy is the policy of the product.
+var DefaultPolicy = Policy{
+	EarliestFirst: true, LateBehind: true, BegunFirst: true, GiveUp: true,
+	MoveSlow: true, DoubtFailing: true, DoubtUnanswered: true, DoubtSlow: true, SingleTrial: true, AvoidLast: true,
+	LearnTimes: true, LearnJob: true, BestFit: true, RejectEarly: true, WholeJobs: true,
+}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -161,8 +161,12 @@
 	default:
 		p.queue = append(p.queue, j)
 		p.place()
-		if !j.MayQueue && p.jobs[o.Key] == j {
+		switch {
+		case p.jobs[o.Key] != j || !j.hasWaiting():
+		case !j.MayQueue:
 			p.returnWaiting(j, "no room")
+		default:
+			p.rejectHopeless()
 		}
 	}
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -20,6 +20,8 @@
 	// Removal is how long an upstream without an entry in the store still
 	// gets work while it answers: entries lapse with the store.
 	Removal time.Duration
+	// Policy switches the rules of decision.
+	Policy Policy
 }
 
 // DefaultConfig fits upstreams that grant a second.
@@ -27,6 +29,7 @@
 	Lease:   700 * time.Millisecond,
 	Report:  250 * time.Millisecond,
 	Removal: 2500 * time.Millisecond,
+	Policy:  DefaultPolicy,
 }
 
 // leaseShare is the part of the longest lease that is used at most.
@@ -90,6 +93,8 @@
 	// MayQueue lets tasks wait that no upstream has room for now. Others are
 	// returned at once.
 	MayQueue bool
+	// Whole starts all tasks at once or none.
+	Whole bool
 }
 
 // Outcome is how a pool's part of a job ended.
