Refused customers come back at the rate at which they can be served

Cause: Retry-After was 1 s for everybody, so that all who were refused in a burst came back into it.

Change: each second of the next 30 takes a quarter of what this instance serves in a second; who was refused first comes back first (SpreadReturns).

--- a/cli/lab.go
+++ b/cli/lab.go
@@ -25,6 +25,7 @@
 			&cli.FloatFlag{Name: "load", Usage: "load of the crowded stretch as a share of the room; 0 draws it"},
 			&cli.StringFlag{Name: "trouble", Usage: "what goes wrong: " + troubleNames(), Value: string(lab.Mixed)},
 			&cli.FloatFlag{Name: "share", Usage: "share of upstreams, or of calls, that the trouble strikes; 0 draws it"},
+			&cli.IntFlag{Name: "returns", Usage: "how often refused customers come back at most"},
 			&cli.StringSliceFlag{Name: "without", Usage: "also run without these `RULES`, with + between; may come several times"},
 			&cli.BoolFlag{Name: "ablate", Usage: "also run without each rule, one by one"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
@@ -39,10 +40,12 @@
 }
 
 func runLab(_ context.Context, c *cli.Command) error {
-	setup := lab.Setup{Load: c.Float("load"), Trouble: lab.Trouble(c.String("trouble")), Share: c.Float("share")}
+	setup := lab.Setup{Load: c.Float("load"), Trouble: lab.Trouble(c.String("trouble")), Share: c.Float("share"), Returns: c.Int("returns")}
 	switch {
 	case c.Int("seeds") < 1:
 		return failure.Field(failure.InvalidInput, "seeds", "must be at least 1")
+	case setup.Returns < 0:
+		return failure.Field(failure.InvalidInput, "returns", "must not be negative")
 	case setup.Load < 0:
 		return failure.Field(failure.InvalidInput, "load", "must not be negative")
 	case setup.Share < 0 || setup.Share > 1:
@@ -84,12 +87,12 @@
 
 func labTable(out io.Writer, rows []lab.Row) error {
 	t := tabwriter.NewWriter(out, 2, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "rules\tworth\tgain\t±\tcrowded\tbound\tin time\tlate\trefused\troom\tgiven up\tfailed\twasted\ttell p50\tp90\tp99 ms\tkind\tlarge\tzone\tdoubts\tsilences\t")
+	fmt.Fprintln(t, "rules\tworth\tgain\t±\tcrowded\tbound\tin time\tlate\trefused\troom\tgiven up\tfailed\twasted\ttell p50\tp90\tp99 ms\tkind\tlarge\tzone\tlater\tlater s\tdoubts\tsilences\t")
 	for _, r := range rows {
 		f := r.Figures
-		fmt.Fprintf(t, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.2f\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.1f\t%.1f\t\n",
+		fmt.Fprintf(t, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.2f\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.1f\t%.1f\t\n",
 			r.Name, f.Worth, r.Gain, r.Half, f.Crowd, f.Bound, f.InTime, f.Late, f.Refused, f.Room, f.GivenUp, f.Failed, f.Wasted,
-			f.TellP50, f.TellP90, f.TellP99, f.Kind, f.Large, f.Zone, f.Doubts, f.Silent)
+			f.TellP50, f.TellP90, f.TellP99, f.Kind, f.Large, f.Zone, f.Later, f.LaterS, f.Doubts, f.Silent)
 	}
 	return t.Flush()
 }
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -38,8 +38,11 @@
 	Verdict Verdict
 	Reason  string
 	Begun   bool
-	Offers  int    // that were made
-	Groups  string // they went to, in order
+	// RetryAfter is when the customer of a job that has not run should send it
+	// again.
+	RetryAfter time.Duration
+	Offers     int    // that were made
+	Groups     string // they went to, in order
 	// Owners is how many owners were known at the last offer, and OwnersAge
 	// the age of the oldest of their load reports.
 	Owners    int
@@ -71,11 +74,12 @@
 
 // Coordinator coordinates the jobs of this instance.
 type Coordinator struct {
-	zone   string
-	owners Owners
-	clock  Clock
-	policy Policy
-	shards [shardCount]shard
+	zone    string
+	owners  Owners
+	clock   Clock
+	policy  Policy
+	returns returnPlan
+	shards  [shardCount]shard
 }
 
 // shard holds some of the open jobs under its own lock.
@@ -228,6 +232,22 @@
 	}
 }
 
+// retryAfter is when a customer should send its job again, zero where it should
+// not. Crowded is set where the load was the reason.
+func (c *Coordinator) retryAfter(v Verdict, crowded bool) time.Duration {
+	switch {
+	case v == Completed:
+		c.returns.completed(c.clock.Now())
+		return 0
+	case v != NotRun:
+		return 0
+	case crowded && c.policy.SpreadReturns:
+		return c.returns.next(c.clock.Now())
+	default:
+		return soonest
+	}
+}
+
 // Objective is how long the job may take to be in time, by what its customer
 // estimates.
 func (r *Request) Objective() time.Duration { return objective(r.Job, r.Route) }
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -117,7 +117,10 @@
 	if v == Unknown && !p.begun && len(p.parts) == 0 {
 		v = NotRun
 	}
-	p.answer = Answered{v, reason, p.begun, p.offers, strings.Join(p.asked, ","), p.owners, p.ownersAge}
+	p.answer = Answered{
+		Verdict: v, Reason: reason, Begun: p.begun, Offers: p.offers, Groups: strings.Join(p.asked, ","),
+		RetryAfter: p.c.retryAfter(v, len(p.full) > 0), Owners: p.owners, OwnersAge: p.ownersAge,
+	}
 	close(p.decided)
 	parts := slices.SortedFunc(maps.Values(p.parts), func(a, b *part) int { return a.number - b.number })
 	p.mu.Unlock()
--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -42,10 +42,13 @@
 	// several only where they have room for all of it together; otherwise it
 	// waits whole.
 	WholeJobs bool
+	// SpreadReturns tells refused customers to come back at the rate at which
+	// they can be served.
+	SpreadReturns bool
 }
 
 // DefaultPolicy is the policy of the product.
-var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true}
+var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true}
 
 // choose picks an owner for a number of tasks that were not taken by those in
 // tried. The own zone goes first, then who has the most room; where nobody has
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -45,9 +46,6 @@
 	// answerMargin is how much earlier than the customer's deadline the
 	// answer is given: it takes a round trip to arrive.
 	answerMargin = 30 * time.Millisecond
-	// retryAfter is when a customer of refused work should come back,
-	// seconds: load passes in about that time, and the field has no smaller.
-	retryAfter = 1
 	// mostBody bounds what is read of a request, in bytes.
 	mostBody = 1 << 20
 	// readBuffer holds the header of a request, in bytes.
@@ -85,7 +83,7 @@
 	}
 	config := s.config()
 	if config == nil {
-		refuse(ctx, "no configuration yet")
+		refuse(ctx, "no configuration yet", soonest)
 		return
 	}
 	path := string(ctx.Path())
@@ -155,7 +153,7 @@
 	}
 	record := Record{Job: id, Tasks: job.Steps[0].Count}
 	if reason := s.declines(job, route); reason != "" {
-		refuse(ctx, reason)
+		refuse(ctx, reason, soonest)
 		record.Answered = Answered{Verdict: NotRun, Reason: reason}
 		s.answered(record, config, route, ctx, began)
 		return
@@ -218,15 +216,15 @@
 	case Failed:
 		sendJSON(ctx, fasthttp.StatusOK, platform.EncodeState(fleet.StateFailed))
 	case NotRun:
-		refuse(ctx, a.Reason)
+		refuse(ctx, a.Reason, a.RetryAfter)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusGatewayTimeout)
 	}
 }
 
-// refuse answers that nothing has run or will.
-func refuse(ctx *fasthttp.RequestCtx, reason string) {
-	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfter))
+// refuse answers that nothing has run or will, and when to come back.
+func refuse(ctx *fasthttp.RequestCtx, reason string, after time.Duration) {
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(after.Seconds()))))
 	ctx.Error(reason, fasthttp.StatusServiceUnavailable)
 }
 
--- a/lab/draw.go
+++ b/lab/draw.go
@@ -39,6 +39,9 @@
 	// Share is the share of upstreams, or of calls, that the trouble strikes; 0
 	// draws it.
 	Share float64
+	// Returns is how often a refused customer comes back at most, when it was
+	// told to.
+	Returns int
 }
 
 // The days that are drawn. All have an ordinary load, a crowded stretch, and an
@@ -77,6 +80,7 @@
 	trouble   Trouble
 	troubled  float64 // share that it strikes
 	slowness  float64
+	returns   int
 	jobs      []*customerJob
 }
 
@@ -111,7 +115,7 @@
 // draw draws a deployment and its day.
 func draw(seed uint64, s Setup) *deployment {
 	rng := rand.New(rand.NewPCG(seed, 77))
-	d := &deployment{load: s.Load, trouble: s.Trouble, troubled: s.Share}
+	d := &deployment{load: s.Load, trouble: s.Trouble, troubled: s.Share, returns: s.Returns}
 	if d.load == 0 {
 		d.load = minLoad + (maxLoad-minLoad)*rng.Float64()
 	}
--- a/lab/figures.go
+++ b/lab/figures.go
@@ -36,6 +36,8 @@
 	Kind    float64 `json:"worst_kind"`  // share of worth of the worst kind
 	Large   float64 `json:"worst_large"` // of the worst largest tenth of a kind
 	Zone    float64 `json:"worst_zone"`
+	Later   float64 `json:"served_later"`    // share of the refused that were served when they came back
+	LaterS  float64 `json:"later_s"`         // how long that took from the first sending, on average, seconds
 	Doubts  float64 `json:"doubts_of_sound"` // per day
 	Silent  float64 `json:"silences_of_sound"`
 }
@@ -105,6 +107,9 @@
 	f.Kind, f.Large, f.Zone = worst(kinds), worst(large), worst(zones)
 	f.TellP50, f.TellP90, f.TellP99 = quantile(tell, 0.5), quantile(tell, 0.9), quantile(tellMs, 0.99)
 	f.Wasted = w.wasted / lo.SumBy(w.d.jobs, (*customerJob).size)
+	if refused := f.Refused * n; refused > 0 && w.servedLater > 0 {
+		f.Later, f.LaterS = float64(w.servedLater)/refused, w.laterSeconds/float64(w.servedLater)
+	}
 	f.Doubts, f.Silent = float64(w.doubts), float64(w.silences)
 	return f
 }
--- a/lab/world.go
+++ b/lab/world.go
@@ -27,6 +27,8 @@
 	retryPause = 20 * time.Millisecond
 	tick       = 25 * time.Millisecond
 	patience   = 10 * time.Second
+	// longestReturn is the longest that a customer is told to wait, and a second.
+	longestReturn = 31 * time.Second
 )
 
 // world is a deployment at work: a group and a coordinator in each zone.
@@ -40,6 +42,10 @@
 	wasted    float64 // core-seconds of work that did not serve
 	// doubts and silences are of upstreams that the trouble does not strike.
 	doubts, silences int
+	// servedLater is how many refused jobs were served when they were sent again,
+	// and laterSeconds how long these took from their first sending, together.
+	servedLater  int
+	laterSeconds float64
 }
 
 // outcome is what became of a customer's job.
@@ -86,7 +92,7 @@
 	}
 	w.AfterFunc(time.Second+troubleFrom, func() { w.setTrouble(true) })
 	w.AfterFunc(time.Second+troubleUntil, func() { w.setTrouble(false) })
-	w.Run(began.Add(time.Second + dayLength + patience))
+	w.Run(began.Add(time.Second + dayLength + patience + time.Duration(d.returns)*longestReturn))
 	return w
 }
 
@@ -167,16 +173,36 @@
 	return g
 }
 
+// submit sends a job, and again where its customer was refused and comes back.
 func (w *world) submit(j *customerJob) {
+	first := w.Now()
+	w.send(j, func(a ingress.Answered) {
+		w.outcomes = append(w.outcomes, outcome{Answered: a, job: j, took: w.Now().Sub(first), room: w.hasRoom(j)})
+		w.comeBack(j, a, first, w.d.returns)
+	})
+}
+
+func (w *world) send(j *customerJob, answered func(ingress.Answered)) {
 	k := w.d.kinds[j.kind]
 	job := &fleet.Job{ID: j.id, Steps: []fleet.Step{{Count: len(j.works), Demand: j.demand, Estimate: j.estimate}}}
-	sent := w.Now()
-	timeUp := w.groups[j.zone].coordinator.Begin(ingress.Request{Job: job, Route: &k.route, Patience: patience}, func(a ingress.Answered) {
-		w.outcomes = append(w.outcomes, outcome{Answered: a, job: j, took: w.Now().Sub(sent), room: w.hasRoom(j)})
-	})
+	timeUp := w.groups[j.zone].coordinator.Begin(ingress.Request{Job: job, Route: &k.route, Patience: patience}, answered)
 	w.AfterFunc(patience, timeUp)
 }
 
+// comeBack sends a refused job again when its customer was told to.
+func (w *world) comeBack(j *customerJob, a ingress.Answered, first time.Time, left int) {
+	switch {
+	case a.Verdict == ingress.Completed && left < w.d.returns:
+		w.servedLater++
+		w.laterSeconds += w.Now().Sub(first).Seconds()
+	case a.Verdict == ingress.NotRun && left > 0:
+		spread := time.Duration(w.Rand.Float64() * float64(time.Second)) // no two clients are in step
+		w.AfterFunc(a.RetryAfter+spread, func() {
+			w.send(j, func(a ingress.Answered) { w.comeBack(j, a, first, left-1) })
+		})
+	}
+}
+
 // hasRoom reports whether all tasks of a job fit now, in all groups together.
 func (w *world) hasRoom(j *customerJob) bool {
 	free := 0
