Rules that were worth nothing are gone; a begun job is served late rather than given up

A job that fails again on the same upstream counts against it once more (scenario only_one): without the rule on avoiding it would have gone there a third time.

--- a/schedule/health.go
+++ b/schedule/health.go
@@ -45,24 +45,28 @@
 // more of the upstreams fail all that they run (laboratory, 24 seeds).
 func (p *Pool) blame(r *run) {
 	j, u := r.job, r.up
-	first := len(j.failed) == 0
-	j.failed[u.ID] = true
-	switch {
-	case first:
+	if len(j.failed) == 0 {
 		j.blamed = u
-		u.health.failures++
-	case j.blamed != nil && j.blamed != u:
-		p.acquit(j.blamed)
-		j.blamed = nil
 	}
+	j.failed[u.ID] = true
+	if j.blamed != u {
+		p.acquit(j)
+		return
+	}
+	u.health.failures++
 	alone := !p.hasOther(j, u.ID) && u.health.failures < failuresAlone
-	if first && !alone && p.cfg.Policy.DoubtFailing {
+	if !alone && p.cfg.Policy.DoubtFailing {
 		p.doubt(u, "tasks fail")
 	}
 }
 
-// acquit takes back one failure of an upstream.
-func (p *Pool) acquit(u *upstream) {
+// acquit takes back the failure that an upstream was blamed for.
+func (p *Pool) acquit(j *job) {
+	u := j.blamed
+	j.blamed = nil
+	if u == nil {
+		return
+	}
 	if u.health.failures--; u.health.failures <= 0 && u.health.doubted {
 		p.trust(u)
 	}
@@ -141,7 +145,6 @@
 		return // nowhere to go: slow is better than waiting
 	}
 	t.moves++
-	t.avoid = r.up.ID
 	if p.cfg.Policy.DoubtSlow {
 		p.doubt(r.up, "slow")
 	}
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -49,7 +49,6 @@
 		case fleet.RefusedOldRun:
 			t.number += oldRunStep
 		case fleet.RefusedUnhealthy, fleet.RefusedRoom, fleet.RefusedBad:
-			t.avoid = u.ID
 			if p.cfg.Policy.DoubtRefusing {
 				p.doubt(u, string(refusal))
 			}
@@ -276,7 +275,6 @@
 		p.end(j, Failed)
 		return
 	}
-	t.avoid = r.up.ID
 	p.again(r, "failed")
 }
 
@@ -366,11 +364,15 @@
 
 // expire gives up a job that cannot end while that is of use, because tasks of
 // it wait and there is no room. One whose tasks wait for the end of a run that
-// may still be at work goes on.
+// may still be at work goes on, and so does one that has begun where room is
+// expected to free: it is served late rather than for nothing.
 func (p *Pool) expire(j *job) {
 	if !p.cfg.Policy.GiveUp || p.jobs[j.Key] != j || p.now.Add(j.expect/2).Before(j.expiry()) {
 		return
 	}
+	if j.hasBegun() && len(p.newForecast(j.Service).free) > 0 {
+		return
+	}
 	for _, t := range j.order {
 		if t.state == waiting && p.byTask[p.ref(j, t)] == nil {
 			p.end(j, Expired)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -83,26 +83,20 @@
 	return useful
 }
 
-// sortQueue puts first what can still be in time: what has begun, so that its
-// work is not lost for the rest of it, then by how soon it must start. Behind it
-// comes what is late anyway, by priority and age.
+// sortQueue puts first what has begun, so that its work is not lost for the rest
+// of it, then what must start soonest to be in time.
 func (p *Pool) sortQueue() {
 	y := p.cfg.Policy
 	slices.SortStableFunc(p.queue, func(a, b *job) int {
-		aLate, bLate := y.LateBehind && a.latestStart().Before(p.now), y.LateBehind && b.latestStart().Before(p.now)
 		switch {
-		case aLate != bLate && aLate:
-			return 1
-		case aLate != bLate:
-			return -1
 		case y.BegunFirst && a.hasBegun() != b.hasBegun() && a.hasBegun():
 			return -1
 		case y.BegunFirst && a.hasBegun() != b.hasBegun():
 			return 1
+		case y.PriorityFirst && a.Priority != b.Priority:
+			return cmp.Compare(a.Priority, b.Priority)
 		case !y.EarliestFirst:
 			return a.offered.Compare(b.offered)
-		case aLate:
-			return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.offered.Compare(b.offered))
 		default:
 			return a.latestStart().Compare(b.latestStart())
 		}
@@ -120,7 +114,7 @@
 		if t.state != waiting || p.byTask[p.ref(j, t)] != nil {
 			continue // a run of it may still be at work
 		}
-		u := p.choose(j, t)
+		u := p.choose(j)
 		if u == nil {
 			return started
 		}
@@ -195,28 +189,6 @@
 	return n
 }
 
-// choose returns the upstream with the least room left over for a task, or nil.
-// The one that the task was moved from is taken only where there is no other,
-// whether that has room or not.
-func (p *Pool) choose(j *job, t *task) *upstream {
-	avoid := t.avoid
-	if !p.cfg.Policy.AvoidLast {
-		avoid = ""
-	}
-	if avoid != "" && !p.hasOther(j, avoid) {
-		avoid = ""
-	}
-	if p.cfg.Policy.TrustedLast && t.attempts > 0 && t.attempts == j.MaxAttempts-1 {
-		if u := p.chooseOf(j, avoid, (*upstream).trusted); u != nil {
-			return u
-		}
-	}
-	return p.chooseBut(j, avoid)
-}
-
-// trusted reports whether the upstream is not doubted.
-func (u *upstream) trusted() bool { return !u.health.doubted }
-
 // hasOther reports whether any upstream but one could run a task of j.
 func (p *Pool) hasOther(j *job, but string) bool {
 	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
@@ -224,20 +196,18 @@
 	})
 }
 
-// chooseBut returns the upstream but one with the least room left over for a
-// task, or nil. One that is slow is taken only where no other has room and the
-// job can still be in time there, or where all are slow.
-func (p *Pool) chooseBut(j *job, but string) *upstream {
-	return p.chooseOf(j, but, func(*upstream) bool { return true })
-}
+// choose returns the upstream with the least room left over for a task, or nil.
+// One that is slow is taken only where no other has room and the job can still be
+// in time there, or where all are slow.
+func (p *Pool) choose(j *job) *upstream { return p.chooseBut(j, "") }
 
-// chooseOf is chooseBut among the upstreams that are allowed.
-func (p *Pool) chooseOf(j *job, but string, allowed func(*upstream) bool) *upstream {
+// chooseBut is choose among all upstreams but one.
+func (p *Pool) chooseBut(j *job, but string) *upstream {
 	var best, slow *upstream
 	var least int64
 	leastSlow, fast := 0.0, false
 	for _, u := range p.sorted {
-		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == but || !allowed(u) {
+		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == but {
 			continue
 		}
 		slowness := p.slowness(u)
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -6,8 +6,8 @@
 	// EarliestFirst starts first what must start soonest to be in time; without
 	// it, what was offered first.
 	EarliestFirst bool
-	// LateBehind puts jobs that cannot be in time any more behind those that can.
-	LateBehind bool
+	// PriorityFirst starts urgent jobs before others.
+	PriorityFirst bool
 	// BegunFirst puts jobs of which something began before others.
 	BegunFirst bool
 	// GiveUp ends jobs that cannot end while that is of use.
@@ -21,8 +21,6 @@
 	DoubtSlow     bool
 	// SingleTrial gives one task only to an upstream that was left alone.
 	SingleTrial bool
-	// AvoidLast starts a task elsewhere than where it failed or was slow.
-	AvoidLast bool
 	// LearnTimes corrects declared times by those seen on the route, and
 	// LearnJob by those of other tasks of the same job.
 	LearnTimes bool
@@ -43,14 +41,11 @@
 	LookOverdue bool
 	// LearnSpeed keeps tasks from upstreams that are slower than their peers.
 	LearnSpeed bool
-	// TrustedLast gives the last attempt of a task to an upstream that is not
-	// doubted, where one has room.
-	TrustedLast bool
 }
 
 // DefaultPolicy is the policy of the product.
 var DefaultPolicy = Policy{
-	EarliestFirst: true, LateBehind: true, BegunFirst: true, GiveUp: true,
-	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true, AvoidLast: true,
-	LearnTimes: true, LearnJob: true, BestFit: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, TrustedLast: true,
+	EarliestFirst: true, PriorityFirst: true, BegunFirst: true, GiveUp: true,
+	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
+	LearnTimes: true, LearnJob: true, BestFit: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true,
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -214,7 +214,6 @@
 	number   uint32 // of the last run
 	attempts int    // runs that failed
 	moves    int    // runs that were given up
-	avoid    string // the upstream that it was moved from
 }
 
 type job struct {
@@ -226,7 +225,7 @@
 	left    int // tasks that have not ended
 	begun   bool
 	failed  map[string]bool // upstreams where a task of it failed
-	blamed  *upstream       // for the first of them
+	blamed  *upstream       // for the first of them; nil once it failed elsewhere too
 	done    []int
 }
 
