--- /dev/null
+++ b/node/stop_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/membership"
+)
+
+// TestStopWithoutSuccessor stops the only instance of an availability zone: it
+// goes on serving with its upstreams until another has started and takes them.
+func TestStopWithoutSuccessor(t *testing.T) {
+	in := newInstallation(t, []string{"a"}, 2, "a-1")
+	n := in.nodes["a-1"]
+	stopped := make(chan bool, 1)
+	go func() { stopped <- n.Stop() }()
+	in.until("it is stopping", n.leaving.Load)
+	for range 5 {
+		in.want("a-1", 2, 10)
+	}
+	n.mu.Lock()
+	g := n.groups["a/0"]
+	n.mu.Unlock()
+	if g == nil || g.handing {
+		t.Fatal("it has let go of its group with nobody there to take it")
+	}
+	in.start("a-2")
+	in.until("the next instance owns the group", func() bool {
+		next := in.nodes["a-2"]
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return next.groups["a/0"] != nil
+	})
+	in.until("it serves", func() bool { status, _ := in.submit("a-2", in.newID(), 2, 10); return status == http.StatusOK })
+	if !<-stopped {
+		t.Error("the stop ended undrained")
+	}
+}
+
+// TestStopHandsOverInTime: without a successor groups are let go early enough for
+// what runs to end.
+func TestStopHandsOverInTime(t *testing.T) {
+	in := newInstallation(t, []string{"a"}, 1, "a-1")
+	n := in.nodes["a-1"]
+	limit := n.in.Timing.Grace - graceMargin
+	handing := func(took time.Duration) bool {
+		n.handOver(took, limit)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		g := n.groups["a/0"]
+		return g == nil || g.handing
+	}
+	if handing(0) {
+		t.Error("the group is handed over at once")
+	}
+	if !handing(limit / 2) {
+		t.Error("the group is kept for half of the stop")
+	}
+}
+
+// TestSettled: a new instance takes nothing while a listed peer of its zone may
+// run and has not been heard.
+func TestSettled(t *testing.T) {
+	for name, c := range map[string]struct {
+		age    time.Duration
+		unread bool
+		absent bool
+		dial   dialOutcome
+		want   bool
+	}{
+		"just started":                 {age: settleTime / 2, dial: dialFailed, want: false},
+		"nothing listens there":        {age: settleTime / 2, absent: true, want: true},
+		"no connection is accepted":    {age: settleTime, dial: dialFailed, want: true},
+		"a connection is accepted":     {age: settleTime, dial: dialAccepted, want: false},
+		"a connection is under way":    {age: settleTime, dial: dialOpen, want: false},
+		"it has said nothing for long": {age: busySettleTime, dial: dialAccepted, want: true},
+		"the list has not been read":   {age: settleTime, unread: true, dial: dialFailed, want: false},
+	} {
+		n := &Node{
+			table: membership.NewTable(silence), around: &membership.Neighbours{Near: map[string]bool{"a-2": true}},
+			absent: map[string]time.Time{}, dials: map[string]dialOutcome{"there": c.dial},
+			began: time.Now().Add(-c.age), peersRead: !c.unread,
+		}
+		n.table.Met(membership.Listing{Instance: "a-2", Zone: "a", Address: "there"})
+		if c.absent {
+			n.absent["a-2"] = time.Now()
+		}
+		if got := n.settled(); got != c.want {
+			t.Errorf("%s: settled %v, want %v", name, got, c.want)
+		}
+	}
+}
