Priorities break ties only; reservation for wide jobs tried and not taken

So the order is by latest start alone, as it was for jobs that can be in time; priorities break ties.

--- a/schedule/place.go
+++ b/schedule/place.go
@@ -84,9 +84,11 @@
 }
 
 // sortQueue puts first what has begun, so that its work is not lost for the rest
-// of it (worth .007, laboratory, 40 seeds), then urgent work, then what must start
-// soonest to be in time: against the order of arrival that serves .05 more of the
-// jobs in time in a crowd.
+// of it (worth .007, laboratory, 40 seeds), then what must start soonest to be in
+// time: against the order of arrival that serves .05 more of the jobs in time in a
+// crowd. Priorities only break ties: urgent jobs have the shortest objectives and
+// go first by those, and strictly by priority the worst kind falls from .71 to .65
+// of its worth at 1.6 times the room, and .03 fewer jobs are in time.
 func (p *Pool) sortQueue() {
 	y := p.cfg.Policy
 	slices.SortStableFunc(p.queue, func(a, b *job) int {
@@ -95,12 +97,10 @@
 			return -1
 		case y.BegunFirst && a.hasBegun() != b.hasBegun():
 			return 1
-		case y.PriorityFirst && a.Priority != b.Priority:
-			return cmp.Compare(a.Priority, b.Priority)
 		case !y.EarliestFirst:
 			return a.offered.Compare(b.offered)
 		default:
-			return a.latestStart().Compare(b.latestStart())
+			return cmp.Or(a.latestStart().Compare(b.latestStart()), cmp.Compare(a.Priority, b.Priority))
 		}
 	})
 }
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -6,8 +6,6 @@
 	// EarliestFirst starts first what must start soonest to be in time; without
 	// it, what was offered first.
 	EarliestFirst bool
-	// PriorityFirst starts urgent jobs before others.
-	PriorityFirst bool
 	// BegunFirst puts jobs of which something began before others.
 	BegunFirst bool
 	// GiveUp ends jobs that cannot end while that is of use, though something of
@@ -43,7 +41,7 @@
 
 // DefaultPolicy is the policy of the product.
 var DefaultPolicy = Policy{
-	EarliestFirst: true, PriorityFirst: true, BegunFirst: true, GiveUp: true,
+	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
 	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true,
 }
