--- a/schedule/cost_test.go
+++ b/schedule/cost_test.go
@@ -73,3 +73,24 @@
 		})
 	}
 }
+
+// TestInputsAreCheap: what an input makes does not grow with the tasks that wait
+// for room. A forecast for each of them would.
+func TestInputsAreCheap(t *testing.T) {
+	report := func(p *Pool) float64 {
+		return testing.AllocsPerRun(20, func() { p.Held(epochZero, "u000", epochZero, fleet.Report{}, nil) })
+	}
+	offer := func(p *Pool) float64 {
+		o := crowdedOffer("ffffffffffffffff")
+		return testing.AllocsPerRun(20, func() {
+			p.Offer(epochZero, o)
+			p.Withdraw(epochZero, o.Key, "left")
+		})
+	}
+	for name, input := range map[string]func(*Pool) float64{"report": report, "offer": offer} {
+		few, many := input(crowdedPool(8, 10)), input(crowdedPool(8, 400))
+		if many > few+8 {
+			t.Errorf("%s: %.0f allocations with 10 tasks waiting, %.0f with 400", name, few, many)
+		}
+	}
+}
