Connections of a peer's next incarnation are not closed with those of the former

Sever takes an incarnation now (TestSeverKeepsNextIncarnation: no connection was left before). KindOf stands beside laneOf.

--- a/event/event.go
+++ b/event/event.go
@@ -69,7 +69,7 @@
 	GroupTaken      = add(811, "group_taken", slog.LevelInfo, "This instance owns a group of upstreams now.")
 	GroupLost       = add(812, "group_lost", slog.LevelWarn, "A peer owns a group under a higher token; this instance gave it up.")
 	GroupReleased   = add(813, "group_released", slog.LevelInfo, "A drained group was let go in a planned stop.")
-	GroupHanded     = add(814, "group_handed", slog.LevelInfo, "A group goes to a peer that is much larger or owns fewer, one upstream after the other.")
+	GroupHanded     = add(814, "group_handed", slog.LevelInfo, "A group goes to a peer that is much larger or owns fewer, or in a planned stop to whoever takes it, one upstream after the other.")
 	StoreLost       = add(901, "store_lost", slog.LevelWarn, "The platform's store does not answer; all goes on from what is known.")
 	StoreBack       = add(902, "store_back", slog.LevelInfo, "The platform's store answers again.")
 	ConfigApplied   = add(903, "config_applied", slog.LevelInfo, "A newer configuration is in force here.")
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -120,9 +120,8 @@
 	return p.wait(left)
 }
 
-// Begin coordinates a job without waiting, and calls decided with its verdict.
-// It returns what
-// a simulation calls when the customer's patience is over.
+// Begin coordinates a job without waiting, and calls decided with its verdict. It
+// returns what a simulation calls when the customer's patience is over.
 func (c *Coordinator) Begin(r Request, decided func(Answered)) (timeUp func()) {
 	p := c.newPending(r)
 	p.onVerdict = decided
--- a/inner/link.go
+++ b/inner/link.go
@@ -290,3 +290,51 @@
 		take(nil)
 	}
 }
+
+// KindOf names the kind of a frame for counting.
+func KindOf(f *Frame) string {
+	switch f.GetBody().(type) {
+	case *Frame_Heartbeat:
+		return "heartbeat"
+	case *Frame_OpenLog:
+		return "open_log"
+	case *Frame_Append:
+		return "append"
+	case *Frame_AppendReply:
+		return "append_reply"
+	case *Frame_Submit:
+		return "forward"
+	case *Frame_Answer:
+		return "forward_reply"
+	case *Frame_Cancel:
+		return "cancel"
+	case *Frame_SlotRequest:
+		return "slot_request"
+	case *Frame_SlotGrant:
+		return "slot_grant"
+	case *Frame_SlotRelease:
+		return "slot_release"
+	case *Frame_SlotWithdraw:
+		return "slot_withdraw"
+	case *Frame_SlotSync:
+		return "slot_sync"
+	case *Frame_Presence:
+		return "presence"
+	case *Frame_Offer:
+		return "offer"
+	case *Frame_OfferReturned:
+		return "offer_returned"
+	case *Frame_OfferEnded:
+		return "offer_ended"
+	case *Frame_OfferWithdrawn:
+		return "offer_withdrawn"
+	case *Frame_ConfigRequest, *Frame_ConfigReply:
+		return "config"
+	case *Frame_Learn, *Frame_Known:
+		return "learn"
+	case *Frame_Problem:
+		return "problem"
+	default:
+		return "other"
+	}
+}
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -160,11 +160,19 @@
 	}
 }
 
-// Sever closes every connection with an instance, also those that it opened.
-func (m *Mesh) Sever(instance string) {
-	m.Drop(instance)
-	for _, k := range m.linksTo(instance) {
-		k.close()
+// Sever closes every connection with an incarnation of an instance, also those
+// that it opened. Those of the instance's next incarnation stay.
+func (m *Mesh) Sever(peer fate.Incarnation) {
+	next := false
+	for _, k := range m.linksTo(peer.Instance()) {
+		if k.peer == peer {
+			k.close()
+		} else {
+			next = true
+		}
+	}
+	if !next {
+		m.Drop(peer.Instance())
 	}
 }
 
@@ -409,51 +417,3 @@
 	}
 	m.running.Wait()
 }
-
-// KindOf names the kind of a frame for counting.
-func KindOf(f *Frame) string {
-	switch f.GetBody().(type) {
-	case *Frame_Heartbeat:
-		return "heartbeat"
-	case *Frame_OpenLog:
-		return "open_log"
-	case *Frame_Append:
-		return "append"
-	case *Frame_AppendReply:
-		return "append_reply"
-	case *Frame_Submit:
-		return "forward"
-	case *Frame_Answer:
-		return "forward_reply"
-	case *Frame_Cancel:
-		return "cancel"
-	case *Frame_SlotRequest:
-		return "slot_request"
-	case *Frame_SlotGrant:
-		return "slot_grant"
-	case *Frame_SlotRelease:
-		return "slot_release"
-	case *Frame_SlotWithdraw:
-		return "slot_withdraw"
-	case *Frame_SlotSync:
-		return "slot_sync"
-	case *Frame_Presence:
-		return "presence"
-	case *Frame_Offer:
-		return "offer"
-	case *Frame_OfferReturned:
-		return "offer_returned"
-	case *Frame_OfferEnded:
-		return "offer_ended"
-	case *Frame_OfferWithdrawn:
-		return "offer_withdrawn"
-	case *Frame_ConfigRequest, *Frame_ConfigReply:
-		return "config"
-	case *Frame_Learn, *Frame_Known:
-		return "learn"
-	case *Frame_Problem:
-		return "problem"
-	default:
-		return "other"
-	}
-}
--- a/inner/shared_test.go
+++ b/inner/shared_test.go
@@ -92,3 +92,25 @@
 	}
 	settleLinks(t, a, b, 1)
 }
+
+// TestSeverKeepsNextIncarnation: an instance that has started anew is heard on the
+// connection that it opened, while those of its former life are closed.
+func TestSeverKeepsNextIncarnation(t *testing.T) {
+	a, b := startShared(t)
+	connectShared(t, a, "b")
+	settleLinks(t, a, b, 1)
+	next, _ := startMesh(t, a.cfg.Directory.(*peers), "b.2", "f")
+	next.cfg.Shared = true
+	connectShared(t, next, "a")
+	deadline := time.Now().Add(10 * time.Second)
+	for len(a.linksTo("b")) != 2 {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d connections, not 2", len(a.linksTo("b")))
+		}
+		time.Sleep(time.Millisecond)
+	}
+	a.Sever("b.1")
+	if links := a.linksTo("b"); len(links) != 1 || links[0].peer != "b.2" {
+		t.Errorf("%d connections are left", len(links))
+	}
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -276,9 +276,9 @@
 		case membership.Dead:
 			event.PeerLost.Log(n.log, attrs...)
 			n.router.lost(c.Peer.Incarnation)
-			n.mesh.Sever(c.Peer.Instance)
+			n.mesh.Sever(c.Peer.Incarnation)
 		case membership.Listed: // neither side needs the other any more
-			n.mesh.Sever(c.Peer.Instance)
+			n.mesh.Sever(c.Peer.Incarnation)
 		case membership.Suspect:
 			go n.renew(c.Peer.Instance)
 		case membership.Leaving:
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -13,6 +13,7 @@
 func TestStopWithoutSuccessor(t *testing.T) {
 	in := newInstallation(t, []string{"a"}, 2, "a-1")
 	n := in.nodes["a-1"]
+	n.in.Timing.Grace = time.Minute // the test may be slow, and groups are kept for a part of it
 	stopped := make(chan bool, 1)
 	go func() { stopped <- n.Stop() }()
 	in.until("it is stopping", n.leaving.Load)
