--- a/node/groups.go
+++ b/node/groups.go
@@ -128,7 +128,7 @@
 	if !n.in.FirstStart || now.Sub(n.began) >= countLimit {
 		return true
 	}
-	if count != n.lastCount {
+	if count != n.lastCount || n.lastCountAt.IsZero() {
 		n.lastCount, n.lastCountAt = count, now
 	}
 	return now.Sub(n.lastCountAt) >= countSettle
