Severing a lost peer does not wait for a dial to it

Since Sever takes an incarnation it closed the connections before it forgot the slot; a redial began in between, and Sever waited for its 250 ms on the thread that sends heartbeats.

Change: the slot is forgotten without waiting for whoever dials (TestSeverDoesNotWait, which hangs with the former Drop).

--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -161,18 +161,19 @@
 }
 
 // Sever closes every connection with an incarnation of an instance, also those
-// that it opened. Those of the instance's next incarnation stay.
+// that it opened. Those of the instance's next incarnation stay. It does not wait
+// for a dial that is under way: a peer that is lost answers none.
 func (m *Mesh) Sever(peer fate.Incarnation) {
-	next := false
-	for _, k := range m.linksTo(peer.Instance()) {
-		if k.peer == peer {
-			k.close()
-		} else {
-			next = true
-		}
-	}
-	if !next {
-		m.Drop(peer.Instance())
+	instance := peer.Instance()
+	links := m.linksTo(instance)
+	former := slices.DeleteFunc(slices.Clone(links), func(k *link) bool { return k.peer != peer })
+	if len(former) == len(links) {
+		m.mu.Lock()
+		delete(m.links, instance)
+		m.mu.Unlock()
+	}
+	for _, k := range former {
+		k.close()
 	}
 }
 
--- a/inner/shared_test.go
+++ b/inner/shared_test.go
@@ -1,6 +1,9 @@
 package inner
 
 import (
+	"context"
+	"errors"
+	"net"
 	"testing"
 	"time"
 )
@@ -114,3 +117,33 @@
 		t.Errorf("%d connections are left", len(links))
 	}
 }
+
+// TestSeverDoesNotWait: a dial that hangs holds up nobody who severs the peer.
+func TestSeverDoesNotWait(t *testing.T) {
+	a, b := startShared(t)
+	connectShared(t, a, "b")
+	settleLinks(t, a, b, 1)
+	dialing, release := make(chan struct{}), make(chan struct{})
+	a.cfg.Dial = func(context.Context, string) (net.Conn, error) {
+		close(dialing)
+		<-release
+		return nil, errors.New("it hung")
+	}
+	renewed := make(chan error, 1)
+	go func() { renewed <- a.Renew("b", heartbeat()) }()
+	<-dialing
+	severed := make(chan struct{})
+	go func() {
+		a.Sever("b.1")
+		close(severed)
+	}()
+	select {
+	case <-severed:
+	case <-time.After(10 * time.Second):
+		t.Error("it waits for the dial")
+	}
+	close(release)
+	if err := <-renewed; err == nil {
+		t.Error("the dial did not fail")
+	}
+}
