A begun job is not given up while its upstreams are only doubted

A starved task looks slow; with every upstream of a small group doubted for 500 ms, no run was left in the forecast, and a begun job of 20 ms was given up at three objectives, some 0.3 s.

Change: it goes on while any upstream that answers, and does not drain, could run the rest (scenario give_up_doubted: ended expired at 450 ms before, starts at 510 now).

--- a/schedule/input.go
+++ b/schedule/input.go
@@ -366,13 +366,13 @@
 
 // expire gives up a job that cannot end while that is of use, because tasks of
 // it wait and there is no room. One whose tasks wait for the end of a run that
-// may still be at work goes on, and so does one that has begun where room is
-// expected to free: it is served late rather than for nothing.
+// may still be at work goes on, and so does one that has begun while any upstream
+// is left that could run the rest: it is served late rather than for nothing.
 func (p *Pool) expire(j *job) {
 	if !p.cfg.Policy.GiveUp || p.jobs[j.Key] != j || p.now.Add(j.expect/2).Before(j.expiry()) {
 		return
 	}
-	if j.hasBegun() && len(p.newForecast(j.Service).free) > 0 {
+	if j.hasBegun() && p.anyLeft(j) {
 		return
 	}
 	for _, t := range j.order {
@@ -382,3 +382,11 @@
 		}
 	}
 }
+
+// anyLeft reports whether any upstream that answers could run a task of j, now or
+// once it is not doubted any more.
+func (p *Pool) anyLeft(j *job) bool {
+	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
+		return u.Service == j.Service && u.joined && !u.silent && !u.Draining && j.Demand.Within(u.Capacity)
+	})
+}
