An overdue call keeps its connection; starts are counted against the link

Cause: on links of 2 Mbit/s a burst of starts (8 of 1,460 bytes) waits for 47 ms. A start counted as unanswered after 20 to 150 ms, its connection was closed and the others to that upstream with it, the run was stopped every 25 ms and started again: the new connections, stops and repeats filled the link further, for good.

Bytes of an owner there: 101 kB/s starts, 31 reports, 11 heartbeats out; 36 entries of upstreams, 30 reports in.

Change: a call that is overdue is taken as unanswered, but is given up much later, and its late answer counts. Overdue follows the answers that came (mean, deviation, peak), late ones too, and what is queued on the link. Connections to upstreams are distrusted at a bounded rate. Starts are counted against the link: what would be late for it is refused before it begins. A zone is split into groups that its instances' links carry.

--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -19,6 +19,7 @@
 	FirstStart bool
 
 	CPUShare float64 // of a core
+	LinkRate float64 // bytes a second of its network link; 0 where it is not known
 
 	StoreAddress string
 	MinLeaseTTL  time.Duration // that the store accepts
--- a/membership/ownership.go
+++ b/membership/ownership.go
@@ -71,8 +71,26 @@
 // instances have 0.19. Larger groups find room for a job with fewer messages.
 const GroupSize = 96
 
-// GroupCount returns how many groups a number of upstreams is split into.
-func GroupCount(upstreams int) int { return max((upstreams+GroupSize-1)/GroupSize, 1) }
+const (
+	// upstreamBytes is what an owner sends to an upstream at full load, bytes a
+	// second: 11 starts of 1,460 bytes and 13 reports of 210, as measured for tasks
+	// of .2 s that take half of an upstream.
+	upstreamBytes = 19_000
+	// ownedShare is the part of an owner's link that this may take.
+	ownedShare = 0.7
+)
+
+// GroupCount returns how many groups the upstreams of an availability zone are
+// split into: of GroupSize, and where the links of its instances carry less, of
+// what these carry, but no more groups than instances.
+func GroupCount(upstreams, instances int, linkRate float64) int {
+	count := (upstreams + GroupSize - 1) / GroupSize
+	if linkRate > 0 {
+		carried := int(math.Ceil(float64(upstreams) * upstreamBytes / (ownedShare * linkRate)))
+		count = max(count, min(carried, instances))
+	}
+	return max(count, 1)
+}
 
 // GroupIndex returns which of some groups an upstream belongs to.
 func GroupIndex(upstream string, groups int) int {
--- a/membership/ownership_test.go
+++ b/membership/ownership_test.go
@@ -49,8 +49,21 @@
 
 func TestGroupCount(t *testing.T) {
 	for upstreams, want := range map[int]int{0: 1, 1: 1, 16: 1, 88: 1, 96: 1, 97: 2, 750: 8, 6400: 67} {
-		if got := GroupCount(upstreams); got != want {
+		if got := GroupCount(upstreams, 3, 0); got != want {
 			t.Errorf("%d upstreams make %d groups, not %d", upstreams, got, want)
 		}
 	}
+	const megabit = 125_000
+	for _, c := range []struct {
+		upstreams, instances int
+		megabits             float64
+		want                 int
+	}{
+		{20, 3, 2, 3}, {20, 2, 2, 2}, {20, 9, 8, 1}, {20, 9, 2, 3}, // a narrow link carries 9 upstreams
+		{183, 24, 25, 2}, {183, 24, 1000, 2}, {48, 9, 1000, 1}, {300, 1, 2, 4},
+	} {
+		if got := GroupCount(c.upstreams, c.instances, c.megabits*megabit); got != c.want {
+			t.Errorf("%d upstreams among %d instances with links of %v Mbit/s make %d groups, not %d", c.upstreams, c.instances, c.megabits, got, c.want)
+		}
+	}
 }
--- a/node/groups.go
+++ b/node/groups.go
@@ -148,8 +148,9 @@
 		return
 	}
 	n.counting = true
+	instances := lo.CountBy(slices.Collect(maps.Values(n.registered)), func(zone string) bool { return zone == n.in.Zone })
 	n.mu.Unlock()
-	go n.createCount(membership.GroupCount(count))
+	go n.createCount(membership.GroupCount(count, instances, n.in.LinkRate))
 }
 
 func (n *Node) createCount(groups int) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -57,7 +57,7 @@
 		})
 	}
 	in.until("every zone has an owner", func() bool {
-		return len(in.nodes[instances[0]].router.Loads()) == len(zones)*membership.GroupCount(upstreamsPerZone)
+		return len(in.nodes[instances[0]].router.Loads()) == len(zones)*membership.GroupCount(upstreamsPerZone, len(instances), 0)
 	})
 	return in
 }
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -251,7 +251,9 @@
 // take begins to own a group. The lock is held.
 func (n *Node) take(group string) {
 	n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
-	n.groups[group] = &held{Group: owner.NewGroup(group, schedule.ConfigFor(n.in.Timing.MaxTaskLease), n.highest, n.calls, n), since: time.Now()}
+	cfg := schedule.ConfigFor(n.in.Timing.MaxTaskLease)
+	cfg.LinkRate = n.in.LinkRate
+	n.groups[group] = &held{Group: owner.NewGroup(group, cfg, n.highest, n.calls, n), since: time.Now()}
 	n.taken = time.Now()
 	event.GroupTaken.Log(n.log, slog.String("group", group), slog.Uint64("token", n.highest),
 		slog.Int("upstreams", len(n.membersOf(group))), slog.Int("candidates", len(n.candidates())))
--- a/owner/group.go
+++ b/owner/group.go
@@ -9,15 +9,21 @@
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/schedule"
+
+	"golang.org/x/time/rate"
 )
 
 // Upstreams makes calls to upstreams. Errors are Gone where the upstream's life
 // is over, Conflict where it has seen a higher fencing token, Refused where it
-// declines, and Lost where no answer came.
+// declines, and Lost where no answer came within the timeout; the connection is
+// closed then.
 type Upstreams interface {
 	Start(to fleet.Upstream, o fleet.StartOrder, timeout time.Duration) (fleet.Refusal, error)
 	Stop(to fleet.Upstream, run fleet.Run, token uint64, timeout time.Duration) error
 	Hold(to fleet.Upstream, o fleet.HoldOrder, timeout time.Duration) (fleet.Report, error)
+	// Distrust closes the connections to an upstream that no call is on: they may
+	// have gone silent.
+	Distrust(to fleet.Upstream)
 }
 
 // Observer is told what a group decides and how its calls went.
@@ -27,13 +33,13 @@
 }
 
 const (
-	// stopTimeout and holdTimeout bound a call beyond what it may wait.
-	stopTimeout = 150 * time.Millisecond
-	holdTimeout = 150 * time.Millisecond
-	// minLookTimeout bounds a report that is due at once, which else has
-	// lookTimeouts times as long as a start.
-	minLookTimeout = 75 * time.Millisecond
-	lookTimeouts   = 2
+	// holdOverdue is when a report that waits for an end is overdue at least,
+	// beyond what it may wait.
+	holdOverdue = 150 * time.Millisecond
+	// lookOverdue is the same for a report that is due at once. Either has
+	// reportTimeouts times as long as a start, where that is longer.
+	lookOverdue    = 75 * time.Millisecond
+	reportTimeouts = 2
 	// holdPause is the pause after a report that did not come.
 	holdPause = 20 * time.Millisecond
 	// tick is how often time passes for the pool.
@@ -55,13 +61,14 @@
 	calls Upstreams
 	seen  Observer
 
-	mu      sync.Mutex // guards pool and answers
-	pool    *schedule.Pool
-	rtt     roundTrip // of starts
-	answers map[schedule.JobKey]Answer
-	follows map[string]bool // upstreams whose reports are being read
-	closed  bool
-	done    chan struct{}
+	mu       sync.Mutex // guards pool and answers
+	pool     *schedule.Pool
+	rtt      roundTrip     // of starts
+	distrust *rate.Limiter // of upstreams whose connections are closed
+	answers  map[schedule.JobKey]Answer
+	follows  map[string]bool // upstreams whose reports are being read
+	closed   bool
+	done     chan struct{}
 }
 
 // NewGroup returns a running group. Close ends it.
@@ -69,6 +76,7 @@
 	g := &Group{
 		Name: name, Token: token, calls: calls, seen: seen,
 		pool: schedule.NewPool(cfg, token), answers: map[schedule.JobKey]Answer{}, follows: map[string]bool{}, done: make(chan struct{}),
+		distrust: rate.NewLimiter(distrustRate, distrustBurst),
 	}
 	go g.ticks()
 	return g
@@ -94,6 +102,7 @@
 		g.mu.Unlock()
 		return
 	}
+	g.pool.SetAnswerTime(g.rtt.timeout(time.Now()))
 	effects := input(g.pool, time.Now())
 	tell := g.collect(&effects)
 	g.mu.Unlock()
@@ -140,23 +149,44 @@
 	}
 }
 
+// started is the answer to a start.
+type started struct {
+	refusal fleet.Refusal
+	err     error
+}
+
+// start makes the call of a start. One that is overdue counts as unanswered; its
+// answer is still taken when it comes.
 func (g *Group) start(s schedule.Start) {
-	g.mu.Lock()
-	timeout := g.rtt.timeout()
-	g.mu.Unlock()
+	overdue, limit := g.timeouts()
 	began := time.Now()
-	refusal, err := g.calls.Start(s.Upstream, s.Order, timeout)
-	took := time.Since(began)
-	g.seen.Called("start", err, took)
+	take := func(a started) {
+		took := time.Since(began)
+		g.seen.Called("start", a.err, took)
+		g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+			g.rtt.learn(now, took-s.Carried, a.err == nil)
+			return p.Started(now, s.Upstream.ID, s.Order.Run, a.refusal, a.err)
+		})
+	}
+	answer, inTime := await(overdue+s.Carried, func() started {
+		refusal, err := g.calls.Start(s.Upstream, s.Order, limit)
+		return started{refusal, err}
+	}, take)
+	if inTime {
+		take(answer)
+		return
+	}
+	g.unanswered(s.Upstream)
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
-		g.rtt.learn(took, err == nil)
-		return p.Started(now, s.Upstream.ID, s.Order.Run, refusal, err)
+		g.rtt.learn(now, 0, false)
+		return p.Started(now, s.Upstream.ID, s.Order.Run, fleet.RefusedNot, errOverdue)
 	})
 }
 
 func (g *Group) stop(s schedule.Stop) {
+	_, limit := g.timeouts()
 	began := time.Now()
-	err := g.calls.Stop(s.Upstream, s.Run, g.Token, stopTimeout)
+	err := g.calls.Stop(s.Upstream, s.Run, g.Token, limit)
 	g.seen.Called("stop", err, time.Since(began))
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
 		return p.Stopped(now, s.Upstream.ID, s.Run, err)
@@ -169,30 +199,40 @@
 	known = known && !g.closed
 	g.mu.Unlock()
 	if known {
-		g.hold(u, order)
+		_ = g.hold(u, order) // the pool has taken the error, and asks again
 	}
 }
 
-// hold makes one call for a report.
+// held is the answer to a hold.
+type held struct {
+	report fleet.Report
+	err    error
+}
+
+// hold makes one call for a report, as start does.
 func (g *Group) hold(u fleet.Upstream, order fleet.HoldOrder) error {
+	overdue, limit := g.reportTimeouts(order)
 	sent := time.Now()
-	report, err := g.calls.Hold(u, order, g.holdTimeout(order))
-	g.seen.Called("hold", err, time.Since(sent))
-	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
-		return p.Held(now, u.ID, sent, report, err)
+	take := func(a held) {
+		g.seen.Called("hold", a.err, time.Since(sent))
+		g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+			return p.Held(now, u.ID, sent, a.report, a.err)
+		})
+	}
+	answer, inTime := await(overdue, func() held {
+		report, err := g.calls.Hold(u, order, limit)
+		return held{report, err}
+	}, func(late held) {
+		if late.err == nil { // that it did not come has been told
+			take(late)
+		}
 	})
-	return err
-}
-
-// holdTimeout returns how long a report may take beyond what it waits for an
-// end. One that is due at once is asked for again soon: a lease may run out.
-func (g *Group) holdTimeout(order fleet.HoldOrder) time.Duration {
-	if order.WaitMs > 0 {
-		return holdTimeout
+	if !inTime {
+		g.unanswered(u)
+		answer.err = errOverdue
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return min(max(lookTimeouts*g.rtt.timeout(), minLookTimeout), holdTimeout)
+	take(answer)
+	return answer.err
 }
 
 // follow keeps the lease of one upstream and reads its reports, until it does
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -17,6 +17,8 @@
 type forecast struct {
 	now  time.Time
 	free freeTimes
+	// carried is how long the owner's link takes for what it was given so far.
+	carried time.Duration
 }
 
 // freeTimes is a heap of times, the earliest first.
@@ -39,7 +41,7 @@
 
 // newForecast returns the forecast for the tasks of one service.
 func (p *Pool) newForecast(service string) *forecast {
-	f := &forecast{now: p.now}
+	f := &forecast{now: p.now, carried: p.link.queued(p.now)}
 	for _, u := range p.sorted {
 		if u.Service != service || !p.usable(u, p.now) {
 			continue
@@ -176,13 +178,19 @@
 // not is taken from the forecast.
 func (p *Pool) hopeless(j *job, f *forecast) bool {
 	tasks := j.waitingTasks()
+	carried := f.carried + p.link.takes(float64(tasks)*orderBytes(j))
 	if j.hasBegun() {
 		f.start(tasks, j.expect)
+		f.carried = carried
 		return false
 	}
 	before := append(freeTimes(nil), f.free...)
 	start, found := f.start(tasks, j.expect)
+	if arrives := p.now.Add(carried); arrives.After(start) {
+		start = arrives
+	}
 	if !found || !j.endsBy(start).After(j.dueBy()) {
+		f.carried = carried
 		return false
 	}
 	f.free = before
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -332,9 +332,9 @@
 		case lapsed:
 			p.remove(r)
 			p.again(r, "lease lapsed on a silent upstream")
-		case r.state == stopping && p.now.Sub(r.stopSent) >= stopRetry && !u.silent:
+		case r.state == stopping && p.now.Sub(r.stopSent) >= p.repeatPause() && !u.silent:
 			p.sendStop(r)
-		case r.state == stopped && p.now.Sub(r.looked) >= stopRetry && !u.silent:
+		case r.state == stopped && p.now.Sub(r.looked) >= p.repeatPause() && !u.silent:
 			r.looked = p.now
 			p.out.Looks = append(p.out.Looks, u.ID)
 		case r.state == running:
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -134,7 +134,13 @@
 // .003 of no difference in the laboratory. Weighed counts the forecasts that were
 // made.
 func (p *Pool) startsNow(j *job, weighed *int) bool {
-	if !p.cfg.Policy.WholeJobs || j.hasBegun() {
+	if j.hasBegun() {
+		return true
+	}
+	if !p.carriesInTime(j) {
+		return false
+	}
+	if !p.cfg.Policy.WholeJobs {
 		return true
 	}
 	tasks := j.waitingTasks()
@@ -262,14 +268,18 @@
 	t.number++
 	p.setState(t, placed)
 	j.begun = true
+	carried := p.link.carry(p.now, orderBytes(j))
+	leaves := p.now.Add(carried)
 	r := &run{
 		id: fleet.Run{Task: p.ref(j, t), Number: t.number}, job: j, up: u, demand: j.Demand,
-		state: starting, ordered: p.now, moved: p.now, seen: p.now, expected: j.expect,
+		state: starting, ordered: leaves, moved: leaves, seen: leaves, expected: j.expect,
 	}
 	p.add(r)
-	p.out.Starts = append(p.out.Starts, Start{Upstream: u.Upstream, Order: fleet.StartOrder{
-		Run: r.id, Spec: j.Spec, LeaseUntilMs: p.grant(u), Token: p.token,
-	}})
+	p.out.Starts = append(p.out.Starts, Start{
+		Upstream: u.Upstream,
+		Order:    fleet.StartOrder{Run: r.id, Spec: j.Spec, LeaseUntilMs: p.grant(u), Token: p.token},
+		Carried:  carried,
+	})
 	p.decide(Decision{
 		Kind: DecidedStart, Job: j.Key.ID, Task: t.index, Run: t.number, Upstream: u.ID,
 		Room: u.Capacity.Minus(u.used).MilliCPU, Age: p.now.Sub(j.offered),
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -23,8 +23,10 @@
 	queue      []*job // with waiting tasks
 	waiting    int    // tasks that wait
 	times      map[string]*runTimes
-	reports    missRate        // of all upstreams
-	meanSpeed  float64         // of all upstreams, as in speed
+	reports    missRate // of all upstreams
+	meanSpeed  float64  // of all upstreams, as in speed
+	link       link
+	answerTime time.Duration   // after which an answer is overdue
 	fencedIDs  map[string]bool // upstreams that have seen a higher token
 	fencedAt   time.Time       // when the first of them was lost
 	everJoined bool
@@ -36,7 +38,7 @@
 // NewPool returns an empty pool whose orders carry a fencing token.
 func NewPool(cfg Config, token uint64) *Pool {
 	return &Pool{
-		cfg: cfg, token: token, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{}, byID: map[string][]*job{},
+		cfg: cfg, token: token, link: link{rate: linkShare * cfg.LinkRate}, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{}, byID: map[string][]*job{},
 		byTask: map[fleet.TaskRef]*run{}, times: map[string]*runTimes{},
 		fencedIDs: map[string]bool{},
 	}
@@ -358,6 +360,7 @@
 	if l.Capacity == 0 {
 		l.Capacity, l.Free = slow.Capacity, slow.Free
 	}
+	l.Free = p.link.orders(now, l.Free)
 	return l
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -20,6 +20,9 @@
 	// Removal is how long an upstream without an entry in the store still
 	// gets work while it answers: entries lapse with the store.
 	Removal time.Duration
+	// LinkRate is how many bytes a second the owner's network link carries; 0 is
+	// unbounded.
+	LinkRate float64
 	// Policy switches the rules of decision.
 	Policy Policy
 }
@@ -50,9 +53,10 @@
 	slowClock = 0.98
 	// lapseMargin is added before a lapsed lease is believed.
 	lapseMargin = 20 * time.Millisecond
-	// stopRetry is the pause before a stop without an answer is sent again, and
-	// before a report is asked for again that must show the run gone: some ten
-	// round trips. Its task waits for both.
+	// stopRetry is the least pause before a stop without an answer is sent again,
+	// and before a report is asked for again that must show the run gone: some ten
+	// round trips. Its task waits for both. Where answers take longer, so does
+	// the pause.
 	stopRetry = 25 * time.Millisecond
 	// rememberedEnds is how many ended runs of an upstream are remembered: a
 	// report that was overtaken may still list them.
@@ -121,6 +125,9 @@
 type Start struct {
 	Upstream fleet.Upstream
 	Order    fleet.StartOrder
+	// Carried is how long the owner's link takes to carry it, behind what was
+	// handed to it before.
+	Carried time.Duration
 }
 
 // Stop orders the end of a run.
