A crowd is told soon; slow and stalled are judged by what answers take

Change: two owners that expect no room in time are enough for a refusal; a move and a standstill are judged with what answers take now.

TestCrowdIsToldSoon asks 12 owners on the code before.

--- a/cli/lab.go
+++ b/cli/lab.go
@@ -26,6 +26,7 @@
 			&cli.StringFlag{Name: "trouble", Usage: "what goes wrong: " + troubleNames(), Value: string(lab.Mixed)},
 			&cli.FloatFlag{Name: "share", Usage: "share of upstreams, or of calls, that the trouble strikes; 0 draws it"},
 			&cli.IntFlag{Name: "returns", Usage: "how often refused customers come back at most"},
+			&cli.IntFlag{Name: "zones", Usage: "how many availability zones there are, each with a group; 0 draws 2 to 4"},
 			&cli.StringSliceFlag{Name: "without", Usage: "also run without these `RULES`, with + between; may come several times"},
 			&cli.BoolFlag{Name: "ablate", Usage: "also run without each rule, one by one"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
@@ -40,12 +41,14 @@
 }
 
 func runLab(_ context.Context, c *cli.Command) error {
-	setup := lab.Setup{Load: c.Float("load"), Trouble: lab.Trouble(c.String("trouble")), Share: c.Float("share"), Returns: c.Int("returns")}
+	setup := lab.Setup{Load: c.Float("load"), Trouble: lab.Trouble(c.String("trouble")), Share: c.Float("share"), Returns: c.Int("returns"), Zones: c.Int("zones")}
 	switch {
 	case c.Int("seeds") < 1:
 		return failure.Field(failure.InvalidInput, "seeds", "must be at least 1")
 	case setup.Returns < 0:
 		return failure.Field(failure.InvalidInput, "returns", "must not be negative")
+	case setup.Zones < 0 || setup.Zones > lab.MostZones:
+		return failure.Field(failure.InvalidInput, "zones", "must lie between 0 and %d", lab.MostZones)
 	case setup.Load < 0:
 		return failure.Field(failure.InvalidInput, "load", "must not be negative")
 	case setup.Share < 0 || setup.Share > 1:
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -239,3 +240,26 @@
 		}
 	}
 }
+
+// TestCrowdIsToldSoon: a crowd comes to a fleet of 12 groups that are all full. A
+// job is offered to two of them and refused: each offer carries the whole job over
+// two links, and the queues of the others were longer.
+func TestCrowdIsToldSoon(t *testing.T) {
+	var loads []OwnerLoad
+	for i := range 12 {
+		loads = append(loads, OwnerLoad{Group: fmt.Sprintf("z%d/0", i), Zone: fmt.Sprintf("z%d", i), Waiting: 10 * (i + 1), Capacity: 640_000})
+	}
+	asked := 0
+	coordinator := NewCoordinator("z11", &owners{loads: loads, offer: func(_ string, o schedule.Offer, a owner.Answer) error {
+		asked++
+		a.Ended(schedule.Result{Key: o.Key, Outcome: schedule.Expired, Returned: o.Tasks}, schedule.Load{})
+		return nil
+	}})
+	a := coordinator.Run(request(3), nil)
+	if a.Verdict != NotRun || a.RetryAfter == 0 {
+		t.Errorf("%+v, want not run and word of when to come back", a)
+	}
+	if asked != mostFull {
+		t.Errorf("%d owners were asked", asked)
+	}
+}
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -166,6 +166,9 @@
 // usable leaves out the groups that can never run the job or not in time, and
 // those that could not be reached.
 func (p *pending) usable(loads []OwnerLoad) []OwnerLoad {
+	if p.c.policy.BoundAsks && len(p.full) >= mostFull && !p.begun && len(p.parts) == 0 {
+		return nil
+	}
 	return lo.Filter(loads, func(l OwnerLoad, _ int) bool { return !p.never[l.Group] && !p.cut[l.Group] && !p.full[l.Group] })
 }
 
--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -45,10 +45,17 @@
 	// SpreadReturns tells refused customers to come back at the rate at which
 	// they can be served.
 	SpreadReturns bool
+	// BoundAsks refuses a job once a few owners expect no room for it in time, and
+	// asks no others.
+	BoundAsks bool
 }
 
+// mostFull is how many owners may expect no room in time before a job is refused:
+// the first is that of the shortest queue, and the others' are longer.
+const mostFull = 2
+
 // DefaultPolicy is the policy of the product.
-var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true}
+var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true, BoundAsks: true}
 
 // choose picks an owner for a number of tasks that were not taken by those in
 // tried. The own zone goes first, then who has the most room; where nobody has
--- a/lab/draw.go
+++ b/lab/draw.go
@@ -4,6 +4,7 @@
 package lab
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -39,6 +40,9 @@
 	// Share is the share of upstreams, or of calls, that the trouble strikes; 0
 	// draws it.
 	Share float64
+	// Zones is how many availability zones there are; 0 draws 2 to 4. Each has a
+	// group.
+	Zones int
 	// Returns is how often a refused customer comes back at most, when it was
 	// told to.
 	Returns int
@@ -81,6 +85,7 @@
 	troubled  float64 // share that it strikes
 	slowness  float64
 	returns   int
+	zoneCount int // 0 draws it
 	jobs      []*customerJob
 }
 
@@ -115,7 +120,7 @@
 // draw draws a deployment and its day.
 func draw(seed uint64, s Setup) *deployment {
 	rng := rand.New(rand.NewPCG(seed, 77))
-	d := &deployment{load: s.Load, trouble: s.Trouble, troubled: s.Share, returns: s.Returns}
+	d := &deployment{load: s.Load, trouble: s.Trouble, troubled: s.Share, returns: s.Returns, zoneCount: s.Zones}
 	if d.load == 0 {
 		d.load = minLoad + (maxLoad-minLoad)*rng.Float64()
 	}
@@ -132,13 +137,18 @@
 	return d
 }
 
+// MostZones is how many availability zones a deployment may have: a day of 64 takes
+// some seconds.
+const MostZones = 64
+
 // unitCPU is the size of the smaller upstreams, thousandths of a core.
 const unitCPU = 64000
 
 // drawUpstreams returns the capacity of all, thousandths of a core.
 func (d *deployment) drawUpstreams(rng *rand.Rand) float64 {
 	capacity := 0.0
-	zones, each := 2+rng.IntN(3), 8+rng.IntN(13)
+	drawn, each := 2+rng.IntN(3), 8+rng.IntN(13)
+	zones := cmp.Or(d.zoneCount, drawn)
 	for z := range zones {
 		d.zones = append(d.zones, fmt.Sprintf("z%d", z))
 		d.share = append(d.share, 0.7+0.6*rng.Float64())
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -90,10 +90,16 @@
 	// slowFactor is how many times longer than expected a run has to be on
 	// its way to take before it is moved.
 	slowFactor = 3
-	// moveCost is added to the time that a move takes.
-	moveCost = 60 * time.Millisecond
-	// stalledFor is how long a run's percent must stand still.
-	stalledFor = 100 * time.Millisecond
+	// moveCost is the least time that is added to the time that a move takes, and
+	// moveAnswers how many answers it waits for: of the stop, of the report that
+	// shows the run gone, of the next start.
+	moveCost    = 60 * time.Millisecond
+	moveAnswers = 3
+	// stalledFor is how long a run's percent must stand still at least, and
+	// stalledAnswers how many times longer than an answer may take: two reports
+	// that come that far apart may have been made at the same moment.
+	stalledFor     = 100 * time.Millisecond
+	stalledAnswers = 3
 	// maxMoves bounds how often one task is moved.
 	maxMoves = 3
 	// lossyShare is the share of reports that do not come from which on ends are
@@ -132,13 +138,13 @@
 	if t.moves >= maxMoves || r.seen == r.moved && r.percent == 0 || age < lookAge(j.expect) {
 		return
 	}
-	remaining := r.remaining(age)
+	remaining := p.remaining(r, age)
 	p.judge(r, age, remaining)
-	stalled := r.seen.Sub(r.moved) >= stalledFor
+	stalled := p.stalls(r)
 	if !stalled && age+remaining < slowFactor*j.expect {
 		return
 	}
-	if remaining < j.expect*3/2+moveCost {
+	if remaining < j.expect*3/2+max(moveCost, moveAnswers*p.answerTime) {
 		return
 	}
 	if !stalled && p.chooseBut(j, r.up.ID) == nil {
@@ -169,9 +175,14 @@
 // forever stands for a time without an end.
 const forever = time.Duration(math.MaxInt64 / 4)
 
+// stalls reports whether a run has stood still.
+func (p *Pool) stalls(r *run) bool {
+	return r.seen.Sub(r.moved) >= max(stalledFor, stalledAnswers*p.answerTime)
+}
+
 // remaining projects how much longer a run takes at its pace so far.
-func (r *run) remaining(age time.Duration) time.Duration {
-	if r.percent <= 0 || r.seen.Sub(r.moved) >= stalledFor {
+func (p *Pool) remaining(r *run, age time.Duration) time.Duration {
+	if r.percent <= 0 || p.stalls(r) {
 		return forever
 	}
 	return age * time.Duration(100-min(r.percent, 100)) / time.Duration(r.percent)
