A newer configuration is asked of one peer at a time

Cause: who hears of a newer version asks the peer for it, each peer that tells: a hub of the large deployment has 70 neighbours, and each answer is the whole configuration, 300 kB after it grew by 1,220 routes: 20 MB at once, over links of 25 Mbit/s.

Change: the store has 200 ms to tell it; then one peer is asked, and another after half a second without an answer.

--- a/node/follow.go
+++ b/node/follow.go
@@ -11,7 +11,6 @@
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
-	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/platform"
 
@@ -326,10 +325,3 @@
 	}
 	return lease
 }
-
-// askConfig asks a peer for its configuration.
-func (n *Node) askConfig(from inner.Link) {
-	if err := from.Send(&inner.Frame{Body: &inner.Frame_ConfigRequest{ConfigRequest: &inner.ConfigRequest{}}}); err != nil {
-		event.PeerUnsent.Log(n.log, slog.String("what", "config request"), slog.String("error", err.Error()))
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,7 @@
 	// lastCount is how many upstreams the own zone had when that changed last.
 	lastCount   int
 	lastCountAt time.Time
+	configAsk   configAsk
 	counting    bool                 // the number of groups is being written
 	drainedAt   map[string]time.Time // when an upstream was first known to drain
 	toldFar     time.Time            // when far neighbours heard last
--- a/node/peers.go
+++ b/node/peers.go
@@ -181,6 +181,7 @@
 	if config == nil {
 		return
 	}
+	n.metrics.Sent("config_reply")
 	f := &inner.Frame{Body: &inner.Frame_ConfigReply{ConfigReply: &inner.ConfigReply{Config: config.Raw}}}
 	if err := to.Send(f); err != nil {
 		event.PeerUnsent.Log(n.log, slog.String("what", "config"), slog.String("error", err.Error()))
@@ -242,9 +243,7 @@
 	if leaving {
 		n.updateGroups()
 	}
-	if config := n.config.Load(); config == nil && p.GetConfigVersion() > 0 || config != nil && p.GetConfigVersion() > config.Version {
-		n.askConfig(link)
-	}
+	n.learnsVersion(link, p.GetConfigVersion())
 	if claimsChanged(before.GetClaims(), p.GetClaims()) {
 		n.reconsider()
 		n.updateGroups()
