--- a/connset/connset.go
+++ b/connset/connset.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/sedgehatch/sedgehatch/failure"
 )
@@ -16,6 +17,8 @@
 	mu     sync.Mutex
 	open   map[*conn]struct{}
 	closed bool
+	read   atomic.Int64 // bytes
+	wrote  atomic.Int64
 }
 
 type conn struct {
@@ -23,6 +26,23 @@
 	set *Set
 }
 
+// Bytes returns how many bytes all connections of the set have read and written.
+func (s *Set) Bytes() (read, wrote int64) { return s.read.Load(), s.wrote.Load() }
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.set.read.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.set.wrote.Add(int64(n))
+	return n, err
+}
+
 // Close closes the connection and forgets it.
 func (c *conn) Close() error {
 	c.set.mu.Lock()
--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -19,9 +19,14 @@
 	for _, line := range []string{
 		"sedgehatch_config_version 1", "sedgehatch_open_jobs 0", `sedgehatch_neighbours{kind="near"} 1`, `sedgehatch_neighbours{kind="far"} 1`,
 		`sedgehatch_group_free{group="a/0"} `, `sedgehatch_group_waiting{group="b/0"} 0`, "answer_r/checks/_completed", "request_completed",
+		`sedgehatch_bytes{with="store",way="in"} `, `sedgehatch_bytes{with="customers",way="out"} `, `sedgehatch_bytes{with="peers",way="out"} `, "sedgehatch_link_bytes_per_s 0",
 	} {
 		if !strings.Contains(text, line) {
 			t.Errorf("the metrics lack %q:\n%s", line, text)
 		}
 	}
+	owner := in.nodes[in.owner("a/0")]
+	if _, text := in.call("GET", owner.in.MetricsAddress, "/metrics", nil); !strings.Contains(text, `sedgehatch_group_overdue_ms{group="a/0"} `) {
+		t.Errorf("the owner's metrics lack what its calls wait for:\n%s", text)
+	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -240,6 +240,7 @@
 		fmt.Fprintf(w, "sedgehatch_group_free{group=%q} %d\nsedgehatch_group_waiting{group=%q} %d\nsedgehatch_group_age_ms{group=%q} %d\n",
 			l.Group, l.Free, l.Group, l.Waiting, l.Group, l.Age.Milliseconds())
 	}
+	n.linkGauges(w)
 	if n.sink != nil {
 		dropped, refused := n.sink.Dropped()
 		for _, class := range slices.Sorted(maps.Keys(dropped)) {
@@ -249,6 +250,27 @@
 	}
 }
 
+// linkGauges writes what this instance has sent and read, by whom it speaks to, and
+// what the calls to its upstreams wait for.
+func (n *Node) linkGauges(w io.Writer) {
+	for _, l := range []struct {
+		with  string
+		bytes func() (read, wrote int64)
+	}{{"customers", n.conns.Bytes}, {"store", n.store.Bytes}, {"upstreams", n.calls.Bytes}} {
+		read, wrote := l.bytes()
+		fmt.Fprintf(w, "sedgehatch_bytes{with=%q,way=\"in\"} %d\nsedgehatch_bytes{with=%q,way=\"out\"} %d\n", l.with, read, l.with, wrote)
+	}
+	fmt.Fprintf(w, "sedgehatch_bytes{with=\"peers\",way=\"out\"} %d\nsedgehatch_link_bytes_per_s %.0f\n", n.mesh.Sent(), n.in.LinkRate)
+	n.mu.Lock()
+	groups := n.ownedGroups()
+	n.mu.Unlock()
+	for _, g := range groups {
+		waits := g.Waits()
+		fmt.Fprintf(w, "sedgehatch_group_overdue_ms{group=%q} %d\nsedgehatch_group_link_wait_ms{group=%q} %d\n",
+			g.Name, waits.Overdue.Milliseconds(), g.Name, waits.Link.Milliseconds())
+	}
+}
+
 // readiness answers whether customers should be sent here.
 func (n *Node) readiness(ctx *fasthttp.RequestCtx) {
 	if n.isReady() {
--- a/owner/group.go
+++ b/owner/group.go
@@ -343,6 +343,20 @@
 	return g.pool.Load(time.Now())
 }
 
+// Waits are what the calls of a group wait for.
+type Waits struct {
+	Overdue time.Duration // after which an answer counts as overdue
+	Link    time.Duration // until the link has carried what was handed to it
+}
+
+// Waits returns what calls wait for now.
+func (g *Group) Waits() Waits {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return Waits{Overdue: g.rtt.timeout(now), Link: g.pool.LinkDelay(now)}
+}
+
 // Close ends the group: it makes no call any more. The jobs that are left end
 // as unknown.
 func (g *Group) Close() {
