--- a/node/orphans.go
+++ b/node/orphans.go
@@ -6,6 +6,8 @@
 
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/membership"
+
+	"github.com/samber/lo"
 )
 
 // The upstreams of an availability zone that has lost all its instances are
@@ -72,12 +74,10 @@
 // groups. The lock is held.
 func (n *Node) foreignCandidates() []membership.Candidate {
 	list := []membership.Candidate{{Name: n.in.Name, Share: n.in.CPUShare}}
-	for _, p := range n.table.Peers() {
-		if p.State == membership.Alive && n.sought.Has(p.Instance) && !n.sought.Spokes[p.Instance] {
-			list = append(list, membership.Candidate{Name: p.Instance, Share: n.heard[p.Instance].GetShare()})
-		}
-	}
-	return list
+	hubs := lo.Filter(n.table.Peers(), func(p membership.Peer, _ int) bool {
+		return n.sought.Has(p.Instance) && !n.sought.Spokes[p.Instance]
+	})
+	return append(list, n.candidatesOf(hubs)...)
 }
 
 // isForeign reports whether a group belongs to another zone.
@@ -118,12 +118,7 @@
 		if zone == n.in.Zone {
 			continue
 		}
-		var home []membership.Candidate
-		for _, p := range n.liveIn(zone) {
-			if p.State == membership.Alive {
-				home = append(home, membership.Candidate{Name: p.Instance, Share: n.heard[p.Instance].GetShare()})
-			}
-		}
+		home := n.candidatesOf(n.liveIn(zone))
 		owners[group] = membership.Assign(groupsOf(zone, n.groupCounts[zone]), home)[group]
 	}
 	return owners
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -9,6 +9,8 @@
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/owner"
 	"github.com/sedgehatch/sedgehatch/schedule"
+
+	"github.com/samber/lo"
 )
 
 // reconsider takes and gives up groups as peers come and go.
@@ -319,10 +321,12 @@
 	if n.around.Hub {
 		list = append(list, membership.Candidate{Name: n.in.Name, Share: n.in.CPUShare})
 	}
-	for _, p := range n.hubPeers() {
-		if p.State == membership.Alive {
-			list = append(list, membership.Candidate{Name: p.Instance, Share: n.heard[p.Instance].GetShare()})
-		}
-	}
-	return list
+	return append(list, n.candidatesOf(n.hubPeers())...)
+}
+
+// candidatesOf returns those of some peers that live. The lock is held.
+func (n *Node) candidatesOf(peers []membership.Peer) []membership.Candidate {
+	return lo.FilterMap(peers, func(p membership.Peer, _ int) (membership.Candidate, bool) {
+		return membership.Candidate{Name: p.Instance, Share: n.heard[p.Instance].GetShare()}, p.State == membership.Alive
+	})
 }
