Overdue calls are counted; a standby that takes over reads at once

Cause, found on reading the change again: a standby that came to own groups paused for up to 1.2 s before it read the upstreams anew; an overdue call was not counted, and a late answer "gone" or "fenced" was dropped with those that never came.

Change: it reads at once; start_overdue and hold_overdue among the metrics; every late answer but a lost one counts.

--- a/node/follow.go
+++ b/node/follow.go
@@ -60,7 +60,9 @@
 				f.update(items)
 			}
 			known = !n.restRoughly(f)
-			n.pause(f.rest())
+			if known {
+				n.pause(f.rest())
+			}
 			continue
 		}
 		known = known && !failure.Is(err, failure.Gone) // its history is gone: read all again
--- a/node/node.go
+++ b/node/node.go
@@ -358,6 +358,9 @@
 	}
 }
 
+// Overdue implements owner.Observer.
+func (n *Node) Overdue(kind string) { n.metrics.Add(kind+"_overdue", 1) }
+
 // Answered implements ingress.Recorder.
 func (n *Node) Answered(r ingress.Record) {
 	n.metrics.Add("answer_"+r.Route+"_"+string(r.Verdict), 1)
--- a/owner/group.go
+++ b/owner/group.go
@@ -29,7 +29,10 @@
 // Observer is told what a group decides and how its calls went.
 type Observer interface {
 	Decided(group string, token uint64, d schedule.Decision)
+	// Called is told the end of a call, and Overdue that a call counts as
+	// unanswered before it has ended.
 	Called(kind string, err error, took time.Duration)
+	Overdue(kind string)
 }
 
 const (
@@ -160,26 +163,31 @@
 func (g *Group) start(s schedule.Start) {
 	overdue, limit := g.timeouts()
 	began := time.Now()
-	take := func(a started) {
-		took := time.Since(began)
-		g.seen.Called("start", a.err, took)
-		g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
-			g.rtt.learn(now, took-s.Carried, a.err == nil)
-			return p.Started(now, s.Upstream.ID, s.Order.Run, a.refusal, a.err)
-		})
-	}
-	answer, inTime := await(overdue+s.Carried, func() started {
+	call := func() started {
 		refusal, err := g.calls.Start(s.Upstream, s.Order, limit)
+		g.seen.Called("start", err, time.Since(began))
 		return started{refusal, err}
-	}, take)
+	}
+	take := func(a started) { g.started(s, a, time.Since(began)-s.Carried) }
+	answer, inTime := await(overdue+s.Carried, call, func(late started) {
+		if !failure.Is(late.err, failure.Lost) { // which has been told
+			take(late)
+		}
+	})
 	if inTime {
 		take(answer)
 		return
 	}
-	g.unanswered(s.Upstream)
+	g.unanswered("start", s.Upstream)
+	g.started(s, started{err: errOverdue}, 0)
+}
+
+// started gives the pool the answer to a start, which took so long beyond the time
+// on the link.
+func (g *Group) started(s schedule.Start, a started, took time.Duration) {
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
-		g.rtt.learn(now, 0, false)
-		return p.Started(now, s.Upstream.ID, s.Order.Run, fleet.RefusedNot, errOverdue)
+		g.rtt.learn(now, took, a.err == nil)
+		return p.Started(now, s.Upstream.ID, s.Order.Run, a.refusal, a.err)
 	})
 }
 
@@ -213,26 +221,30 @@
 func (g *Group) hold(u fleet.Upstream, order fleet.HoldOrder) error {
 	overdue, limit := g.reportTimeouts(order)
 	sent := time.Now()
-	take := func(a held) {
-		g.seen.Called("hold", a.err, time.Since(sent))
-		g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
-			return p.Held(now, u.ID, sent, a.report, a.err)
-		})
-	}
-	answer, inTime := await(overdue, func() held {
+	call := func() held {
 		report, err := g.calls.Hold(u, order, limit)
+		g.seen.Called("hold", err, time.Since(sent))
 		return held{report, err}
-	}, func(late held) {
-		if late.err == nil { // that it did not come has been told
-			take(late)
+	}
+	answer, inTime := await(overdue, call, func(late held) {
+		if !failure.Is(late.err, failure.Lost) { // which has been told
+			g.held(u, sent, late)
 		}
 	})
-	if !inTime {
-		g.unanswered(u)
-		answer.err = errOverdue
+	if inTime {
+		g.held(u, sent, answer)
+		return answer.err
 	}
-	take(answer)
-	return answer.err
+	g.unanswered("hold", u)
+	g.held(u, sent, held{err: errOverdue})
+	return errOverdue
+}
+
+// held gives the pool the answer to a hold that was sent at a time.
+func (g *Group) held(u fleet.Upstream, sent time.Time, a held) {
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		return p.Held(now, u.ID, sent, a.report, a.err)
+	})
 }
 
 // follow keeps the lease of one upstream and reads its reports, until it does
--- a/owner/link_test.go
+++ b/owner/link_test.go
@@ -166,6 +166,7 @@
 
 func (silentObserver) Decided(string, uint64, schedule.Decision) {}
 func (silentObserver) Called(string, error, time.Duration)       {}
+func (silentObserver) Overdue(string)                            {}
 
 // narrowOwner is an owner behind a narrow link, and what became of its jobs.
 type narrowOwner struct {
--- a/schedule/link.go
+++ b/schedule/link.go
@@ -8,7 +8,7 @@
 // late, and so does all that comes after it: reports, stops, heartbeats. So orders
 // are counted against what the link carries, and a job that would be late for it is
 // refused before anything of it begins. An owner of 20 upstreams behind 2 Mbit/s
-// that is asked for 1.6 times what the link carries serves .43 of the jobs; without
+// that is asked for 1.6 times what the link carries serves .53 of the jobs; without
 // this and without timeouts that follow the link, .06 (TestNarrowLinkRecovers).
 type link struct {
 	rate float64   // bytes a second that starts may use; 0 is unbounded
@@ -28,9 +28,9 @@
 	sizeWeight = 0.05
 	// shortQueue is a queue on the link that does not matter: a round trip or two.
 	shortQueue = 5 * time.Millisecond
-	// linkHorizon bounds the orders that are offered as room by what the link
-	// carries within it: the slack of the shortest jobs that were seen is 60 ms,
-	// and a task more that waits for the link uses it up.
+	// linkHorizon bounds the room that is told by what the link carries within it:
+	// the slack of the shortest jobs that were seen is 60 to 100 ms, and orders
+	// that wait longer than that make their jobs late.
 	linkHorizon = 75 * time.Millisecond
 )
 
