--- a/owner/await_test.go
+++ b/owner/await_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,9 +20,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				late := 0
+				var late atomic.Int64 // the sum of late answers
 				began := time.Now()
-				answer, inTime := await(c.overdue, func() int { time.Sleep(c.takes); return 7 }, func(answer int) { late += answer })
+				answer, inTime := await(c.overdue, func() int { time.Sleep(c.takes); return 7 }, func(answer int) { late.Add(int64(answer)) })
 				if inTime != c.inTime || inTime && answer != 7 {
 					t.Errorf("%d, in time %v", answer, inTime)
 				}
@@ -29,8 +30,8 @@
 					t.Errorf("it waited for %v", waited)
 				}
 				time.Sleep(2 * time.Minute)
-				if (late == 7) == c.inTime {
-					t.Errorf("the late answers add up to %d", late)
+				if (late.Load() == 7) == c.inTime {
+					t.Errorf("the late answers add up to %d", late.Load())
 				}
 			})
 		})
--- a/owner/link_test.go
+++ b/owner/link_test.go
@@ -96,6 +96,13 @@
 	return false
 }
 
+// connections counts those that were opened.
+func (l *linked) connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.opened
+}
+
 // carry waits until bytes that are handed to the link now have arrived.
 func (l *linked) carry(bytes int) {
 	l.mu.Lock()
@@ -240,24 +247,24 @@
 		defer time.Sleep(3 * time.Second) // the last calls end
 		defer n.Close()
 		n.load(70, 5*time.Second)
-		t.Logf("overload: %d jobs, %v, %d begun in vain, %d connections", n.offered, n.results, n.wasted, n.link.opened)
+		t.Logf("overload: %d jobs, %v, %d begun in vain, %d connections", n.offered, n.results, n.wasted, n.link.connections())
 		if served := n.results[schedule.Completed]; served < n.offered/3 {
 			t.Errorf("%d of %d jobs were served while the link was asked for too much; it carries half", served, n.offered)
 		}
-		if n.link.opened > 200 {
-			t.Errorf("%d connections were opened to 20 upstreams while the link was asked for too much", n.link.opened)
+		if n.link.connections() > 200 {
+			t.Errorf("%d connections were opened to 20 upstreams while the link was asked for too much", n.link.connections())
 		}
 		if n.wasted > n.offered/50 {
 			t.Errorf("%d of %d jobs began and were not served", n.wasted, n.offered)
 		}
 		time.Sleep(2 * time.Second)
-		opened := n.link.opened
+		opened := n.link.connections()
 		n.load(17, 10*time.Second)
-		t.Logf("after it: %d jobs, %v, %d begun in vain, %d connections more", n.offered, n.results, n.wasted, n.link.opened-opened)
+		t.Logf("after it: %d jobs, %v, %d begun in vain, %d connections more", n.offered, n.results, n.wasted, n.link.connections()-opened)
 		if served := n.results[schedule.Completed]; served < n.offered*9/10 {
 			t.Errorf("%d of %d jobs were served after the load had fallen", served, n.offered)
 		}
-		if more := n.link.opened - opened; more > 30 {
+		if more := n.link.connections() - opened; more > 30 {
 			t.Errorf("%d connections were opened in 10 s of a load that the link carries", more)
 		}
 	})
