An append that is being sent is the sender's own

Cause: fate.Home handed out a pointer into what it keeps to send again; the sender reads it outside of the lock, while the home may take a job out of its own (withhold). What is withheld was never sent, so no promise was seen broken; nothing in the code but the order of calls kept it so.

Change: NextAppend returns a copy. TestAppendIsTheCallers fails on the code before.

--- a/fate/home_test.go
+++ b/fate/home_test.go
@@ -200,3 +200,16 @@
 		}
 	}
 }
+
+// TestAppendIsTheCallers: an append is read while it is sent, outside of the lock of
+// its home; what the home takes out of its own copy meanwhile does not reach it.
+func TestAppendIsTheCallers(t *testing.T) {
+	h := NewHome(homeLogID, bound)
+	mustSubmit(t, h, one, jobOf(1), Accepted)
+	h.Place(one, 0, "u")
+	a := h.NextAppend(false)
+	h.withhold(h.jobs[one])
+	if len(a.Records) != 1 || a.Records[0].Key != one {
+		t.Errorf("the append that is on its way holds %+v", a.Records)
+	}
+}
--- a/fate/outbox.go
+++ b/fate/outbox.go
@@ -37,7 +37,8 @@
 
 // NextAppend returns the next message for the witness, or nil. Without lazy it
 // holds back while nothing waits for an acknowledgement. It counts as sent
-// unless Unsent says otherwise.
+// unless Unsent says otherwise. It is the caller's, who sends it while the home goes
+// on; the home has its own to send again.
 func (h *Home) NextAppend(lazy bool) *Append {
 	if len(h.order) == 0 || h.sealed || (!h.urgent && !lazy) || h.awaited() >= appendWindow {
 		return nil
@@ -58,7 +59,9 @@
 	h.order = h.order[:0]
 	h.urgent = false
 	h.unacked = append(h.unacked, a)
-	return &a.Append
+	next := a.Append
+	next.Records = slices.Clone(a.Records)
+	return &next
 }
 
 // Unsent takes the proof that no byte of an append left the last time.
--- a/node/giveup_test.go
+++ b/node/giveup_test.go
@@ -40,6 +40,10 @@
 	in.t.Helper()
 	in.until("nothing of the job runs", func() bool { return !in.ledger.Runs(id) })
 	last := in.ledger.LastBegun(id)
+	in.until("the group has room", func() bool {
+		loads := in.nodes[through].router.Loads()
+		return len(loads) == 1 && loads[0].Capacity > 0
+	})
 	in.want(through, 2, 20)
 	if in.ledger.Runs(id) || in.ledger.LastBegun(id).After(last) {
 		in.t.Error("a task of it has begun after its customer had left")
