--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -52,11 +52,11 @@
 
 // mostFull is how many owners may expect no room in time before a job is refused:
 // the first is that of the shortest queue, and the others' are longer. Each offer
-// carries the whole job over two links: where 9 groups were crowded, 16,500 jobs made
-// 15,400 offers instead of 48,200. With 12 groups at 1.6 times the room, refusals come
-// after .31 objectives at the median instead of .44 and .009 +- .013 more of the worth
-// is earned; with 2 to 4 groups .001 +- .002 less (laboratory, 8 and 24 seeds).
-const mostFull = 2
+// carries the whole job over two links. With 12 groups at 1.6 times the room, refusals
+// come after .34 objectives at the median instead of .44 and .010 +- .012 more of the
+// worth is earned; with 2 to 4 groups it is the same (laboratory, 8 and 24 seeds). Two
+// were too few where four groups were crowded: .009 more of the jobs were refused.
+const mostFull = 3
 
 // DefaultPolicy is the policy of the product.
 var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true, BoundAsks: true}
