A job that is sent again while runs of its first sending are being stopped has begun

Cause: the answer to the second sending counted only runs ordered for itself. While a run of the first sending was still in the books (being stopped, or its order late on the way), its tasks were returned or rejected as never begun, which was untrue if that run began after the second offer.

Ruled out: a fault of the check alone. The scenario sent_again shows the owner rejecting all three tasks as not begun with two runs at work.

Change: a task with a run in the books starts as begun, with that run's number, so its next run has another one. A job offered to a pool that drains is queued like others, so that what cannot be returned ends in time.

--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -152,19 +152,20 @@
 	j.expect = p.timesOf(o.Route).expect(o.Estimate)
 	for _, index := range o.Tasks {
 		t := &task{index: index}
+		p.continueRuns(j, t)
 		j.tasks[index] = t
 		j.order = append(j.order, t)
 	}
 	p.waiting += len(j.order)
 	p.jobs[o.Key] = j
 	p.byID[o.Key.ID] = append(p.byID[o.Key.ID], j)
+	p.queue = append(p.queue, j)
 	switch {
 	case p.draining:
 		p.returnWaiting(j, "draining")
 	case !p.everFits(j):
 		p.end(j, NeverFits)
 	default:
-		p.queue = append(p.queue, j)
 		p.place()
 		switch {
 		case p.jobs[o.Key] != j || !j.hasWaiting():
@@ -176,6 +177,17 @@
 	}
 }
 
+// continueRuns counts a task as begun while a run of it is in the books: one of an
+// earlier sending of the job, or of a former owner, that is being stopped. It may be
+// at work or still begin, so the task is not said never to have begun, and its next
+// run gets another number.
+func (p *Pool) continueRuns(j *job, t *task) {
+	if r := p.byTask[p.ref(j, t)]; r != nil {
+		t.number = r.id.Number
+		j.begun = true
+	}
+}
+
 // supersede ends what another coordinator offered of the same job: its customer
 // has left it, and sent it again.
 func (p *Pool) supersede(by JobKey) {
