A new instance hears the peers it has read of before it takes groups

Cause: the list of instances and the neighbours that follow from it were set under two locks. A beat in between found the list read and no peer to wait for, and took the group of a peer that lives: upstreams changed owner for nothing.

Change: both are set under one lock. TestSettledOnceListed fails without it.

--- a/node/follow.go
+++ b/node/follow.go
@@ -278,18 +278,27 @@
 }
 
 func (n *Node) listPeers(known map[string]membership.Listing) {
+	n.setPeers(known)
+	n.tick() // new peers hear of this instance at once
+}
+
+// setPeers takes the list of instances. Whom of them this instance has to hear
+// before it takes a group is worked out under the same lock: in between, it would
+// take the groups of peers that it has just read of and has not heard yet.
+func (n *Node) setPeers(known map[string]membership.Listing) {
 	list := make([]membership.Listing, 0, len(known))
 	for name, l := range known {
 		if name != n.in.Name {
 			list = append(list, l)
 		}
 	}
+	used := n.router.inUse()
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.peersRead = true
 	n.registered = lo.MapValues(known, func(l membership.Listing, _ string) string { return l.Zone })
 	n.table.SetListed(list)
-	n.mu.Unlock()
-	n.tick() // new peers hear of this instance at once
+	n.setNeighbours(used)
 }
 
 // register keeps this instance's entry in the store.
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -16,6 +16,12 @@
 	used := n.router.inUse()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.setNeighbours(used)
+}
+
+// setNeighbours takes the neighbours that follow from the known instances, and
+// the owners in use. The lock is held.
+func (n *Node) setNeighbours(used map[string]bool) {
 	self := membership.Member{Name: n.in.Name, Zone: n.in.Zone, Share: n.in.CPUShare}
 	all := n.members()
 	sought := membership.Around(self, all, n.groupCounts)
