What an earlier sending still runs keeps a task back, and is not begun work of the new one

Change: a task with a run in the books that was not ordered for it is blocked: no place, no return, no rejection. Once that run is certainly over it waits like any other. A former owner's run that is found later blocks as well, and a job that is blocked by an upstream that was lost to another owner ends unknown.

--- a/schedule/input.go
+++ b/schedule/input.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// loseBlocked ends the jobs that a run keeps back of which nothing more will be known.
+func (p *Pool) loseBlocked(ref fleet.TaskRef) {
+	for _, j := range slices.Clone(p.byID[ref.Job]) {
+		if t := j.tasks[ref.Index]; t != nil && t.state == blocked {
+			p.end(j, Unknown)
+		}
+	}
+}
+
 // Stopped takes the answer to a stop.
 func (p *Pool) Stopped(now time.Time, upstreamID string, id fleet.Run, err error) Effects {
 	return p.do(now, func() {
@@ -248,7 +257,7 @@
 func (p *Pool) done(r *run) {
 	j := r.job
 	t := j.tasks[r.id.Task.Index]
-	p.setState(t, ended)
+	p.setState(j, t, ended)
 	j.left--
 	j.done = append(j.done, t.index)
 	took := p.now.Sub(r.ordered)
@@ -301,6 +310,7 @@
 	p.fencedIDs[u.ID] = true
 	p.drop(u)
 	for _, r := range sortedRuns(u) {
+		p.loseBlocked(r.id.Task)
 		p.remove(r)
 		p.lose(r)
 	}
@@ -318,6 +328,7 @@
 			p.tickUpstream(u)
 		}
 		p.place()
+		p.returnUnplaced()
 		p.rejectHopeless()
 		for _, j := range slices.Clone(p.queue) {
 			p.expire(j)
@@ -325,6 +336,19 @@
 	})
 }
 
+// returnUnplaced gives back what was blocked when its job was offered, and would have
+// been given back then: all of a pool that drains, and what may not wait here.
+func (p *Pool) returnUnplaced() {
+	for _, j := range slices.Clone(p.queue) {
+		switch {
+		case p.draining:
+			p.returnWaiting(j, "draining")
+		case !j.MayQueue:
+			p.returnWaiting(j, "no room")
+		}
+	}
+}
+
 func (p *Pool) tickUpstream(u *upstream) {
 	lapsed := u.silent && p.now.After(u.lapsed())
 	for _, r := range sortedRuns(u) {
@@ -376,7 +400,7 @@
 		return
 	}
 	for _, t := range j.order {
-		if t.state == waiting && p.byTask[p.ref(j, t)] == nil {
+		if t.state == waiting {
 			p.end(j, Expired)
 			return
 		}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -106,16 +106,16 @@
 	})
 }
 
-// hasBegun reports whether a task of the job began, here or elsewhere.
-func (j *job) hasBegun() bool { return j.begun || j.Begun }
+// hasBegun reports whether a task of the job began, here or elsewhere, or may have.
+func (j *job) hasBegun() bool { return j.begun || j.Begun || j.blocked > 0 }
 
 // placeJob starts the tasks of a job that find room, and reports whether there
 // are any.
 func (p *Pool) placeJob(j *job) bool {
 	started := false
 	for _, t := range j.order {
-		if t.state != waiting || p.byTask[p.ref(j, t)] != nil {
-			continue // a run of it may still be at work
+		if t.state != waiting {
+			continue
 		}
 		u := p.choose(j)
 		if u == nil {
@@ -266,7 +266,7 @@
 
 func (p *Pool) start(j *job, t *task, u *upstream) {
 	t.number++
-	p.setState(t, placed)
+	p.setState(j, t, placed)
 	j.begun = true
 	carried := p.link.carry(p.now, orderBytes(j))
 	leaves := p.now.Add(carried)
@@ -292,6 +292,7 @@
 	r.up.used = r.up.used.Plus(r.demand)
 	if r.unknown {
 		r.up.unknown++
+		p.block(r.id.Task)
 	}
 }
 
@@ -304,6 +305,7 @@
 	delete(r.up.runs, r.id)
 	if p.byTask[r.id.Task] == r {
 		delete(p.byTask, r.id.Task)
+		p.unblock(r.id.Task)
 	}
 	r.up.used = r.up.used.Minus(r.demand)
 	if r.unknown {
@@ -339,10 +341,8 @@
 	if t.state != placed {
 		return
 	}
-	p.setState(t, waiting)
-	if !slices.Contains(p.queue, j) {
-		p.queue = append(p.queue, j)
-	}
+	p.setState(j, t, waiting)
+	p.enqueue(j)
 	p.decide(Decision{
 		Kind: DecidedRetry, Job: j.Key.ID, Task: t.index, Run: t.number, Upstream: r.up.ID, Reason: reason,
 		Age: p.now.Sub(j.offered),
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -152,20 +152,24 @@
 	j.expect = p.timesOf(o.Route).expect(o.Estimate)
 	for _, index := range o.Tasks {
 		t := &task{index: index}
-		p.continueRuns(j, t)
 		j.tasks[index] = t
 		j.order = append(j.order, t)
 	}
 	p.waiting += len(j.order)
+	for _, t := range j.order {
+		if p.byTask[p.ref(j, t)] != nil {
+			p.setState(j, t, blocked)
+		}
+	}
 	p.jobs[o.Key] = j
 	p.byID[o.Key.ID] = append(p.byID[o.Key.ID], j)
-	p.queue = append(p.queue, j)
 	switch {
 	case p.draining:
 		p.returnWaiting(j, "draining")
-	case !p.everFits(j):
+	case j.blocked == 0 && !p.everFits(j):
 		p.end(j, NeverFits)
 	default:
+		p.enqueue(j)
 		p.place()
 		switch {
 		case p.jobs[o.Key] != j || !j.hasWaiting():
@@ -177,14 +181,31 @@
 	}
 }
 
-// continueRuns counts a task as begun while a run of it is in the books: one of an
-// earlier sending of the job, or of a former owner, that is being stopped. It may be
-// at work or still begin, so the task is not said never to have begun, and its next
-// run gets another number.
-func (p *Pool) continueRuns(j *job, t *task) {
-	if r := p.byTask[p.ref(j, t)]; r != nil {
-		t.number = r.id.Number
-		j.begun = true
+// block keeps back the tasks that wait for a place while a run of theirs is in the
+// books that was not ordered for them. They get no second run beside it, and are not
+// said never to have begun until it is certain that nothing of them is at work.
+func (p *Pool) block(ref fleet.TaskRef) {
+	for _, j := range p.byID[ref.Job] {
+		if t := j.tasks[ref.Index]; t != nil && t.state == waiting {
+			p.setState(j, t, blocked)
+		}
+	}
+}
+
+// unblock lets the tasks wait for a place again that such a run kept back.
+func (p *Pool) unblock(ref fleet.TaskRef) {
+	for _, j := range p.byID[ref.Job] {
+		if t := j.tasks[ref.Index]; t != nil && t.state == blocked {
+			p.setState(j, t, waiting)
+			p.enqueue(j)
+		}
+	}
+}
+
+// enqueue puts a job with waiting tasks into the queue, unless it is there.
+func (p *Pool) enqueue(j *job) {
+	if !slices.Contains(p.queue, j) {
+		p.queue = append(p.queue, j)
 	}
 }
 
@@ -260,20 +281,26 @@
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
 	for _, t := range j.order {
-		if t.state == waiting {
-			p.setState(t, ended)
+		if t.state == waiting || t.state == blocked {
+			p.setState(j, t, ended)
 		}
 	}
 }
 
-// setState changes the state of a task, and counts those that wait.
-func (p *Pool) setState(t *task, s taskState) {
-	if t.state == waiting {
+// setState changes the state of a task, and counts those that wait or are blocked.
+func (p *Pool) setState(j *job, t *task, s taskState) {
+	switch t.state {
+	case waiting:
 		p.waiting--
+	case blocked:
+		j.blocked--
 	}
 	t.state = s
-	if s == waiting {
+	switch s {
+	case waiting:
 		p.waiting++
+	case blocked:
+		j.blocked++
 	}
 }
 
@@ -298,7 +325,7 @@
 	var returned []int
 	for _, t := range j.order {
 		if t.state == waiting && t.number == 0 {
-			p.setState(t, ended)
+			p.setState(j, t, ended)
 			j.left--
 			returned = append(returned, t.index)
 		}
@@ -317,6 +344,7 @@
 
 // end ends a job with an outcome: what runs of it is stopped.
 func (p *Pool) end(j *job, outcome Outcome) {
+	j.begun = j.begun || j.blocked > 0
 	p.forget(j)
 	p.stopRuns(j, string(outcome))
 	var returned []int
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -213,6 +213,9 @@
 	waiting taskState = iota
 	placed
 	ended
+	// blocked is a task of which a run may be at work that was not ordered for this
+	// job: one of an earlier sending, or of a former owner. It is being stopped.
+	blocked
 )
 
 type task struct {
@@ -230,6 +233,7 @@
 	tasks   map[int]*task
 	order   []*task
 	left    int // tasks that have not ended
+	blocked int // tasks that are
 	begun   bool
 	failed  map[string]bool // upstreams where a task of it failed
 	blamed  *upstream       // for the first of them; nil once it failed elsewhere too
