Laboratory: customers that move, coordinators that are told, upstreams that come later

Cause: it had one coordinator beside each owner, so that it could not show what stale views and shifts cost.

--- a/cli/lab.go
+++ b/cli/lab.go
@@ -27,6 +27,10 @@
 			&cli.FloatFlag{Name: "share", Usage: "share of upstreams, or of calls, that the trouble strikes; 0 draws it"},
 			&cli.IntFlag{Name: "returns", Usage: "how often refused customers come back at most"},
 			&cli.IntFlag{Name: "zones", Usage: "how many availability zones there are, each with a group; 0 draws 2 to 4"},
+			&cli.IntFlag{Name: "coordinators", Usage: "how many coordinators each availability zone has", Value: 1},
+			&cli.DurationFlag{Name: "views", Usage: "how often owners tell their load; 0 is as often as the product does"},
+			&cli.FloatFlag{Name: "shift", Usage: "share of the first zone's customers that are in the second in the crowded stretch"},
+			&cli.FloatFlag{Name: "added", Usage: "share of each zone's upstreams that are added in the crowded stretch"},
 			&cli.StringSliceFlag{Name: "without", Usage: "also run without these `RULES`, with + between; may come several times"},
 			&cli.BoolFlag{Name: "ablate", Usage: "also run without each rule, one by one"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
@@ -41,7 +45,10 @@
 }
 
 func runLab(_ context.Context, c *cli.Command) error {
-	setup := lab.Setup{Load: c.Float("load"), Trouble: lab.Trouble(c.String("trouble")), Share: c.Float("share"), Returns: c.Int("returns"), Zones: c.Int("zones")}
+	setup := lab.Setup{
+		Load: c.Float("load"), Trouble: lab.Trouble(c.String("trouble")), Share: c.Float("share"), Returns: c.Int("returns"), Zones: c.Int("zones"),
+		Coordinators: c.Int("coordinators"), Views: c.Duration("views"), Shift: c.Float("shift"), Added: c.Float("added"),
+	}
 	switch {
 	case c.Int("seeds") < 1:
 		return failure.Field(failure.InvalidInput, "seeds", "must be at least 1")
@@ -49,6 +56,14 @@
 		return failure.Field(failure.InvalidInput, "returns", "must not be negative")
 	case setup.Zones < 0 || setup.Zones > lab.MostZones:
 		return failure.Field(failure.InvalidInput, "zones", "must lie between 0 and %d", lab.MostZones)
+	case setup.Coordinators < 1 || setup.Coordinators > lab.MostCoordinators:
+		return failure.Field(failure.InvalidInput, "coordinators", "must lie between 1 and %d", lab.MostCoordinators)
+	case setup.Views < 0:
+		return failure.Field(failure.InvalidInput, "views", "must not be negative")
+	case setup.Shift < 0 || setup.Shift > 1:
+		return failure.Field(failure.InvalidInput, "shift", "must lie between 0 and 1")
+	case setup.Added < 0 || setup.Added >= 1:
+		return failure.Field(failure.InvalidInput, "added", "must be at least 0 and less than 1")
 	case setup.Load < 0:
 		return failure.Field(failure.InvalidInput, "load", "must not be negative")
 	case setup.Share < 0 || setup.Share > 1:
--- a/lab/draw.go
+++ b/lab/draw.go
@@ -46,6 +46,18 @@
 	// Returns is how often a refused customer comes back at most, when it was
 	// told to.
 	Returns int
+	// Coordinators is how many coordinators each zone has; 0 is 1. The first is
+	// beside the owner and knows its load; the others are told.
+	Coordinators int
+	// Views is how often owners tell their load; 0 is what the product does:
+	// ownViews in the zone, farViews elsewhere.
+	Views time.Duration
+	// Shift is the share of the first zone's customers that are in the second for
+	// the crowded stretch.
+	Shift float64
+	// Added is the share of each zone's upstreams that are there only from the
+	// start of the trouble on.
+	Added float64
 }
 
 // The days that are drawn. All have an ordinary load, a crowded stretch, and an
@@ -84,8 +96,7 @@
 	trouble   Trouble
 	troubled  float64 // share that it strikes
 	slowness  float64
-	returns   int
-	zoneCount int // 0 draws it
+	setup     Setup
 	jobs      []*customerJob
 }
 
@@ -120,7 +131,7 @@
 // draw draws a deployment and its day.
 func draw(seed uint64, s Setup) *deployment {
 	rng := rand.New(rand.NewPCG(seed, 77))
-	d := &deployment{load: s.Load, trouble: s.Trouble, troubled: s.Share, returns: s.Returns, zoneCount: s.Zones}
+	d := &deployment{load: s.Load, trouble: s.Trouble, troubled: s.Share, setup: s}
 	if d.load == 0 {
 		d.load = minLoad + (maxLoad-minLoad)*rng.Float64()
 	}
@@ -141,6 +152,10 @@
 // some seconds.
 const MostZones = 64
 
+// MostCoordinators is how many coordinators a zone may have: each owner tells all of
+// them.
+const MostCoordinators = 200
+
 // unitCPU is the size of the smaller upstreams, thousandths of a core.
 const unitCPU = 64000
 
@@ -148,7 +163,7 @@
 func (d *deployment) drawUpstreams(rng *rand.Rand) float64 {
 	capacity := 0.0
 	drawn, each := 2+rng.IntN(3), 8+rng.IntN(13)
-	zones := cmp.Or(d.zoneCount, drawn)
+	zones := cmp.Or(d.setup.Zones, drawn)
 	for z := range zones {
 		d.zones = append(d.zones, fmt.Sprintf("z%d", z))
 		d.share = append(d.share, 0.7+0.6*rng.Float64())
@@ -223,7 +238,7 @@
 func (d *deployment) drawJob(rng *rand.Rand, i int, at time.Duration) *customerJob {
 	k := &d.kinds[i]
 	j := &customerJob{
-		id: fmt.Sprintf("%016x", len(d.jobs)+1), kind: i, zone: d.drawZone(rng), sent: at,
+		id: fmt.Sprintf("%016x", len(d.jobs)+1), kind: i, zone: d.shifted(d.drawZone(rng), at, rng), sent: at,
 		demand:   fleet.Demand{MilliCPU: int64(min(lognormal(rng, k.milliCPU, 0.2), unitCPU)), MemoryMB: 64},
 		ownFault: rng.Float64() < ownFaultShare,
 	}
@@ -252,6 +267,20 @@
 	return len(d.share) - 1
 }
 
+// shifted returns the zone in which a customer of a zone is at a time.
+func (d *deployment) shifted(zone int, at time.Duration, rng *rand.Rand) int {
+	if d.setup.Shift > 0 && zone == 0 && at >= crowdedFrom && at < crowdedUntil && rng.Float64() < d.setup.Shift {
+		return 1
+	}
+	return zone
+}
+
+// isAdded reports whether the upstream of a number in its zone, of so many, comes
+// later.
+func (d *deployment) isAdded(number, of int) bool {
+	return float64(number) >= (1-d.setup.Added)*float64(of)
+}
+
 // markLarge marks the largest tenth of each kind.
 func (d *deployment) markLarge() {
 	for i := range d.kinds {
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -93,3 +93,51 @@
 		t.Errorf("worth %.3f, bound %.3f", f.Worth, f.Bound)
 	}
 }
+
+// calm is what the product's rules reach on a calm day.
+func calm(t *testing.T, s Setup) Figures {
+	t.Helper()
+	s.Trouble = Calm
+	return Compare(s, 200, 1, variants(t))[0].Figures
+}
+
+// TestShiftedCustomers: all customers of one of three zones move to the next for the
+// crowded stretch, at .9 of the room. They are served elsewhere: it costs less than
+// .01 of the worth.
+func TestShiftedCustomers(t *testing.T) {
+	s := Setup{Load: 0.9, Zones: 3, Coordinators: 6}
+	still := calm(t, s).Worth
+	s.Shift = 1
+	if moved := calm(t, s).Worth; moved < still-0.01 {
+		t.Errorf("worth %.4f when the customers move, %.4f when they stay", moved, still)
+	}
+}
+
+// TestViewsOfCoordinators: 24 coordinators in each of two zones that hear of owners as
+// often as in the product earn within .01 of one beside each owner. How often that is
+// makes a difference.
+func TestViewsOfCoordinators(t *testing.T) {
+	s := Setup{Load: 1.1, Zones: 2}
+	beside := calm(t, s)
+	s.Coordinators = 24
+	told := calm(t, s)
+	if told.Worth < beside.Worth-0.01 {
+		t.Errorf("worth %.4f with coordinators that are told of the load, %.4f beside owners", told.Worth, beside.Worth)
+	}
+	s.Views = 5 * ownViews
+	if old := calm(t, s); old == told {
+		t.Error("views that are five times as old change nothing")
+	}
+}
+
+// TestAddedUpstreams: three tenths of the upstreams come only during a crowd of 1.2 times
+// the room of all. That costs less than a tenth of the worth.
+func TestAddedUpstreams(t *testing.T) {
+	s := Setup{Load: 1.2, Zones: 2}
+	all := calm(t, s).Worth
+	s.Added = 0.3
+	added := calm(t, s).Worth
+	if added < 0.9*all {
+		t.Errorf("worth %.4f with upstreams that come later, %.4f with all from the start", added, all)
+	}
+}
--- a/lab/world.go
+++ b/lab/world.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -8,13 +9,17 @@
 	"github.com/sedgehatch/sedgehatch/owner"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
 	"github.com/sedgehatch/sedgehatch/schedule"
+
+	"github.com/samber/lo"
 )
 
 const (
 	// zoneHop is how long a message between availability zones takes.
 	zoneHop = 500 * time.Microsecond
-	// loadEvery is how often zones hear of each other's load.
-	loadEvery = 250 * time.Millisecond
+	// ownViews is how often the coordinators of a zone hear of the load of its
+	// owner, and farViews those of other zones.
+	ownViews = 100 * time.Millisecond
+	farViews = 250 * time.Millisecond
 	// startTimeout, lookTimeout and callTimeout are when calls to upstreams count as
 	// unanswered: those that the product's owners use on a sound network.
 	startTimeout = 20 * time.Millisecond
@@ -31,13 +36,14 @@
 	longestReturn = 31 * time.Second
 )
 
-// world is a deployment at work: a group and a coordinator in each zone.
+// world is a deployment at work: a group and coordinators in each zone.
 type world struct {
 	*standin.Simulation
 	d         *deployment
 	began     time.Time
 	upstreams map[string]*standin.SimulatedUpstream
 	groups    []*group
+	desks     [][]*desk // by zone
 	outcomes  []outcome
 	wasted    float64 // core-seconds of work that did not serve
 	// doubts and silences are of upstreams that the trouble does not strike.
@@ -56,14 +62,12 @@
 	room bool // all its tasks would have fitted when it was answered
 }
 
-// group is the pool of one zone, and the coordinator beside it.
+// group is the pool of one zone.
 type group struct {
-	w           *world
-	name        string
-	pool        *schedule.Pool
-	answers     map[schedule.JobKey]owner.Answer
-	coordinator *ingress.Coordinator
-	views       map[string]ingress.OwnerLoad // of the other zones
+	w       *world
+	name    string
+	pool    *schedule.Pool
+	answers map[schedule.JobKey]owner.Answer
 }
 
 // Policies are the rules of one run.
@@ -86,13 +90,19 @@
 	for _, zone := range d.zones {
 		w.groups = append(w.groups, w.newGroup(zone, p))
 	}
-	w.tellLoads()
-	for _, j := range d.jobs {
-		w.AfterFunc(time.Second+j.sent, func() { w.submit(j) })
+	for _, g := range w.groups {
+		w.desks = append(w.desks, w.newDesks(g, p))
+	}
+	w.tellLoads(true, cmp.Or(d.setup.Views, ownViews))
+	w.tellLoads(false, cmp.Or(d.setup.Views, farViews))
+	for i, j := range d.jobs {
+		at := w.desks[j.zone][i%len(w.desks[j.zone])]
+		w.AfterFunc(time.Second+j.sent, func() { w.submit(j, at) })
 	}
 	w.AfterFunc(time.Second+troubleFrom, func() { w.setTrouble(true) })
+	w.AfterFunc(time.Second+troubleFrom, w.addUpstreams)
 	w.AfterFunc(time.Second+troubleUntil, func() { w.setTrouble(false) })
-	w.Run(began.Add(time.Second + dayLength + patience + time.Duration(d.returns)*longestReturn))
+	w.Run(began.Add(time.Second + dayLength + patience + time.Duration(d.setup.Returns)*longestReturn))
 	return w
 }
 
@@ -154,51 +164,60 @@
 func (w *world) newGroup(zone string, p Policies) *group {
 	cfg := schedule.DefaultConfig
 	cfg.Policy = p.Schedule
-	g := &group{
-		w: w, name: zone, pool: schedule.NewPool(cfg, 1), answers: map[schedule.JobKey]owner.Answer{}, views: map[string]ingress.OwnerLoad{},
-	}
-	g.coordinator = ingress.NewSimulated(zone, g, w, p.Ingress)
-	var list []fleet.Upstream
-	for _, u := range w.d.upstreams {
-		if u.Zone == zone {
-			list = append(list, u)
-		}
-	}
-	added, effects := g.pool.SetUpstreams(w.Now(), list)
+	g := &group{w: w, name: zone, pool: schedule.NewPool(cfg, 1), answers: map[schedule.JobKey]owner.Answer{}}
+	g.setUpstreams(false)
+	g.ticks()
+	return g
+}
+
+// setUpstreams gives the group the upstreams of its zone, also those that are added
+// later.
+func (g *group) setUpstreams(all bool) {
+	list := lo.Filter(g.w.d.upstreams, func(u fleet.Upstream, _ int) bool { return u.Zone == g.name })
+	of := len(list)
+	list = lo.Filter(list, func(_ fleet.Upstream, i int) bool { return all || !g.w.d.isAdded(i, of) })
+	added, effects := g.pool.SetUpstreams(g.w.Now(), list)
 	g.apply(effects)
 	for _, id := range added {
 		g.follow(id)
 	}
-	g.ticks()
-	return g
+}
+
+func (w *world) addUpstreams() {
+	if w.d.setup.Added == 0 {
+		return
+	}
+	for _, g := range w.groups {
+		g.setUpstreams(true)
+	}
 }
 
 // submit sends a job, and again where its customer was refused and comes back.
-func (w *world) submit(j *customerJob) {
+func (w *world) submit(j *customerJob, at *desk) {
 	first := w.Now()
-	w.send(j, func(a ingress.Answered) {
+	w.send(j, at, func(a ingress.Answered) {
 		w.outcomes = append(w.outcomes, outcome{Answered: a, job: j, took: w.Now().Sub(first), room: w.hasRoom(j)})
-		w.comeBack(j, a, first, w.d.returns)
+		w.comeBack(j, at, a, first, w.d.setup.Returns)
 	})
 }
 
-func (w *world) send(j *customerJob, answered func(ingress.Answered)) {
+func (w *world) send(j *customerJob, at *desk, answered func(ingress.Answered)) {
 	k := w.d.kinds[j.kind]
 	job := &fleet.Job{ID: j.id, Steps: []fleet.Step{{Count: len(j.works), Demand: j.demand, Estimate: j.estimate}}}
-	timeUp := w.groups[j.zone].coordinator.Begin(ingress.Request{Job: job, Route: &k.route, Patience: patience}, answered)
+	timeUp := at.coordinator.Begin(ingress.Request{Job: job, Route: &k.route, Patience: patience}, answered)
 	w.AfterFunc(patience, timeUp)
 }
 
 // comeBack sends a refused job again when its customer was told to.
-func (w *world) comeBack(j *customerJob, a ingress.Answered, first time.Time, left int) {
+func (w *world) comeBack(j *customerJob, at *desk, a ingress.Answered, first time.Time, left int) {
 	switch {
-	case a.Verdict == ingress.Completed && left < w.d.returns:
+	case a.Verdict == ingress.Completed && left < w.d.setup.Returns:
 		w.servedLater++
 		w.laterSeconds += w.Now().Sub(first).Seconds()
 	case a.Verdict == ingress.NotRun && left > 0:
 		spread := time.Duration(w.Rand.Float64() * float64(time.Second)) // no two clients are in step
 		w.AfterFunc(a.RetryAfter+spread, func() {
-			w.send(j, func(a ingress.Answered) { w.comeBack(j, a, first, left-1) })
+			w.send(j, at, func(a ingress.Answered) { w.comeBack(j, at, a, first, left-1) })
 		})
 	}
 }
@@ -212,88 +231,11 @@
 	return free >= len(j.works)
 }
 
-func (w *world) tellLoads() {
-	for _, g := range w.groups {
-		for _, o := range w.groups {
-			if o != g {
-				g.views[o.name] = loadOf(o.name, o.pool.Load(w.Now()))
-			}
-		}
-	}
-	w.AfterFunc(loadEvery, w.tellLoads)
-}
-
-func loadOf(zone string, l schedule.Load) ingress.OwnerLoad {
-	return ingress.OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity}
-}
-
-// Loads implements ingress.Owners.
-func (g *group) Loads() []ingress.OwnerLoad {
-	var list []ingress.OwnerLoad
-	for _, o := range g.w.groups {
-		if o == g {
-			list = append(list, loadOf(g.name, g.pool.Load(g.w.Now())))
-		} else {
-			list = append(list, g.views[o.name])
-		}
-	}
-	return list
-}
-
-// Offer implements ingress.Owners.
-func (g *group) Offer(name string, o schedule.Offer, answer owner.Answer) error {
-	o.Key.Coordinator = g.name
-	to := g.find(name)
-	if to == g {
-		g.take(o, answer)
-		return nil
-	}
-	view := g.views[name]
-	view.Free -= len(o.Tasks)
-	g.views[name] = view
-	back := func(tell func(schedule.Result, schedule.Load)) func(schedule.Result, schedule.Load) {
-		return func(r schedule.Result, l schedule.Load) {
-			g.w.AfterFunc(zoneHop, func() {
-				g.views[name] = loadOf(name, l)
-				tell(r, l)
-			})
-		}
-	}
-	g.w.AfterFunc(zoneHop, func() {
-		to.take(o, owner.Answer{Returned: back(answer.Returned), Ended: back(answer.Ended)})
-	})
-	return nil
-}
-
-func (g *group) find(name string) *group {
-	for _, o := range g.w.groups {
-		if o.name == name {
-			return o
-		}
-	}
-	panic("no group " + name)
-}
-
 func (g *group) take(o schedule.Offer, answer owner.Answer) {
 	g.answers[o.Key] = answer
 	g.apply(g.pool.Offer(g.w.Now(), o))
 }
 
-// Withdraw implements ingress.Owners.
-func (g *group) Withdraw(name string, key schedule.JobKey, reason string) {
-	key.Coordinator = g.name
-	to := g.find(name)
-	withdraw := func() {
-		delete(to.answers, key)
-		to.apply(to.pool.Withdraw(g.w.Now(), key, reason))
-	}
-	if to == g {
-		withdraw()
-		return
-	}
-	g.w.AfterFunc(zoneHop, withdraw)
-}
-
 // apply carries out what the pool decided.
 func (g *group) apply(e schedule.Effects) {
 	for _, d := range e.Decisions {
