A task whose run failed waits while a former owner's run of it is in the books

A run of a former owner that is found after the task has started elsewhere, and outlives that start, was ignored: the task got its next run beside it.

Change: again() blocks such a task. The model checks that nothing waits for a place with a run in the books, and customers of lost owners send their jobs again after 1.3 s, when the leases of the lost owner have run out.

Also: lists of peers by a condition are one function (Table.Filter).

--- a/membership/table.go
+++ b/membership/table.go
@@ -238,6 +238,17 @@
 	}
 }
 
+// Filter returns the peers of which a condition holds, by name.
+func (t *Table) Filter(holds func(Peer) bool) []Peer {
+	var list []Peer
+	for p := range t.All() {
+		if holds(p) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // Len returns how many peers there are.
 func (t *Table) Len() int { return len(t.order) }
 
--- a/node/follow.go
+++ b/node/follow.go
@@ -108,14 +108,10 @@
 // hubsHeard counts the other hubs of the own availability zone that live. The lock is
 // held.
 func (n *Node) hubsHeard() int {
-	count := 0
-	for p := range n.table.All() {
+	return len(n.table.Filter(func(p membership.Peer) bool {
 		hub := n.around.Has(p.Instance) && !n.around.Spokes[p.Instance]
-		if hub && p.Zone == n.in.Zone && p.State == membership.Alive {
-			count++
-		}
-	}
-	return count
+		return hub && p.Zone == n.in.Zone && p.State == membership.Alive
+	}))
 }
 
 // restPerPeer is how long the list of peers rests for each of them: each change
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -221,11 +221,5 @@
 // hubPeers returns the peers of the own availability zone that are hubs.
 // The lock is held.
 func (n *Node) hubPeers() []membership.Peer {
-	hubs := make([]membership.Peer, 0, len(n.around.Near))
-	for p := range n.table.All() {
-		if n.around.Near[p.Instance] {
-			hubs = append(hubs, p)
-		}
-	}
-	return hubs
+	return n.table.Filter(func(p membership.Peer) bool { return n.around.Near[p.Instance] })
 }
--- a/node/orphans.go
+++ b/node/orphans.go
@@ -39,13 +39,9 @@
 
 // liveIn returns the instances of a zone that are heard. The lock is held.
 func (n *Node) liveIn(zone string) []membership.Peer {
-	var live []membership.Peer
-	for p := range n.table.All() {
-		if p.Zone == zone && p.State != membership.Dead && p.State != membership.Listed {
-			live = append(live, p)
-		}
-	}
-	return live
+	return n.table.Filter(func(p membership.Peer) bool {
+		return p.Zone == zone && p.State != membership.Dead && p.State != membership.Listed
+	})
 }
 
 // orphaned returns the groups of zones that have had no instance for a while.
@@ -72,12 +68,9 @@
 // groups. The lock is held.
 func (n *Node) foreignCandidates() []membership.Candidate {
 	list := []membership.Candidate{{Name: n.in.Name, Share: n.in.CPUShare}}
-	var hubs []membership.Peer
-	for p := range n.table.All() {
-		if n.sought.Has(p.Instance) && !n.sought.Spokes[p.Instance] {
-			hubs = append(hubs, p)
-		}
-	}
+	hubs := n.table.Filter(func(p membership.Peer) bool {
+		return n.sought.Has(p.Instance) && !n.sought.Spokes[p.Instance]
+	})
 	return append(list, n.candidatesOf(hubs)...)
 }
 
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -91,13 +91,17 @@
 	}
 }
 
-// checkWaiting counts the tasks that wait anew.
+// checkWaiting counts the tasks that wait anew. None has a run in the books.
 func (w *world) checkWaiting() {
 	count := 0
 	for _, j := range w.pool.queue {
 		for _, t := range j.order {
-			if t.state == waiting {
-				count++
+			if t.state != waiting {
+				continue
+			}
+			count++
+			if r := w.pool.byTask[w.pool.ref(j, t)]; r != nil {
+				w.t.Fatalf("task %d of %s waits for a place while %v is in the books", t.index, j.Key.ID, r.id)
 			}
 		}
 	}
@@ -169,12 +173,33 @@
 	next()
 }
 
+// lostJob is a job whose owner was lost. Its customer sends it again.
+type lostJob struct {
+	id string
+	at time.Time
+}
+
+// resendAfter is how long that takes at least: leases that the lost owner granted run
+// out before.
+const resendAfter = 1300 * time.Millisecond
+
+// lostLongAgo returns the id of a lost job whose customer may send it again by now.
+func (w *world) lostLongAgo() (string, bool) {
+	if len(w.lost) == 0 || w.Now().Sub(w.lost[0].at) < resendAfter {
+		return "", false
+	}
+	id := w.lost[0].id
+	w.lost = w.lost[1:]
+	return id, true
+}
+
 // takeOver starts a new pool under a higher token. What the one before had open
 // is lost with it.
 func (w *world) takeOver() {
 	w.epoch++
 	w.pool = NewPool(DefaultConfig, uint64(w.epoch))
-	for key := range w.open {
+	for _, key := range w.openKeys() {
+		w.lost = append(w.lost, lostJob{key.ID, w.Now()})
 		delete(w.open, key)
 	}
 	var list []fleet.Upstream
@@ -215,6 +240,9 @@
 	if other, found := w.anyOpen(); found && w.Rand.IntN(10) == 0 {
 		key = JobKey{fmt.Sprintf("home-%d", n), other.ID, 1}
 	}
+	if id, found := w.lostLongAgo(); found && w.Rand.IntN(2) == 0 {
+		key = JobKey{fmt.Sprintf("home-%d", n), id, 1}
+	}
 	o := Offer{
 		Key: key, Service: "s", Route: "r", Spec: "x",
 		Demand: fleet.Demand{MilliCPU: 3000}, Estimate: 150 * time.Millisecond, MaxAttempts: 4,
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -341,8 +341,12 @@
 	if t.state != placed {
 		return
 	}
-	p.setState(j, t, waiting)
-	p.enqueue(j)
+	if p.byTask[p.ref(j, t)] != nil {
+		p.setState(j, t, blocked) // a run of a former owner was found meanwhile
+	} else {
+		p.setState(j, t, waiting)
+		p.enqueue(j)
+	}
 	p.decide(Decision{
 		Kind: DecidedRetry, Job: j.Key.ID, Task: t.index, Run: t.number, Upstream: r.up.ID, Reason: reason,
 		Age: p.now.Sub(j.offered),
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -27,6 +27,7 @@
 	ordered   map[fleet.Run]int      // the sending that a run was ordered for
 	begun     map[fleet.TaskRef]bool // of its last sending
 	returned  map[fleet.TaskRef]bool // as never begun, and not offered since
+	lost      []lostJob
 	results   int
 }
 
