--- a/lab/desk.go
+++ b/lab/instance.go
@@ -9,9 +9,9 @@
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
-// desk is a coordinator and what it knows of owners. One beside an owner knows the
+// instance is a coordinator and what it knows of owners. One beside an owner knows the
 // load of that one; all else it is told, and counts itself what it sends meanwhile.
-type desk struct {
+type instance struct {
 	w           *world
 	name        string
 	zone        string
@@ -20,17 +20,17 @@
 	views       map[string]ingress.OwnerLoad
 }
 
-// newDesks returns the coordinators of a zone.
-func (w *world) newDesks(g *group, p Policies) []*desk {
-	desks := []*desk{{w: w, name: g.name, zone: g.name, beside: g}}
+// newInstances returns the coordinators of a zone.
+func (w *world) newInstances(g *group, p Policies) []*instance {
+	instances := []*instance{{w: w, name: g.name, zone: g.name, beside: g}}
 	for i := 1; i < w.d.setup.Coordinators; i++ {
-		desks = append(desks, &desk{w: w, name: fmt.Sprintf("%s-%d", g.name, i), zone: g.name})
+		instances = append(instances, &instance{w: w, name: fmt.Sprintf("%s-%d", g.name, i), zone: g.name})
 	}
-	for _, d := range desks {
-		d.views = map[string]ingress.OwnerLoad{}
-		d.coordinator = ingress.NewSimulated(d.zone, d, w, p.Ingress)
+	for _, n := range instances {
+		n.views = map[string]ingress.OwnerLoad{}
+		n.coordinator = ingress.NewSimulated(n.zone, n, w, p.Ingress)
 	}
-	return desks
+	return instances
 }
 
 // tellLoads tells the coordinators of an owner's zone, or those of the others, of its
@@ -38,10 +38,10 @@
 func (w *world) tellLoads(own bool, every time.Duration) {
 	for _, g := range w.groups {
 		load := loadOf(g.name, g.pool.Load(w.Now()))
-		for _, desks := range w.desks {
-			for _, d := range desks {
-				if (d.zone == g.name) == own {
-					d.views[g.name] = load
+		for _, instances := range w.instances {
+			for _, n := range instances {
+				if (n.zone == g.name) == own {
+					n.views[g.name] = load
 				}
 			}
 		}
@@ -54,38 +54,38 @@
 }
 
 // Loads implements ingress.Owners.
-func (d *desk) Loads() []ingress.OwnerLoad {
+func (n *instance) Loads() []ingress.OwnerLoad {
 	var list []ingress.OwnerLoad
-	for _, g := range d.w.groups {
-		if g == d.beside {
-			list = append(list, loadOf(g.name, g.pool.Load(d.w.Now())))
+	for _, g := range n.w.groups {
+		if g == n.beside {
+			list = append(list, loadOf(g.name, g.pool.Load(n.w.Now())))
 		} else {
-			list = append(list, d.views[g.name])
+			list = append(list, n.views[g.name])
 		}
 	}
 	return list
 }
 
 // Offer implements ingress.Owners.
-func (d *desk) Offer(name string, o schedule.Offer, answer owner.Answer) error {
-	o.Key.Coordinator = d.name
-	to := d.w.find(name)
-	if to == d.beside {
+func (n *instance) Offer(name string, o schedule.Offer, answer owner.Answer) error {
+	o.Key.Coordinator = n.name
+	to := n.w.find(name)
+	if to == n.beside {
 		to.take(o, answer)
 		return nil
 	}
-	view := d.views[name]
+	view := n.views[name]
 	view.Free -= len(o.Tasks)
-	d.views[name] = view
+	n.views[name] = view
 	back := func(tell func(schedule.Result, schedule.Load)) func(schedule.Result, schedule.Load) {
 		return func(r schedule.Result, l schedule.Load) {
-			d.w.AfterFunc(zoneHop, func() {
-				d.views[name] = loadOf(name, l)
+			n.w.AfterFunc(zoneHop, func() {
+				n.views[name] = loadOf(name, l)
 				tell(r, l)
 			})
 		}
 	}
-	d.w.AfterFunc(zoneHop, func() {
+	n.w.AfterFunc(zoneHop, func() {
 		to.take(o, owner.Answer{Returned: back(answer.Returned), Ended: back(answer.Ended)})
 	})
 	return nil
@@ -101,16 +101,16 @@
 }
 
 // Withdraw implements ingress.Owners.
-func (d *desk) Withdraw(name string, key schedule.JobKey, reason string) {
-	key.Coordinator = d.name
-	to := d.w.find(name)
+func (n *instance) Withdraw(name string, key schedule.JobKey, reason string) {
+	key.Coordinator = n.name
+	to := n.w.find(name)
 	withdraw := func() {
 		delete(to.answers, key)
-		to.apply(to.pool.Withdraw(d.w.Now(), key, reason))
+		to.apply(to.pool.Withdraw(n.w.Now(), key, reason))
 	}
-	if to == d.beside {
+	if to == n.beside {
 		withdraw()
 		return
 	}
-	d.w.AfterFunc(zoneHop, withdraw)
+	n.w.AfterFunc(zoneHop, withdraw)
 }
--- a/lab/world.go
+++ b/lab/world.go
@@ -43,7 +43,7 @@
 	began     time.Time
 	upstreams map[string]*standin.SimulatedUpstream
 	groups    []*group
-	desks     [][]*desk // by zone
+	instances [][]*instance // by zone
 	outcomes  []outcome
 	wasted    float64 // core-seconds of work that did not serve
 	// doubts and silences are of upstreams that the trouble does not strike.
@@ -91,12 +91,12 @@
 		w.groups = append(w.groups, w.newGroup(zone, p))
 	}
 	for _, g := range w.groups {
-		w.desks = append(w.desks, w.newDesks(g, p))
+		w.instances = append(w.instances, w.newInstances(g, p))
 	}
 	w.tellLoads(true, cmp.Or(d.setup.Views, ownViews))
 	w.tellLoads(false, cmp.Or(d.setup.Views, farViews))
 	for i, j := range d.jobs {
-		at := w.desks[j.zone][i%len(w.desks[j.zone])]
+		at := w.instances[j.zone][i%len(w.instances[j.zone])]
 		w.AfterFunc(time.Second+j.sent, func() { w.submit(j, at) })
 	}
 	w.AfterFunc(time.Second+troubleFrom, func() { w.setTrouble(true) })
@@ -193,7 +193,7 @@
 }
 
 // submit sends a job, and again where its customer was refused and comes back.
-func (w *world) submit(j *customerJob, at *desk) {
+func (w *world) submit(j *customerJob, at *instance) {
 	first := w.Now()
 	w.send(j, at, func(a ingress.Answered) {
 		w.outcomes = append(w.outcomes, outcome{Answered: a, job: j, took: w.Now().Sub(first), room: w.hasRoom(j)})
@@ -201,7 +201,7 @@
 	})
 }
 
-func (w *world) send(j *customerJob, at *desk, answered func(ingress.Answered)) {
+func (w *world) send(j *customerJob, at *instance, answered func(ingress.Answered)) {
 	k := w.d.kinds[j.kind]
 	job := &fleet.Job{ID: j.id, Steps: []fleet.Step{{Count: len(j.works), Demand: j.demand, Estimate: j.estimate}}}
 	timeUp := at.coordinator.Begin(ingress.Request{Job: job, Route: &k.route, Patience: patience}, answered)
@@ -209,7 +209,7 @@
 }
 
 // comeBack sends a refused job again when its customer was told to.
-func (w *world) comeBack(j *customerJob, at *desk, a ingress.Answered, first time.Time, left int) {
+func (w *world) comeBack(j *customerJob, at *instance, a ingress.Answered, first time.Time, left int) {
 	switch {
 	case a.Verdict == ingress.Completed && left < w.d.setup.Returns:
 		w.servedLater++
