--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,188 @@
+// Package directory holds what an instance knows of the upstreams that the platform
+// lists, and of the availability zones that operators have evacuated: one place that
+// tells whether anything new may start on an upstream. It does no I/O and is safe for
+// concurrent use.
+package directory
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+
+	"github.com/samber/lo"
+)
+
+// Entry is what the platform's list says of one upstream.
+type Entry struct {
+	ID       string
+	Upstream fleet.Upstream
+	// Gone is set where the entry was removed, Refused where it cannot be read:
+	// somebody else wrote it. It then names no upstream to use.
+	Gone    bool
+	Refused bool
+}
+
+// Directory is one such place. Use New.
+type Directory struct {
+	mu        sync.Mutex // guards what follows
+	upstreams map[string]fleet.Upstream
+	listed    bool                 // the upstreams have been read
+	drainedAt map[string]time.Time // when an upstream was first known to drain
+	services  map[string]bool      // that the configuration names; nil before there is one
+	zones     zones
+}
+
+// New returns a directory that knows nothing.
+func New() *Directory {
+	return &Directory{upstreams: map[string]fleet.Upstream{}, drainedAt: map[string]time.Time{}, zones: zones{rows: map[string]zoneRow{}}}
+}
+
+// Replace takes the whole list of upstreams. It returns the ids of those that are
+// newly known to drain.
+func (d *Directory) Replace(now time.Time, entries []Entry) (draining []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.upstreams
+	d.upstreams = make(map[string]fleet.Upstream, len(entries))
+	d.listed = true
+	for _, e := range entries {
+		if u, known := before[e.ID]; known && e.Refused {
+			d.upstreams[e.ID] = u
+		}
+	}
+	return d.take(now, entries)
+}
+
+// Update takes the entries that have changed. It returns the ids of those that are
+// newly known to drain.
+func (d *Directory) Update(now time.Time, entries []Entry) (draining []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.take(now, entries)
+}
+
+func (d *Directory) take(now time.Time, entries []Entry) (draining []string) {
+	for _, e := range entries {
+		switch {
+		case e.Gone:
+			delete(d.upstreams, e.ID)
+			delete(d.drainedAt, e.ID)
+		case e.Refused:
+			d.close(e.ID)
+		default:
+			d.upstreams[e.ID] = e.Upstream
+			if e.Upstream.Draining && d.drains(now, e.ID) {
+				draining = append(draining, e.ID)
+			}
+		}
+	}
+	return draining
+}
+
+// close keeps an upstream whose entry was overwritten by one that cannot be read:
+// what runs there is still looked after, and nothing new starts until a good entry
+// is back. One that was not known stays unknown.
+func (d *Directory) close(id string) {
+	if u, known := d.upstreams[id]; known {
+		u.Closed = true
+		d.upstreams[id] = u
+	}
+}
+
+func (d *Directory) drains(now time.Time, id string) bool {
+	if _, known := d.drainedAt[id]; known {
+		return false
+	}
+	d.drainedAt[id] = now
+	return true
+}
+
+// Drains notes what a peer says: that upstreams are leaving. It returns those of
+// which that is news. They stay so for the rest of their lives.
+func (d *Directory) Drains(now time.Time, ids []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return lo.Filter(ids, func(id string, _ int) bool { return d.drains(now, id) })
+}
+
+// DrainsSince returns the upstreams that were first known to drain after a moment.
+func (d *Directory) DrainsSince(since time.Time) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(lo.PickBy(d.drainedAt, func(_ string, at time.Time) bool { return at.After(since) })))
+}
+
+// Unlist notes that the list is not followed any more.
+func (d *Directory) Unlist() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed = false
+}
+
+// SetServices takes the services that the configuration names. An upstream of
+// another service is not used. A configuration that names none says nothing of them.
+func (d *Directory) SetServices(names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.services = nil
+	if len(names) == 0 {
+		return
+	}
+	d.services = lo.SliceToMap(names, func(name string) (string, bool) { return name, true })
+}
+
+// Ready reports whether groups may be taken: the upstreams are listed, and it is
+// known which availability zones are evacuated.
+func (d *Directory) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed && d.zones.asOf > 0
+}
+
+// Listed reports whether the upstreams have been read.
+func (d *Directory) Listed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
+// Count returns how many upstreams an availability zone has.
+func (d *Directory) Count(zone string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return lo.CountBy(slices.Collect(maps.Values(d.upstreams)), func(u fleet.Upstream) bool { return u.Zone == zone })
+}
+
+// Lookup returns an upstream that is listed.
+func (d *Directory) Lookup(id string) (fleet.Upstream, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	u, known := d.upstreams[id]
+	return d.marked(u), known
+}
+
+// Select returns the upstreams of the configured services that a caller chooses, by
+// id. Draining and Closed tell what is known from all sides.
+func (d *Directory) Select(chosen func(fleet.Upstream) bool) []fleet.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []fleet.Upstream
+	for _, u := range d.upstreams {
+		if (d.services == nil || d.services[u.Service]) && chosen(u) {
+			list = append(list, d.marked(u))
+		}
+	}
+	slices.SortFunc(list, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (d *Directory) marked(u fleet.Upstream) fleet.Upstream {
+	_, draining := d.drainedAt[u.ID]
+	u.Draining = u.Draining || draining
+	u.Closed = u.Closed || d.zones.rows[u.Zone].evacuated
+	return u
+}
--- a/event/event.go
+++ b/event/event.go
@@ -66,6 +66,8 @@
 	UpstreamHeard   = add(804, "upstream_heard", slog.LevelInfo, "A silent upstream answers again.")
 	UpstreamGone    = add(805, "upstream_gone", slog.LevelInfo, "The life of an upstream is over.")
 	UpstreamFenced  = add(806, "upstream_fenced", slog.LevelWarn, "An upstream has seen a higher fencing token: another instance owns it.")
+	ZoneEvacuated   = add(807, "zone_evacuated", slog.LevelWarn, "Operators have evacuated an availability zone: nothing new starts on its upstreams.")
+	ZoneReturned    = add(808, "zone_returned", slog.LevelInfo, "The evacuation of an availability zone was taken back: its upstreams may be used again.")
 	GroupTaken      = add(811, "group_taken", slog.LevelInfo, "This instance owns a group of upstreams now.")
 	GroupLost       = add(812, "group_lost", slog.LevelWarn, "A peer owns a group under a higher token; this instance gave it up.")
 	GroupReleased   = add(813, "group_released", slog.LevelInfo, "A drained group was let go in a planned stop.")
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -27,6 +27,14 @@
 	Timing Timing
 }
 
+// InstanceEntry is what an instance tells the others of itself through the store.
+type InstanceEntry struct {
+	Address string // of the listener for peers
+	Region  string
+	Zone    string
+	Share   float64 // of a processor
+}
+
 // Timing holds the bounds that an installation sets.
 type Timing struct {
 	MaxTaskLease time.Duration // that upstreams grant
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -25,6 +25,8 @@
 type Config struct {
 	Version uint64
 	Routes  []Route
+	// Services are those whose upstreams run tasks.
+	Services []string
 	// MostBody bounds the body of a request, in bytes; 0 is no bound.
 	MostBody int
 	// Raw is the configuration as it was received, for peers.
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -7,7 +7,10 @@
 	Service  string
 	Address  string // host and port
 	Zone     string
-	Draining bool
+	Draining bool // it is leaving, for good
+	// Closed is set while nothing new may start there, for a reason that may
+	// pass: its availability zone is evacuated, or its entry cannot be read.
+	Closed   bool
 	Capacity Demand
 }
 
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -131,7 +131,7 @@
 
 func (c *Coordinator) newPending(r Request) *pending {
 	p := &pending{
-		Request: r, c: c, began: c.clock.Now(), decided: make(chan struct{}), left: map[int]bool{},
+		Request: r, c: c, began: c.clock.Now(), decided: make(chan struct{}), left: map[int]bool{}, past: map[int]schedule.Past{},
 		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{}, cut: map[string]bool{}, full: map[string]bool{},
 	}
 	for i := range r.Job.Steps[0].Count {
@@ -232,8 +232,9 @@
 }
 
 // retryAfter is when a customer should send its job again, zero where it should
-// not. Crowded is set where the load was the reason.
-func (c *Coordinator) retryAfter(v Verdict, crowded bool) time.Duration {
+// not. Crowded is set where the load was the reason, closed where nothing may start
+// on any upstream.
+func (c *Coordinator) retryAfter(v Verdict, crowded, closed bool) time.Duration {
 	switch {
 	case v == Completed:
 		c.returns.completed(c.clock.Now())
@@ -242,6 +243,8 @@
 		return 0
 	case crowded && c.policy.SpreadReturns:
 		return c.returns.next(c.clock.Now())
+	case closed:
+		return closedReturn
 	default:
 		return soonest
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -263,3 +264,48 @@
 		t.Errorf("%d owners were asked", asked)
 	}
 }
+
+// TestEvacuatedAll: where operators have evacuated every availability zone, a job is
+// rejected at once with word of when to come back, and offered to nobody.
+func TestEvacuatedAll(t *testing.T) {
+	closed := []OwnerLoad{{Group: "a/0", Zone: "a", Closed: true}, {Group: "b/0", Zone: "b", Closed: true}}
+	c := NewSimulated("a", &owners{loads: closed, offer: func(group string, _ schedule.Offer, _ owner.Answer) error {
+		t.Errorf("a job is offered to %s", group)
+		return nil
+	}}, stillClock{}, DefaultPolicy)
+	var answers []Answered
+	c.Begin(request(2), func(a Answered) { answers = append(answers, a) })
+	if len(answers) != 1 || answers[0].Verdict != NotRun || answers[0].RetryAfter != closedReturn {
+		t.Errorf("%+v, want one rejection to come back after %v", answers, closedReturn)
+	}
+}
+
+// TestBegunJobMoves: the zone of a half begun job is evacuated. The task that waited,
+// and the one whose run failed, go to the other zone with their past, and the job is
+// complete.
+func TestBegunJobMoves(t *testing.T) {
+	moved := map[int]schedule.Past{}
+	f := &owners{loads: twoZones()}
+	f.offer = func(group string, o schedule.Offer, a owner.Answer) error {
+		if group == "b/0" {
+			if !o.Begun {
+				t.Errorf("tasks %v are offered as if nothing of their job had begun", o.Tasks)
+			}
+			maps.Copy(moved, o.Past)
+			end(a, schedule.Result{Outcome: schedule.Completed, Done: o.Tasks, Begun: true})
+			return nil
+		}
+		f.loads[0] = OwnerLoad{Group: "a/0", Zone: "a", Closed: true}
+		past := map[int]schedule.Past{2: {Number: 1, Failed: 1}}
+		a.Returned(schedule.Result{Returned: []int{1}, Begun: true}, schedule.Load{})
+		end(a, schedule.Result{Outcome: schedule.Completed, Done: []int{0}, Returned: []int{2}, Past: past, Begun: true})
+		return nil
+	}
+	a := NewCoordinator("a", f).Run(request(3), nil)
+	if a.Verdict != Completed || !a.Begun {
+		t.Errorf("%+v", a)
+	}
+	if len(moved) != 1 || moved[2] != (schedule.Past{Number: 1, Failed: 1}) {
+		t.Errorf("they take %v along", moved)
+	}
+}
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -24,17 +24,19 @@
 	onVerdict func(Answered)
 
 	mu     sync.Mutex
-	left   map[int]bool    // tasks that are not done
-	idle   []int           // tasks that no owner has
-	parts  map[int]*part   // offers that have not ended, by number
-	tried  map[string]bool // groups that had no room
-	never  map[string]bool // groups where no task can ever fit
-	cut    map[string]bool // groups whose owner could not be reached
-	full   map[string]bool // groups that expect no room in time
+	left   map[int]bool          // tasks that are not done
+	past   map[int]schedule.Past // of those that ran in vain, and go on elsewhere
+	idle   []int                 // tasks that no owner has
+	parts  map[int]*part         // offers that have not ended, by number
+	tried  map[string]bool       // groups that had no room
+	never  map[string]bool       // groups where no task can ever fit
+	cut    map[string]bool       // groups whose owner could not be reached
+	full   map[string]bool       // groups that expect no room in time
 	begun  bool
 	offers int      // that were made
 	asked  []string // groups that were offered tasks, in order
 	owners int      // known at the last offer
+	closed bool     // nothing may start at any of them
 	// ownersAge is the age of the oldest of their load reports.
 	ownersAge time.Duration
 	joined    bool // its customer has sent it again, and waits there
@@ -119,7 +121,7 @@
 	}
 	p.answer = Answered{
 		Verdict: v, Reason: reason, Begun: p.begun, Offers: p.offers, Groups: strings.Join(p.asked, ","),
-		RetryAfter: p.c.retryAfter(v, len(p.full) > 0), Owners: p.owners, OwnersAge: p.ownersAge,
+		RetryAfter: p.c.retryAfter(v, len(p.full) > 0, p.closed), Owners: p.owners, OwnersAge: p.ownersAge,
 	}
 	close(p.decided)
 	parts := slices.SortedFunc(maps.Values(p.parts), func(a, b *part) int { return a.number - b.number })
@@ -143,6 +145,7 @@
 		}
 		loads := p.c.owners.Loads()
 		p.owners = len(loads)
+		p.closed = len(loads) > 0 && lo.EveryBy(loads, func(l OwnerLoad) bool { return l.Closed })
 		p.ownersAge = lo.MaxBy(loads, func(a, b OwnerLoad) bool { return a.Age > b.Age }).Age
 		choice, found := p.c.policy.choose(p.usable(loads), p.c.zone, p.tried, len(p.idle), p.begun || len(p.parts) > 0)
 		if !found {
@@ -183,6 +186,7 @@
 		Service: p.Route.Service, Route: p.Route.Name, Spec: p.Job.Spec, Demand: step.Demand, Estimate: step.Estimate,
 		Priority: p.Route.Priority, MaxAttempts: p.Route.MaxAttempts, Tasks: p.idle,
 		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: age, Patience: p.Patience - age, MayQueue: choice.Queue, Whole: choice.Whole, Begun: p.begun,
+		Past: lo.PickByKeys(p.past, p.idle),
 	}
 	part := &part{number: p.offers, group: choice.Group, tasks: lo.Keyify(p.idle), queue: choice.Queue}
 	p.idle = nil
@@ -219,7 +223,7 @@
 func (p *pending) unplaced() {
 	p.mu.Lock()
 	waits := len(p.parts) > 0
-	begun, never, full := p.begun, len(p.never) > 0 && len(p.cut)+len(p.full) == 0, len(p.full) > 0
+	begun, never, full, closed := p.begun, len(p.never) > 0 && len(p.cut)+len(p.full) == 0, len(p.full) > 0, p.closed
 	clear(p.cut)
 	clear(p.tried)
 	p.mu.Unlock()
@@ -232,6 +236,10 @@
 		p.settle(Failed, "no upstream is large enough")
 	case full:
 		p.settle(NotRun, "no room in time")
+	case closed && begun:
+		p.settle(Unknown, "nothing may start on any upstream")
+	case closed:
+		p.settle(NotRun, "nothing may start on any upstream")
 	case p.c.clock.Now().Sub(p.began) < p.Objective():
 		p.offerLater()
 	case begun:
@@ -259,11 +267,12 @@
 	})
 }
 
-// returned takes tasks back that never began.
+// returned takes tasks back that are not at work at an owner, and will not be.
 func (p *pending) returned(part *part, r schedule.Result) {
 	p.mu.Lock()
+	maps.Copy(p.past, r.Past)
 	p.takeBack(part, r.Returned)
-	p.begun = p.begun || len(part.tasks) > 0 // the others run there
+	p.begun = p.begun || r.Begun || len(part.tasks) > 0 // the others run there
 	p.mu.Unlock()
 	p.offerIdle()
 }
@@ -273,12 +282,13 @@
 	p.mu.Lock()
 	delete(p.parts, part.number)
 	p.begun = p.begun || r.Begun
+	maps.Copy(p.past, r.Past)
 	for _, t := range r.Done {
 		delete(p.left, t)
 		delete(part.tasks, t)
 	}
 	if r.Outcome == schedule.Completed || !r.Begun {
-		p.takeBack(part, lo.Keys(part.tasks)) // they never began
+		p.takeBack(part, lo.Keys(part.tasks)) // they are not at work there
 	}
 	switch r.Outcome {
 	case schedule.NeverFits:
--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -12,6 +12,7 @@
 	Free     int   // tasks that fit now
 	Waiting  int   // tasks that wait
 	Capacity int64 // thousandths of a core
+	Closed   bool  // nothing may start there
 	Age      time.Duration
 }
 
--- a/ingress/returns.go
+++ b/ingress/returns.go
@@ -32,6 +32,10 @@
 	// soonest is used where the load is not the reason: another instance, or this
 	// one, will serve in about a second, and the field has no smaller unit.
 	soonest = time.Second
+	// closedReturn is used where nothing may start on any upstream: operators have
+	// evacuated every availability zone, which lasts for some seconds at least, and
+	// nobody knows how long. Asking more often serves nobody.
+	closedReturn = 3 * time.Second
 )
 
 // completed counts a job that was served.
--- a/lab/instance.go
+++ b/lab/instance.go
@@ -50,7 +50,7 @@
 }
 
 func loadOf(zone string, l schedule.Load) ingress.OwnerLoad {
-	return ingress.OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity}
+	return ingress.OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
 }
 
 // Loads implements ingress.Owners.
--- a/node/convert.go
+++ b/node/convert.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -13,11 +15,11 @@
 
 // claimFor words the ownership of a group, and its load.
 func claimFor(g *owner.Group, l schedule.Load) *inner.Claim {
-	return &inner.Claim{Group: g.Name, Token: g.Token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity}
+	return &inner.Claim{Group: g.Name, Token: g.Token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity, Closed: l.Closed}
 }
 
 func loadFrom(c *inner.Claim) schedule.Load {
-	return schedule.Load{Free: int(c.GetFree()), Waiting: int(c.GetWaiting()), Capacity: c.GetCapacity()}
+	return schedule.Load{Free: int(c.GetFree()), Waiting: int(c.GetWaiting()), Capacity: c.GetCapacity(), Closed: c.GetClosed()}
 }
 
 func toInts(list []uint32) []int { return lo.Map(list, func(v uint32, _ int) int { return int(v) }) }
@@ -26,15 +28,37 @@
 	return lo.Map(list, func(v int, _ int) uint32 { return uint32(v) })
 }
 
+// pastTo words what tasks that go elsewhere take along, by task.
+func pastTo(past map[int]schedule.Past) []*inner.TaskPast {
+	var list []*inner.TaskPast
+	for _, task := range slices.Sorted(maps.Keys(past)) {
+		list = append(list, &inner.TaskPast{Task: uint32(task), Number: past[task].Number, Failed: uint32(past[task].Failed)})
+	}
+	return list
+}
+
+func pastFrom(list []*inner.TaskPast) map[int]schedule.Past {
+	if len(list) == 0 {
+		return nil
+	}
+	past := make(map[int]schedule.Past, len(list))
+	for _, t := range list {
+		past[int(t.GetTask())] = schedule.Past{Number: t.GetNumber(), Failed: int(t.GetFailed())}
+	}
+	return past
+}
+
 func returnedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
 	return &inner.Frame{Body: &inner.Frame_OfferReturned{OfferReturned: &inner.OfferReturned{
 		Group: g.Name, Job: r.Key.ID, Part: uint32(r.Key.Part), Tasks: fromInts(r.Returned), Load: claimFor(g, l),
+		Begun: r.Begun, Past: pastTo(r.Past),
 	}}}
 }
 
 func endedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
 	return &inner.Frame{Body: &inner.Frame_OfferEnded{OfferEnded: &inner.OfferEnded{
 		Outcome: string(r.Outcome), Done: fromInts(r.Done), Returned: fromInts(r.Returned), Begun: r.Begun, Load: claimFor(g, l),
+		Past: pastTo(r.Past),
 	}}}
 }
 
@@ -45,6 +69,7 @@
 		EstimateMs: uint32(o.Estimate.Milliseconds()), Priority: uint32(o.Priority), MaxAttempts: uint32(o.MaxAttempts),
 		Tasks: fromInts(o.Tasks), Stretch: o.Stretch, SlackMs: uint32(o.Slack.Milliseconds()),
 		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Patience, 0).Milliseconds()), MayQueue: o.MayQueue, Begun: o.Begun, Whole: o.Whole,
+		Past: pastTo(o.Past),
 	}
 }
 
@@ -57,5 +82,6 @@
 		MaxAttempts: int(m.GetMaxAttempts()), Tasks: toInts(m.GetTasks()), Stretch: m.GetStretch(),
 		Slack: time.Duration(m.GetSlackMs()) * time.Millisecond, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		Patience: time.Duration(m.GetPatienceMs()) * time.Millisecond, MayQueue: m.GetMayQueue(), Begun: m.GetBegun(), Whole: m.GetWhole(),
+		Past: pastFrom(m.GetPast()),
 	}
 }
--- a/node/groups.go
+++ b/node/groups.go
@@ -67,16 +67,9 @@
 // a peer hands the group over, those that it has let go. The lock is held.
 func (n *Node) membersOf(group string) []fleet.Upstream {
 	_, leaving := n.claimOf(group, true)
-	var list []fleet.Upstream
-	for _, u := range n.upstreams {
-		if n.groupOf(u) == group && (leaving == nil || slices.Contains(leaving.GetReleased(), u.ID)) {
-			_, draining := n.drainedAt[u.ID]
-			u.Draining = u.Draining || draining
-			list = append(list, u)
-		}
-	}
-	slices.SortFunc(list, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
-	return list
+	return n.directory.Select(func(u fleet.Upstream) bool {
+		return n.groupOf(u) == group && (leaving == nil || slices.Contains(leaving.GetReleased(), u.ID))
+	})
 }
 
 // updateGroups gives each owned group its upstreams. One update is carried out
@@ -138,11 +131,11 @@
 // for all instances, through the store.
 func (n *Node) countGroups() {
 	n.mu.Lock()
-	if n.groupCounts[n.in.Zone] > 0 || n.counting || !n.listed {
+	if n.groupCounts[n.in.Zone] > 0 || n.counting || !n.directory.Listed() {
 		n.mu.Unlock()
 		return
 	}
-	count := lo.CountBy(slices.Collect(maps.Values(n.upstreams)), func(u fleet.Upstream) bool { return u.Zone == n.in.Zone })
+	count := n.directory.Count(n.in.Zone)
 	if count == 0 || !n.counted(count, time.Now()) {
 		n.mu.Unlock()
 		return
--- a/node/neighbours_test.go
+++ b/node/neighbours_test.go
@@ -163,9 +163,7 @@
 
 // knows reports whether an instance knows an upstream.
 func (n *Node) knows(upstream string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	_, known := n.upstreams[upstream]
+	_, known := n.directory.Lookup(upstream)
 	return known
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/connset"
+	"github.com/sedgehatch/sedgehatch/directory"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -50,6 +51,8 @@
 	store     *platform.Store
 	calls     *platform.Upstreams
 	mesh      *inner.Mesh
+	directory *directory.Directory // of upstreams; its lock is taken last
+	refusals  entryRefusals
 	router    *router
 	ingress   *ingress.Coordinator
 	server    *ingress.Server
@@ -69,16 +72,14 @@
 
 	updating sync.Mutex // held while groups are given their upstreams; taken before mu
 
-	mu        sync.Mutex // guards what follows
-	table     *membership.Table
-	heard     map[string]*inner.Presence // by instance
-	upstreams map[string]fleet.Upstream
-	listed    bool // the upstreams have been read once
-	groups    map[string]*held
-	highest   uint64                 // fencing token heard of
-	dialing   map[string]bool        // instances that are being connected to
-	dials     map[string]dialOutcome // of the addresses of peers
-	absent    map[string]time.Time   // when a connection to an instance was refused last
+	mu      sync.Mutex // guards what follows
+	table   *membership.Table
+	heard   map[string]*inner.Presence // by instance
+	groups  map[string]*held
+	highest uint64                 // fencing token heard of
+	dialing map[string]bool        // instances that are being connected to
+	dials   map[string]dialOutcome // of the addresses of peers
+	absent  map[string]time.Time   // when a connection to an instance was refused last
 	// registered holds the zones of the instances that the store lists now.
 	registered map[string]string
 	peersRead  bool // the instances have been read once
@@ -92,10 +93,9 @@
 	lastCount   int
 	lastCountAt time.Time
 	configAsk   configAsk
-	counting    bool                 // the number of groups is being written
-	drainedAt   map[string]time.Time // when an upstream was first known to drain
-	toldFar     time.Time            // when far neighbours heard last
-	relayed     time.Time            // when spokes heard last of owners in other zones
+	counting    bool      // the number of groups is being written
+	toldFar     time.Time // when far neighbours heard last
+	relayed     time.Time // when spokes heard last of owners in other zones
 	around      *membership.Neighbours
 	sought      *membership.Neighbours // as around, if nobody were lost
 	basis       neighbourBasis         // what both follow from
@@ -130,10 +130,10 @@
 	in := do.MustInvoke[fleet.Instance](i)
 	n := &Node{
 		in: in, self: fate.Incarnation(in.Name + "." + uuid.NewString()[:8]), log: do.MustInvoke[*slog.Logger](i),
-		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(),
+		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(), directory: directory.New(),
 		began: time.Now(),
-		table: membership.NewTable(silence), around: &membership.Neighbours{Hub: true, Hubs: 1}, sought: &membership.Neighbours{}, parted: map[string]bool{}, heard: map[string]*inner.Presence{}, upstreams: map[string]fleet.Upstream{},
-		groups: map[string]*held{}, dialing: map[string]bool{}, absent: map[string]time.Time{}, dials: map[string]dialOutcome{}, registered: map[string]string{}, unstaffed: map[string]time.Time{}, orphanRetry: map[string]time.Time{}, groupCounts: map[string]int{}, drainedAt: map[string]time.Time{},
+		table: membership.NewTable(silence), around: &membership.Neighbours{Hub: true, Hubs: 1}, sought: &membership.Neighbours{}, parted: map[string]bool{}, heard: map[string]*inner.Presence{},
+		groups: map[string]*held{}, dialing: map[string]bool{}, absent: map[string]time.Time{}, dials: map[string]dialOutcome{}, registered: map[string]string{}, unstaffed: map[string]time.Time{}, orphanRetry: map[string]time.Time{}, groupCounts: map[string]int{},
 	}
 	n.decisions = newDecisionLog(n.log)
 	n.stop, n.cancel = context.WithCancel(context.Background())
@@ -196,7 +196,7 @@
 // Run starts the instance and returns at once.
 func (n *Node) Run() {
 	n.running.Go(func() { n.mesh.Serve(n.listener) })
-	n.running.Go(n.followConfig)
+	n.running.Go(n.followOperators)
 	n.running.Go(n.followUpstreams)
 	n.running.Go(n.followPeers)
 	n.running.Go(n.register)
--- /dev/null
+++ b/node/operators.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/directory"
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/platform"
+
+	"github.com/samber/lo"
+)
+
+// What operators want stands in the store: the configuration, and the availability
+// zones that are evacuated. One watch tells of both.
+
+func (n *Node) followOperators() {
+	n.follow(follower{
+		prefix: platform.OperatorPrefix, wait: n.configWait, rest: noRest,
+		replace: func(items []platform.Item, revision uint64) {
+			n.zonesChanged(n.directory.ReplaceZones(revision, zoneStates(items)), "store")
+			n.takeConfigItem(items)
+		},
+		update: func(items []platform.Item) {
+			n.zonesChanged(n.directory.UpdateZones(zoneStates(items)), "store")
+			n.takeConfigItem(items)
+		},
+	})
+}
+
+// zoneStates returns what some keys say of the evacuation of availability zones.
+func zoneStates(items []platform.Item) []directory.ZoneState {
+	return lo.FilterMap(items, func(i platform.Item, _ int) (directory.ZoneState, bool) {
+		zone, is := platform.EvacuatedZone(i.Key)
+		return directory.ZoneState{Zone: zone, Evacuated: !i.Deleted, Revision: i.Revision}, is
+	})
+}
+
+// zonesChanged acts on evacuations that began or were taken back: owned groups start
+// nothing more in those zones, or may again, and peers hear of it at once.
+func (n *Node) zonesChanged(changed []directory.ZoneState, from string) {
+	for _, s := range changed {
+		e := event.ZoneReturned
+		if s.Evacuated {
+			e = event.ZoneEvacuated
+		}
+		e.Log(n.log, slog.String("zone", s.Zone), slog.Uint64("revision", s.Revision), slog.String("from", from))
+	}
+	if len(changed) == 0 {
+		return
+	}
+	n.updateGroups()
+	n.tick()
+}
+
+// hearZones takes what a peer knows of evacuated zones.
+func (n *Node) hearZones(from string, p *inner.Presence) {
+	if p.GetZonesRevision() == 0 {
+		return
+	}
+	n.zonesChanged(n.directory.ReplaceZones(p.GetZonesRevision(), zonesFrom(p)), from)
+}
+
+func zonesFrom(p *inner.Presence) []directory.ZoneState {
+	return lo.Map(p.GetZones(), func(z *inner.ZoneState, _ int) directory.ZoneState {
+		return directory.ZoneState{Zone: z.GetZone(), Evacuated: z.GetEvacuated(), Revision: z.GetRevision()}
+	})
+}
+
+// tellZones words what this instance knows of evacuated zones.
+func (n *Node) tellZones(p *inner.Presence) {
+	var states []directory.ZoneState
+	states, p.ZonesRevision = n.directory.Zones()
+	for _, s := range states {
+		p.Zones = append(p.Zones, &inner.ZoneState{Zone: s.Zone, Evacuated: s.Evacuated, Revision: s.Revision})
+	}
+}
+
+func (n *Node) takeConfigItem(items []platform.Item) {
+	for _, item := range items {
+		if item.Key == platform.ConfigKey && !item.Deleted {
+			n.takeConfig(item.Value, "store")
+		}
+	}
+}
+
+// configWait bounds a watch on the configuration. An answer that is lost is noticed
+// that late by those who watch closely; the others hear of a new version with the next
+// heartbeat of these. One that hears few of them watches closely itself. It spares a
+// third of all calls to the store: 12,000 instead of 18,300 by 147 instances on a calm
+// day of 65 s.
+func (n *Node) configWait() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.around.Hub && n.around.Rank < closeWatchers || n.hubsHeard() < closeWatchers {
+		return closeConfigWait
+	}
+	return configWait
+}
+
+// hubsHeard counts the other hubs of the own availability zone that live. The lock is
+// held.
+func (n *Node) hubsHeard() int {
+	return len(n.table.Filter(func(p membership.Peer) bool {
+		hub := n.around.Has(p.Instance) && !n.around.Spokes[p.Instance]
+		return hub && p.Zone == n.in.Zone && p.State == membership.Alive
+	}))
+}
+
+// takeConfig puts a configuration in force, unless it is not newer.
+func (n *Node) takeConfig(raw []byte, from string) {
+	config, err := platform.ParseConfig(raw)
+	if err != nil {
+		event.ConfigRefused.Log(n.log, slog.String("from", from), slog.String("error", err.Error()))
+		return
+	}
+	for {
+		old := n.config.Load()
+		if old != nil && old.Version >= config.Version {
+			return
+		}
+		if n.config.CompareAndSwap(old, config) {
+			break
+		}
+	}
+	event.ConfigApplied.Log(n.log, slog.Uint64("version", config.Version), slog.String("from", from), slog.Int("routes", len(config.Routes)))
+	n.directory.SetServices(config.Services)
+	n.updateGroups()
+	n.tick() // peers hear of it at once
+}
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -285,7 +285,7 @@
 
 // canTake reports whether a group is free. The lock is held.
 func (n *Node) canTake(group string) bool {
-	if n.groups[group] != nil || !n.listed || len(n.membersOf(group)) == 0 {
+	if n.groups[group] != nil || !n.directory.Ready() || len(n.membersOf(group)) == 0 {
 		return false
 	}
 	_, claim := n.claimOf(group, false)
--- a/node/peers.go
+++ b/node/peers.go
@@ -53,12 +53,9 @@
 		Leaving: n.leaving.Load(), HighestToken: n.highest, Share: n.in.CPUShare,
 		GroupCounts: lo.MapValues(n.groupCounts, func(count int, _ string) uint32 { return uint32(count) }),
 	}
-	for id, at := range n.drainedAt {
-		if time.Since(at) < tellDrains {
-			p.Draining = append(p.Draining, id)
-		}
-	}
 	n.mu.Unlock()
+	p.Draining = n.directory.DrainsSince(time.Now().Add(-tellDrains))
+	n.tellZones(p)
 	if c := n.config.Load(); c != nil {
 		p.ConfigVersion = c.Version
 	}
@@ -222,16 +219,15 @@
 	before := n.heard[from.Instance()]
 	n.heard[from.Instance()] = p
 	n.highest = max(n.highest, p.GetHighestToken())
-	leaving := false
-	for _, id := range p.GetDraining() {
-		leaving = n.drains(id, from.Instance()) || leaving
-	}
 	for zone, count := range p.GetGroupCounts() {
-		if n.groupCounts[zone] == 0 && count > 0 {
+		if n.groupCounts[zone] == 0 && count > 0 && count <= mostGroups {
 			n.groupCounts[zone] = int(count)
 		}
 	}
 	n.mu.Unlock()
+	leaving := n.directory.Drains(time.Now(), p.GetDraining())
+	n.logDrains(leaving, from.Instance())
+	n.hearZones(from.Instance(), p)
 	n.router.heard(from, p)
 	n.router.heardOf(p.GetRelayed())
 	n.changed(changes)
@@ -240,7 +236,7 @@
 		// take long to open, and it should not take itself for alone.
 		n.answer(link, from.Instance())
 	}
-	if leaving {
+	if len(leaving) > 0 {
 		n.updateGroups()
 	}
 	n.learnsVersion(link, p.GetConfigVersion())
--- a/node/relay.go
+++ b/node/relay.go
@@ -47,7 +47,7 @@
 		}
 		list = append(list, &inner.RemoteOwner{
 			Claim: &inner.Claim{
-				Group: group, Token: v.token, Free: uint32(max(v.load.Free, 0)), Waiting: uint32(v.load.Waiting), Capacity: v.load.Capacity,
+				Group: group, Token: v.token, Free: uint32(max(v.load.Free, 0)), Waiting: uint32(v.load.Waiting), Capacity: v.load.Capacity, Closed: v.load.Closed,
 			},
 			Incarnation: string(v.peer), AgeMs: uint32(time.Since(v.heard).Milliseconds()),
 		})
--- a/node/router.go
+++ b/node/router.go
@@ -110,7 +110,7 @@
 }
 
 func loadOf(group string, l schedule.Load) ingress.OwnerLoad {
-	return ingress.OwnerLoad{Group: group, Zone: zoneOf(group), Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity}
+	return ingress.OwnerLoad{Group: group, Zone: zoneOf(group), Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
 }
 
 // heard takes what a peer says of the groups that it owns.
@@ -205,7 +205,7 @@
 		r.updateLoad(ended.GetLoad())
 		answer.Ended(schedule.Result{
 			Key: k.key, Outcome: schedule.Outcome(ended.GetOutcome()), Begun: ended.GetBegun(),
-			Done: toInts(ended.GetDone()), Returned: toInts(ended.GetReturned()),
+			Done: toInts(ended.GetDone()), Returned: toInts(ended.GetReturned()), Past: pastFrom(ended.GetPast()),
 		}, loadFrom(ended.GetLoad()))
 	}
 }
@@ -227,7 +227,7 @@
 	answer := r.sent[k]
 	r.mu.Unlock()
 	if answer != nil {
-		answer.Returned(schedule.Result{Key: k.key, Returned: toInts(m.GetTasks())}, loadFrom(m.GetLoad()))
+		answer.Returned(schedule.Result{Key: k.key, Returned: toInts(m.GetTasks()), Past: pastFrom(m.GetPast()), Begun: m.GetBegun()}, loadFrom(m.GetLoad()))
 	}
 }
 
--- /dev/null
+++ b/node/upstreams.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/directory"
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/platform"
+)
+
+func (n *Node) followUpstreams() {
+	n.follow(follower{
+		prefix: platform.UpstreamPrefix, wait: always(upstreamWait), rest: n.upstreamRest, needed: n.needsUpstreams, roughly: n.needsRoughly,
+		replace: func(items []platform.Item, _ uint64) {
+			n.upstreamsChanged(n.directory.Replace(time.Now(), n.entries(items)))
+		},
+		update: func(items []platform.Item) {
+			n.upstreamsChanged(n.directory.Update(time.Now(), n.entries(items)))
+		},
+	})
+}
+
+// entries decodes the entries of upstreams. What cannot be read is logged.
+func (n *Node) entries(items []platform.Item) []directory.Entry {
+	list := make([]directory.Entry, 0, len(items))
+	for _, item := range items {
+		e := directory.Entry{ID: platform.UpstreamID(item.Key), Gone: item.Deleted}
+		if !item.Deleted {
+			var err error
+			e.Upstream, err = platform.ParseUpstream(item.Key, item.Value)
+			e.Refused = n.refusals.entry(n, item.Key, err)
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+// upstreamsChanged gives owned groups the list as it is now, and notes the upstreams
+// that are newly known to drain.
+func (n *Node) upstreamsChanged(draining []string) {
+	n.logDrains(draining, "store")
+	n.updateGroups()
+}
+
+// logDrains logs those of some upstreams that this instance owns.
+func (n *Node) logDrains(ids []string, from string) {
+	for _, id := range ids {
+		u, listed := n.directory.Lookup(id)
+		n.mu.Lock()
+		owned := listed && n.groups[n.groupOf(u)] != nil
+		n.mu.Unlock()
+		if owned {
+			event.UpstreamLeaving.Log(n.log, slog.String("upstream", id), slog.String("from", from))
+		}
+	}
+}
+
+// mostRefused bounds how many refused keys are remembered, so that each is logged once
+// for a reason and not with each read.
+const mostRefused = 1024
+
+// entryRefusals remembers why entries of the store were refused.
+type entryRefusals struct {
+	mu      sync.Mutex
+	reasons map[string]string // by key
+}
+
+// entry notes whether an entry could be read, and reports whether it is refused.
+func (r *entryRefusals) entry(n *Node, key string, err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		delete(r.reasons, key)
+		return false
+	}
+	n.metrics.Add("entries_refused", 1)
+	reason := failure.FieldOf(err) + ": " + failure.Text(err)
+	if r.reasons[key] == reason {
+		return true
+	}
+	if r.reasons == nil || len(r.reasons) >= mostRefused {
+		r.reasons = map[string]string{}
+	}
+	r.reasons[key] = reason
+	event.EntryRefused.Log(n.log, slog.String("key", key), slog.String("reason", reason))
+	return true
+}
+
+// needsUpstreams reports whether this instance owns groups, or may come to: in
+// large availability zones only hubs do.
+func (n *Node) needsUpstreams() bool {
+	n.mu.Lock()
+	needed := n.around.Hub || len(n.groups) > 0
+	n.mu.Unlock()
+	if !needed {
+		n.directory.Unlist()
+	}
+	return needed
+}
+
+// needsRoughly reports whether this instance would own groups only once all the
+// larger ones of its zone are lost. It then reads the upstreams anew; what it has
+// read before is for the case that the store does not answer.
+func (n *Node) needsRoughly() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	counted := n.groupCounts[n.in.Zone] > 0 // the number of groups follows from that of upstreams
+	return counted && len(n.groups) == 0 && !membership.IsLarge(n.in.CPUShare, n.candidates())
+}
+
+// upstreamRest is the pause between reads of the upstreams' entries.
+func (n *Node) upstreamRest() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.groups) > 0 {
+		return ownerRest
+	}
+	return standbyRest
+}
--- /dev/null
+++ b/schedule/closed.go
@@ -0,0 +1,34 @@
+package schedule
+
+import "slices"
+
+// A pool is closed to a job once none of its upstreams may start anything of it any
+// more: they are leaving, their availability zone is evacuated, they are gone. Tasks
+// that wait there go back to the coordinator at once and find room elsewhere.
+
+// admits reports whether anything new may start on an upstream, as far as it, the
+// operators and the platform's list have a say.
+func (p *Pool) admits(u *upstream) bool {
+	gone := !u.listed && p.now.Sub(u.removed) > p.cfg.Removal
+	return !u.Draining && !u.Closed && !gone
+}
+
+// closed reports whether nothing may start on any upstream.
+func (p *Pool) closed() bool { return p.told && !slices.ContainsFunc(p.sorted, p.admits) }
+
+// closedTo reports whether nothing of a job may start on any upstream. One that does
+// not answer, or is doubted, may do so soon, and counts.
+func (p *Pool) closedTo(j *job) bool {
+	return p.told && !slices.ContainsFunc(p.sorted, func(u *upstream) bool {
+		return u.Service == j.Service && p.admits(u) && j.Demand.Within(u.Capacity)
+	})
+}
+
+// returnClosed gives back what waits for upstreams that may start nothing more.
+func (p *Pool) returnClosed() {
+	for _, j := range slices.Clone(p.queue) {
+		if p.closedTo(j) {
+			p.returnAll(j, "nothing may start here")
+		}
+	}
+}
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -328,6 +328,7 @@
 			p.tickUpstream(u)
 		}
 		p.place()
+		p.returnClosed()
 		p.returnUnplaced()
 		p.rejectHopeless()
 		for _, j := range slices.Clone(p.queue) {
@@ -342,7 +343,7 @@
 	for _, j := range slices.Clone(p.queue) {
 		switch {
 		case p.draining:
-			p.returnWaiting(j, "draining")
+			p.returnAll(j, "draining")
 		case !j.MayQueue:
 			p.returnWaiting(j, "no room")
 		}
@@ -411,6 +412,6 @@
 // once it is not doubted any more.
 func (p *Pool) anyLeft(j *job) bool {
 	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
-		return u.Service == j.Service && u.joined && !u.silent && !u.Draining && j.Demand.Within(u.Capacity)
+		return u.Service == j.Service && u.joined && !u.silent && p.admits(u) && j.Demand.Within(u.Capacity)
 	})
 }
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -76,6 +76,9 @@
 func (w *world) apply(e Effects) {
 	w.checkWaiting()
 	for _, s := range e.Starts {
+		if w.evacuated {
+			w.t.Fatalf("%v starts on %s, which is evacuated", s.Order.Run, s.Upstream.ID)
+		}
 		w.start(s)
 	}
 	for _, s := range e.Stops {
@@ -116,6 +119,12 @@
 	if w.begun[ref] {
 		w.t.Fatalf("task %d of %s was returned and had begun", ref.Index, ref.Job)
 	}
+	w.noneRuns(ref)
+	w.returned[ref] = true
+}
+
+// noneRuns checks that no run of a task that is returned is at work.
+func (w *world) noneRuns(ref fleet.TaskRef) {
 	for _, u := range w.upstreams {
 		u.Advance(w.Now())
 		for _, id := range u.Running() {
@@ -124,6 +133,12 @@
 			}
 		}
 	}
+}
+
+// atRest checks a task that was returned after runs of its own: none is at work, and
+// none begins later.
+func (w *world) atRest(ref fleet.TaskRef) {
+	w.noneRuns(ref)
 	w.returned[ref] = true
 }
 
@@ -134,7 +149,12 @@
 		w.t.Fatalf("a result for %v, which has ended", r.Key)
 	}
 	for _, index := range r.Returned {
-		w.neverBegun(fleet.TaskRef{Job: r.Key.ID, Index: index})
+		ref := fleet.TaskRef{Job: r.Key.ID, Index: index}
+		if _, ran := r.Past[index]; ran {
+			w.atRest(ref)
+			continue
+		}
+		w.neverBegun(ref)
 	}
 	if r.Outcome == "" {
 		return // only some tasks came back
@@ -202,15 +222,7 @@
 		w.lost = append(w.lost, lostJob{key.ID, w.Now()})
 		delete(w.open, key)
 	}
-	var list []fleet.Upstream
-	for _, u := range w.upstreams {
-		list = append(list, u.Upstream)
-	}
-	added, effects := w.pool.SetUpstreams(w.Now(), list)
-	w.apply(effects)
-	for _, id := range added {
-		w.follow(id)
-	}
+	w.listUpstreams()
 	w.ticks(w.epoch)
 }
 
@@ -233,6 +245,28 @@
 	})
 }
 
+// evacuate closes all upstreams, or opens them again.
+func (w *world) evacuate() {
+	w.evacuated = !w.evacuated
+	for _, u := range w.upstreams {
+		u.Upstream.Closed = w.evacuated
+	}
+	w.listUpstreams()
+}
+
+// listUpstreams tells the pool of the upstreams as they are listed now.
+func (w *world) listUpstreams() {
+	var list []fleet.Upstream
+	for _, u := range w.upstreams {
+		list = append(list, u.Upstream)
+	}
+	added, effects := w.pool.SetUpstreams(w.Now(), list)
+	w.apply(effects)
+	for _, id := range added {
+		w.follow(id)
+	}
+}
+
 // offer offers a new job, or one again whose customer came back by another
 // coordinator.
 func (w *world) offer(n int) {
@@ -276,7 +310,7 @@
 			seed: rapid.Uint64().Draw(t, "seed"),
 			loss: rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss"),
 			late: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late"),
-			jobs: rapid.IntRange(20, 80).Draw(t, "jobs"),
+			jobs: rapid.IntRange(20, 80).Draw(t, "jobs"), evacuates: rapid.Bool().Draw(t, "evacuates"),
 		}.run(t)
 	})
 }
@@ -298,10 +332,14 @@
 	seed       uint64
 	loss, late float64
 	jobs       int
+	// evacuates closes all upstreams at some times and opens them again; the seeds
+	// that were kept before do without.
+	evacuates bool
 }
 
 func (c modelCase) run(t failer) {
 	w := newWorld(t, c.seed)
+	w.evacuates = c.evacuates
 	w.takeOver()
 	w.Run(epochZero.Add(300 * time.Millisecond))
 	w.setFaults(c.loss, c.late)
@@ -312,6 +350,9 @@
 	for _, u := range w.upstreams {
 		u.Cut, u.Stalls, u.Fails = false, false, false
 	}
+	if w.evacuated {
+		w.evacuate()
+	}
 	w.Run(w.Now().Add(15 * time.Second))
 	if len(w.open) > 0 || !w.pool.Idle() {
 		t.Fatalf("%d jobs are open long after the faults, idle %v", len(w.open), w.pool.Idle())
@@ -332,6 +373,12 @@
 		w.takeOver()
 	case 5:
 		w.drain()
+	case 6:
+		if w.evacuates {
+			w.evacuate()
+			break
+		}
+		w.offer(i)
 	case 4:
 		if key, found := w.anyOpen(); found {
 			delete(w.open, key)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -250,12 +250,10 @@
 	return ends.Before(j.sent().Add(j.allowed()))
 }
 
-// usable reports whether an upstream may get a task.
+// usable reports whether an upstream may get a task now.
 func (p *Pool) usable(u *upstream, now time.Time) bool {
 	switch {
-	case !u.joined, u.silent, u.Draining, u.unknown > 0:
-		return false
-	case !u.listed && now.Sub(u.removed) > p.cfg.Removal:
+	case !u.joined, u.silent, u.unknown > 0, !p.admits(u):
 		return false
 	case u.health.doubted:
 		return now.After(u.health.until) && (len(u.runs) == 0 || !p.cfg.Policy.SingleTrial)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -30,6 +31,7 @@
 	fencedIDs  map[string]bool // upstreams that have seen a higher token
 	fencedAt   time.Time       // when the first of them was lost
 	everJoined bool
+	told       bool // the upstreams have been listed once
 	draining   bool
 	out        *Effects
 	now        time.Time
@@ -62,6 +64,7 @@
 func (p *Pool) SetUpstreams(now time.Time, list []fleet.Upstream) ([]string, Effects) {
 	var added []string
 	effects := p.do(now, func() {
+		p.told = true
 		listed := map[string]bool{}
 		for _, u := range list {
 			listed[u.ID] = true
@@ -75,6 +78,7 @@
 				u.removed = now
 			}
 		}
+		p.returnClosed()
 	})
 	return added, effects
 }
@@ -107,7 +111,7 @@
 	return p.do(now, func() {
 		p.draining = true
 		for _, j := range slices.Clone(p.queue) {
-			p.returnWaiting(j, "draining")
+			p.returnAll(j, "draining")
 		}
 	})
 }
@@ -148,10 +152,10 @@
 
 func (p *Pool) offer(o Offer) {
 	p.supersede(o.Key)
-	j := &job{Offer: o, offered: p.now, tasks: map[int]*task{}, left: len(o.Tasks), failed: map[string]bool{}}
+	j := &job{Offer: o, offered: p.now, tasks: map[int]*task{}, left: len(o.Tasks), failed: map[string]bool{}, past: map[int]Past{}}
 	j.expect = p.timesOf(o.Route).expect(o.Estimate)
 	for _, index := range o.Tasks {
-		t := &task{index: index}
+		t := &task{index: index, number: o.Past[index].Number, attempts: o.Past[index].Failed}
 		j.tasks[index] = t
 		j.order = append(j.order, t)
 	}
@@ -165,7 +169,7 @@
 	p.byID[o.Key.ID] = append(p.byID[o.Key.ID], j)
 	switch {
 	case p.draining:
-		p.returnWaiting(j, "draining")
+		p.returnAll(j, "draining")
 	case j.blocked == 0 && !p.everFits(j):
 		p.end(j, NeverFits)
 	default:
@@ -173,6 +177,8 @@
 		p.place()
 		switch {
 		case p.jobs[o.Key] != j || !j.hasWaiting():
+		case p.closedTo(j):
+			p.returnAll(j, "nothing may start here")
 		case !j.MayQueue:
 			p.returnWaiting(j, "no room")
 		default:
@@ -320,14 +326,30 @@
 	return fleet.TaskRef{Job: j.Key.ID, Index: t.index}
 }
 
-// returnWaiting gives the tasks that wait back to the coordinator.
+// returnWaiting gives the tasks that wait and never began back to the coordinator.
 func (p *Pool) returnWaiting(j *job, reason string) {
+	p.returnTasks(j, reason, func(t *task) bool { return t.number == 0 })
+}
+
+// returnAll gives all tasks that wait back to the coordinator, also those whose runs
+// came to nothing: the job is completed elsewhere, and not given up because its
+// first upstreams may start nothing more.
+func (p *Pool) returnAll(j *job, reason string) {
+	p.returnTasks(j, reason, func(*task) bool { return true })
+}
+
+// returnTasks gives those of the tasks that wait back to the coordinator that it may.
+func (p *Pool) returnTasks(j *job, reason string, may func(*task) bool) {
 	var returned []int
 	for _, t := range j.order {
-		if t.state == waiting && t.number == 0 {
-			p.setState(j, t, ended)
-			j.left--
-			returned = append(returned, t.index)
+		if t.state != waiting || !may(t) {
+			continue
+		}
+		p.setState(j, t, ended)
+		j.left--
+		returned = append(returned, t.index)
+		if past, ran := t.past(); ran {
+			j.past[t.index] = past
 		}
 	}
 	if len(returned) == 0 {
@@ -339,7 +361,7 @@
 		p.result(j, Completed, returned)
 		return
 	}
-	p.out.Returns = append(p.out.Returns, Result{Key: j.Key, Returned: returned})
+	p.out.Returns = append(p.out.Returns, Result{Key: j.Key, Returned: returned, Past: maps.Clone(j.past), Begun: j.begun})
 }
 
 // end ends a job with an outcome: what runs of it is stopped.
@@ -356,7 +378,7 @@
 
 func (p *Pool) result(j *job, outcome Outcome, returned []int) {
 	p.out.Results = append(p.out.Results, Result{
-		Key: j.Key, Outcome: outcome, Done: j.done, Returned: returned, Begun: j.begun,
+		Key: j.Key, Outcome: outcome, Done: j.done, Returned: returned, Past: j.past, Begun: j.begun,
 	})
 	p.decide(Decision{
 		Kind: DecidedResult, Job: j.Key.ID, Task: len(j.done), Reason: string(outcome), Age: p.now.Sub(j.offered),
@@ -377,13 +399,16 @@
 	Free     int   // tasks of the usual size that would fit now
 	Waiting  int   // tasks that wait
 	Capacity int64 // thousandths of a core of all usable upstreams
+	// Closed is set where nothing may start on any upstream. A pool that is handed
+	// over is not closed: another takes its place.
+	Closed bool
 }
 
 // Load returns the load of the pool. The room of slow upstreams counts only where
 // all are slow.
 func (p *Pool) Load(now time.Time) Load {
 	p.now = now
-	l := Load{Waiting: p.Waiting()}
+	l := Load{Waiting: p.Waiting(), Closed: !p.draining && p.closed()}
 	var slow Load
 	size := p.usualSize()
 	for _, u := range p.sorted {
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -114,7 +115,8 @@
 	for line := range strings.Lines(input) {
 		fields := strings.Fields(line)
 		list = append(list, fleet.Upstream{
-			ID: fields[0], Service: "s", Capacity: fleet.Demand{MilliCPU: int64(number(t, fields[1]))}, Draining: len(fields) > 2,
+			ID: fields[0], Service: "s", Capacity: fleet.Demand{MilliCPU: int64(number(t, fields[1]))},
+			Draining: slices.Contains(fields[2:], "draining"), Closed: slices.Contains(fields[2:], "closed"),
 		})
 	}
 	return list
@@ -125,7 +127,15 @@
 		Key: JobKey{arg("from", "home"), id, 0}, Service: "s", Route: "r" + arg("est", "100ms"), Demand: fleet.Demand{MilliCPU: int64(number(t, arg("cpu", "8000")))},
 		Estimate: duration(t, arg("est", "100ms")), Priority: number(t, arg("priority", "0")), MaxAttempts: number(t, arg("attempts", "2")),
 		Stretch: 1.6, Slack: duration(t, arg("slack", "60ms")), Patience: duration(t, arg("patience", "5s")), MayQueue: arg("queue", "") != "", Begun: arg("begun", "") != "",
-		Whole: arg("whole", "") != "",
+		Whole: arg("whole", "") != "", Past: map[int]Past{},
+	}
+	for _, part := range strings.FieldsFunc(arg("past", ""), func(c rune) bool { return c == ',' }) {
+		var task int
+		var had Past
+		if _, err := fmt.Sscanf(part, "%d:%d:%d", &task, &had.Number, &had.Failed); err != nil {
+			t.Fatal(err)
+		}
+		o.Past[task] = had
 	}
 	for i := range number(t, arg("tasks", "1")) {
 		o.Tasks = append(o.Tasks, i)
@@ -156,6 +166,14 @@
 
 func runText(r fleet.Run) string { return fmt.Sprintf("%s.%d#%d", r.Task.Job, r.Task.Index, r.Number) }
 
+// pastText words what returned tasks take along.
+func pastText(past map[int]Past) string {
+	if len(past) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", past %v", past)
+}
+
 // text words effects, in order.
 func text(e Effects) string {
 	var b strings.Builder
@@ -169,10 +187,10 @@
 		fmt.Fprintf(&b, "look at %s\n", id)
 	}
 	for _, r := range e.Returns {
-		fmt.Fprintf(&b, "%s returns %v\n", r.Key.ID, r.Returned)
+		fmt.Fprintf(&b, "%s returns %v%s\n", r.Key.ID, r.Returned, pastText(r.Past))
 	}
 	for _, r := range e.Results {
-		fmt.Fprintf(&b, "%s ends %s: done %v, returned %v, begun %v\n", r.Key.ID, r.Outcome, r.Done, r.Returned, r.Begun)
+		fmt.Fprintf(&b, "%s ends %s: done %v, returned %v, begun %v%s\n", r.Key.ID, r.Outcome, r.Done, r.Returned, r.Begun, pastText(r.Past))
 	}
 	for _, d := range e.Decisions {
 		switch d.Kind {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -85,6 +85,9 @@
 	Priority    int           // 0 goes first
 	MaxAttempts int
 	Tasks       []int // indexes within the step
+	// Past holds what became before of those of the tasks that have run already,
+	// in another pool. None of their runs is at work or can still begin.
+	Past map[int]Past
 	// The job should have ended Stretch times its work plus Slack after it was
 	// first sent, which is Age ago. Its customer waits for Patience from now.
 	Stretch  float64
@@ -100,6 +103,13 @@
 	Whole bool
 }
 
+// Past is what a task that goes from one pool to another takes along: run numbers
+// rise, and a task fails only so often, wherever it runs.
+type Past struct {
+	Number uint32 // of the last run
+	Failed int    // runs that failed
+}
+
 // Outcome is how a pool's part of a job ended.
 type Outcome string
 
@@ -114,11 +124,14 @@
 
 // Result ends an offer.
 type Result struct {
-	Key      JobKey
-	Outcome  Outcome
-	Done     []int
-	Returned []int // never began and never will, here
-	Begun    bool  // some task may have begun
+	Key     JobKey
+	Outcome Outcome
+	Done    []int
+	// Returned are not at work here and never will be; those without a Past never
+	// began.
+	Returned []int
+	Past     map[int]Past // of the tasks that were returned so far
+	Begun    bool         // some task may have begun
 }
 
 // Start orders a run on an upstream.
@@ -141,7 +154,7 @@
 	Starts    []Start
 	Stops     []Stop
 	Looks     []string // upstreams whose report is wanted at once
-	Returns   []Result // tasks that find no room now; the offer goes on
+	Returns   []Result // tasks that go elsewhere; the offer goes on
 	Results   []Result
 	Decisions []Decision
 }
@@ -226,6 +239,11 @@
 	moves    int    // runs that were given up
 }
 
+// past returns what a task has behind it, and whether it has run.
+func (t *task) past() (Past, bool) {
+	return Past{Number: t.number, Failed: t.attempts}, t.number > 0
+}
+
 type job struct {
 	Offer
 	offered time.Time
@@ -237,6 +255,7 @@
 	begun   bool
 	failed  map[string]bool // upstreams where a task of it failed
 	blamed  *upstream       // for the first of them; nil once it failed elsewhere too
+	past    map[int]Past    // of tasks that were returned after runs of theirs
 	done    []int
 }
 
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -29,6 +29,8 @@
 	returned  map[fleet.TaskRef]bool // as never begun, and not offered since
 	lost      []lostJob
 	results   int
+	evacuates bool // now and then
+	evacuated bool // nothing may start anywhere
 }
 
 type simJob struct {
