Two runs at once: what an instance reads late after it stood still begins nothing

Cause: a request that lies in a socket while its instance stands still is read on waking up and offered to an owner before the goroutine that watches the connection has noticed that the customer closed it. The customer sends the job again 1.3 s after it left, so that both may run.

Ruled out: a call that fails and was sent all the same (a frame is queued or not); starts that are carried out late (their leases are over); an offer that outlives its connection (its end is read behind it, in order).

--- a/connset/connset.go
+++ b/connset/connset.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/sedgehatch/sedgehatch/failure"
 )
@@ -43,6 +44,15 @@
 	return n, err
 }
 
+// SyscallConn implements syscall.Conn. The error is Internal where the connection is
+// none of the operating system.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	if raw, is := c.Conn.(syscall.Conn); is {
+		return raw.SyscallConn()
+	}
+	return nil, failure.Internal.New("a connection without a descriptor")
+}
+
 // Close closes the connection and forgets it.
 func (c *conn) Close() error {
 	c.set.mu.Lock()
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -55,6 +55,10 @@
 	Route *fleet.Route
 	// Patience is how long the customer waits for an answer.
 	Patience time.Duration
+	// HasLeft tells at once whether the customer has left; nil is never. It is asked
+	// before each offer: an instance that stood still reads requests whose customers
+	// have long sent them again elsewhere, and would run them a second time.
+	HasLeft func() bool
 }
 
 const shardCount = 16
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -138,6 +138,9 @@
 // is nobody left to ask.
 func (p *pending) offerIdle() {
 	for {
+		if p.HasLeft != nil && p.HasLeft() {
+			p.leave() // unless it waits here on another connection
+		}
 		p.mu.Lock()
 		if p.settled || len(p.idle) == 0 {
 			p.mu.Unlock()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -163,7 +163,7 @@
 		patience = defaultPatience
 	}
 	left, stop := watch(ctx.Conn())
-	request := Request{Job: job, Route: route, Patience: patience - answerMargin}
+	request := Request{Job: job, Route: route, Patience: patience - answerMargin, HasLeft: hasLeft(ctx.Conn())}
 	record.Objective = request.Objective()
 	record.Answered = s.coordinator.Run(request, left)
 	stop()
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -1,8 +1,10 @@
 package ingress
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -43,6 +45,36 @@
 	return c.Conn.Read(p)
 }
 
+// hasEnded reports whether the other side has closed the connection or reset it, as
+// far as the operating system knows now: the goroutine that waits for the end may not
+// have been scheduled yet. It reads nothing.
+func (c *watchedConn) hasEnded() bool {
+	sys, is := c.Conn.(syscall.Conn)
+	if !is {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false // it is closed here, or is none of the system; the watch tells
+	}
+	ended := false
+	err = raw.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	})
+	return ended && err == nil
+}
+
+// hasLeft returns what tells at once whether the customer on a connection has left.
+func hasLeft(conn net.Conn) func() bool {
+	c, watched := conn.(*watchedConn)
+	if !watched {
+		return func() bool { return false }
+	}
+	return c.hasEnded
+}
+
 // watch returns a channel that is closed once the peer of conn is gone. Stop
 // ends the watch and must be called before conn is read again.
 func watch(conn net.Conn) (gone <-chan struct{}, stop func()) {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -33,6 +33,8 @@
 	everJoined bool
 	told       bool // the upstreams have been listed once
 	draining   bool
+	heard      time.Time // when the last input came
+	resumes    time.Time // when a pool that stood still starts tasks again
 	out        *Effects
 	now        time.Time
 }
@@ -52,6 +54,7 @@
 // do runs one input and returns its effects.
 func (p *Pool) do(now time.Time, input func()) Effects {
 	var out Effects
+	p.noticeStandstill(now)
 	p.out, p.now = &out, now
 	input()
 	p.place()
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -25,7 +25,9 @@
 // output what the pool decided. testdata/README tells the commands.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata/scenarios", func(t *testing.T, path string) {
-		s := &scenario{pool: NewPool(DefaultConfig, 7), now: epochZero, seq: map[string]uint64{}}
+		cfg := DefaultConfig
+		cfg.Standstill = 0 // tables let time pass in steps of any length
+		s := &scenario{pool: NewPool(cfg, 7), now: epochZero, seq: map[string]uint64{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return s.run(t, d)
 		})
@@ -65,6 +67,9 @@
 	case "hold":
 		_, o, _ := s.pool.HoldOrder(s.now, first)
 		return fmt.Sprintf("lease %d ms, wait %d ms\n", max(o.LeaseUntilMs-s.clock(), 0), o.WaitMs)
+	case "standstill":
+		s.pool.cfg.Standstill = duration(t, first)
+		return ""
 	case "wait":
 		s.now = s.now.Add(duration(t, first))
 		return ""
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -23,6 +23,9 @@
 	// LinkRate is how many bytes a second the owner's network link carries; 0 is
 	// unbounded.
 	LinkRate float64
+	// Standstill is how long a pool may hear nothing, not even that time passes,
+	// before it takes its process for one that stood still; 0 is for ever.
+	Standstill time.Duration
 	// Policy switches the rules of decision.
 	Policy Policy
 }
@@ -32,7 +35,10 @@
 	Lease:   700 * time.Millisecond,
 	Report:  250 * time.Millisecond,
 	Removal: 2500 * time.Millisecond,
-	Policy:  DefaultPolicy,
+	// Peers take an instance for lost after this long, and customers send its jobs
+	// again elsewhere 1.3 s later.
+	Standstill: 600 * time.Millisecond,
+	Policy:     DefaultPolicy,
 }
 
 // leaseShare is the part of the longest lease that is used at most.
