--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -27,6 +27,9 @@
 	Instances int // of each availability zone
 	Upstreams int // of each availability zone
 	Customers int
+	// Evacuations adds evacuations of availability zones to the faults. Seeds that
+	// were kept before do without: they would play other faults.
+	Evacuations bool
 }
 
 const (
@@ -149,6 +152,9 @@
 	mu        sync.Mutex
 	upstreams []*upstream
 	born      int
+	evacuated map[string]bool // zones
+	// evacuations is how many there were.
+	evacuations int
 }
 
 type upstream struct {
@@ -163,7 +169,7 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &installation{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)), store: store, ledger: standin.NewLedger()}
+	in := &installation{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 2)), store: store, ledger: standin.NewLedger(), evacuated: map[string]bool{}}
 	if err := in.configure(); err != nil {
 		return nil, err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -15,11 +15,13 @@
 
 // Report is the outcome of a run.
 type Report struct {
-	Seed    uint64
-	Faults  int
-	Starts  int
-	Answers map[string]int
-	Broken  []string // promises that were broken
+	Seed   uint64
+	Faults int
+	Starts int
+	// Evacuations is how many zones were evacuated.
+	Evacuations int
+	Answers     map[string]int
+	Broken      []string // promises that were broken
 }
 
 const (
@@ -30,6 +32,10 @@
 	// drainBound is how long after its drain an upstream may still get tasks, not
 	// counting the time in which nobody can read of it.
 	drainBound = 3 * time.Second
+	// evacuationBound is how long after the evacuation of its zone an upstream may
+	// still get tasks, not counting the time in which nobody can read of it. It is what
+	// the platform asks for; while faults overlap, owners are paused for up to 3 s.
+	evacuationBound = 5 * time.Second
 	// regretBound is how long after a refusal a start is still seen as late
 	// bookkeeping of this program.
 	regretBound = 50 * time.Millisecond
@@ -80,7 +86,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	broken := slices.Concat(t.broken, in.ledger.Broken())
-	return Report{Seed: in.cfg.Seed, Faults: faults, Starts: in.ledger.Starts(), Answers: t.answers, Broken: broken}
+	return Report{Seed: in.cfg.Seed, Faults: faults, Starts: in.ledger.Starts(), Evacuations: in.evacuations, Answers: t.answers, Broken: broken}
 }
 
 // waitReady waits until every instance takes customers.
@@ -128,7 +134,11 @@
 	p := in.processes[in.rng.IntN(len(in.processes))]
 	u := in.pickUpstream()
 	mode := Mode(1 + in.rng.IntN(modes-1))
-	switch in.rng.IntN(15) {
+	kinds := faultKinds
+	if in.cfg.Evacuations {
+		kinds++
+	}
+	switch in.rng.IntN(kinds) {
 	case 0:
 		return func(d time.Duration) { p.end(syscall.SIGKILL); time.Sleep(d / 3); in.restart(p, t) }
 	case 1:
@@ -169,11 +179,47 @@
 		return func(time.Duration) { p.store.SilenceOpen() }
 	case 13:
 		return func(time.Duration) { u.proxy.SilenceOpen() }
+	case faultKinds:
+		return func(d time.Duration) { in.evacuate(u.zone, d, t) }
 	default:
 		return func(d time.Duration) { in.replaceUpstream(u, d, t) }
 	}
 }
 
+// faultKinds is how many kinds of faults there are beside evacuations.
+const faultKinds = 15
+
+// evacuate evacuates a zone, unless it is, and takes that back once it is clear
+// whether its upstreams get tasks later than they may.
+func (in *installation) evacuate(zone string, d time.Duration, t *tally) {
+	in.mu.Lock()
+	busy := in.evacuated[zone]
+	in.evacuated[zone] = true
+	if !busy {
+		in.evacuations++
+	}
+	in.mu.Unlock()
+	if busy {
+		return
+	}
+	began := time.Now()
+	in.store.Evacuate(zone)
+	time.Sleep(evacuationBound + d)
+	in.mu.Lock()
+	upstreams := slices.Clone(in.upstreams)
+	in.mu.Unlock()
+	for _, u := range upstreams {
+		last := in.ledger.LastStart(u.ID)
+		if late := last.Sub(began) - in.outages.within(began, last); u.zone == zone && late > evacuationBound {
+			t.breaks("%s got a task %v after its zone was evacuated", u.ID, late)
+		}
+	}
+	in.store.TakeBack(zone)
+	in.mu.Lock()
+	in.evacuated[zone] = false
+	in.mu.Unlock()
+}
+
 func (in *installation) restart(p *process, t *tally) {
 	if err := p.start(); err != nil {
 		t.breaks("%s does not start again: %v", p.name, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,9 @@
 	4010: "the check counted the time in which the store answered nobody",
 }
 
+// evacuatingSeed draws evacuations early.
+const evacuatingSeed = 3
+
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "sedgehatchd")
@@ -49,6 +52,23 @@
 	}
 }
 
+// TestEvacuations is a short run of a seed that evacuates zones among other faults.
+func TestEvacuations(t *testing.T) {
+	report, err := Run(t.Context(), Config{
+		Daemon: buildDaemon(t), Dir: t.TempDir(), Seed: evacuatingSeed, Length: 4 * time.Second, Zones: 2, Instances: 2, Upstreams: 3, Customers: 6,
+		Evacuations: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Evacuations == 0 || report.Answers["completed"] == 0 {
+		t.Errorf("%+v", report)
+	}
+	for _, b := range report.Broken {
+		t.Error(b)
+	}
+}
+
 // TestEndTwice ends one program from two sides, as overlapping faults do: it is
 // gone before another is started.
 func TestEndTwice(t *testing.T) {
