--- a/explain/explain.go
+++ b/explain/explain.go
@@ -40,7 +40,7 @@
 var beliefs = map[string]bool{
 	"upstream_silent": true, "upstream_doubted": true, "upstream_fenced": true, "upstream_gone": true,
 	"peer_lost": true, "group_taken": true, "group_lost": true, "store_lost": true, "node_draining": true, "node_started": true,
-	"log_dropped": true,
+	"log_dropped": true, "zone_evacuated": true, "zone_returned": true,
 }
 
 // Log holds the lines that were read.
@@ -100,6 +100,8 @@
 	Beliefs []Line // of about the same time
 	Cause   string // one sentence
 	Missing []string
+	// evacuated are the availability zones that were evacuated at the end of the job.
+	evacuated []string
 }
 
 // Story tells of a job.
@@ -114,11 +116,42 @@
 	slices.SortStableFunc(s.Lines, byTime)
 	s.addBeliefs(g)
 	slices.SortStableFunc(s.Beliefs, byTime)
+	s.evacuated = g.evacuatedAt(s.lastTime())
 	s.Cause = s.cause()
 	s.Missing = s.missing()
 	return s
 }
 
+// lastTime returns when the last line of the job was decided.
+func (s *Story) lastTime() time.Time {
+	if len(s.Lines) == 0 {
+		return time.Time{}
+	}
+	return s.Lines[len(s.Lines)-1].Time
+}
+
+// evacuatedAt returns the availability zones that were evacuated at a time, by the word
+// of whichever instance tells last.
+func (g *Log) evacuatedAt(at time.Time) []string {
+	last := map[string]Line{}
+	for _, l := range g.lines {
+		if l.Event != "zone_evacuated" && l.Event != "zone_returned" || l.Time.After(at) {
+			continue
+		}
+		if zone := l.String("zone"); !l.Time.Before(last[zone].Time) {
+			last[zone] = l
+		}
+	}
+	var zones []string
+	for zone, l := range last {
+		if l.Event == "zone_evacuated" {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 func (s *Story) addBeliefs(g *Log) {
 	if len(s.Lines) == 0 {
 		return
@@ -145,7 +178,11 @@
 func (s *Story) cause() string {
 	if l, found := s.find("job_not_served"); found {
 		text := fmt.Sprintf("%s was answered %s (%s) by %s after %s ms: %s", s.Job, l.String("status"), l.String("verdict"), l.Instance, l.String("took_ms"), l.String("reason"))
-		return text + s.because(l) + "."
+		text += s.because(l)
+		if len(s.evacuated) > 0 {
+			text += "; evacuated then: " + strings.Join(s.evacuated, ", ")
+		}
+		return text + "."
 	}
 	if l, found := s.find("job_late"); found {
 		return fmt.Sprintf("%s was complete after %s ms, its objective was %s ms%s.", s.Job, l.String("took_ms"), l.String("objective_ms"), s.because(l))
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -14,6 +14,12 @@
 {"time":"2026-04-04T22:12:01.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"bb","status":504,"verdict":"unknown","reason":"the owner of upstreams was lost","took_ms":600,"groups":"b/0"}
 {"time":"2026-04-04T22:12:02.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"cc","status":503,"verdict":"not_run","reason":"no owner can be reached","owners":0,"took_ms":90,"groups":""}
 {"time":"2026-04-04T22:12:02.100Z","level":"WARN","msg":"log_dropped","routine":5}
+{"time":"2026-04-04T22:12:03.000Z","level":"WARN","msg":"zone_evacuated","instance":"i-1","zone":"a","revision":7,"from":"store"}
+{"time":"2026-04-04T22:12:03.100Z","level":"WARN","msg":"zone_evacuated","instance":"i-2","zone":"a","revision":7,"from":"i-1"}
+{"time":"2026-04-04T22:12:03.200Z","level":"WARN","msg":"zone_evacuated","instance":"i-1","zone":"b","revision":8,"from":"store"}
+{"time":"2026-04-04T22:12:04.000Z","level":"INFO","msg":"zone_returned","instance":"i-1","zone":"b","revision":9,"from":"store"}
+{"time":"2026-04-04T22:12:07.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"ff","status":503,"verdict":"not_run","reason":"no room in time","owners":2,"took_ms":30,"groups":"b/0"}
+{"time":"2026-04-04T22:12:08.000Z","level":"INFO","msg":"zone_returned","instance":"i-1","zone":"a","revision":10,"from":"store"}
 {"time":"2026-04-04T22:12:09.000Z","level":"INFO","msg":"task_started","instance":"i-1","job":"dd","run":1,"age_ms":0}
 no line of a log
 `
@@ -28,6 +34,7 @@
 		"bb": {"bb was answered 504 (unknown) by i-2 after 600 ms: the owner of upstreams was lost; the connection to the owner of b/0 broke.",
 			"lines of the owners of b/0: they ended, or their logs are not given"},
 		"cc": {"cc was answered 503 (not_run) by i-2 after 90 ms: no owner can be reached; no owner of upstreams was known.", "lines that were dropped while the output stalled (22:12:02)"},
+		"ff": {"ff was answered 503 (not_run) by i-2 after 30 ms: no room in time; evacuated then: a.", ""},
 		"dd": {"The answer to dd is not in these logs.", "the line of the answer: the instance that took the job ended, or its log is not given"},
 		"ee": {"No line tells of ee.", "any line of the job: it went well and was not in the sample, its id is wrong, or the logs of its instances are not given"},
 	} {
