--- a/schedule/closed.go
+++ b/schedule/closed.go
@@ -23,12 +23,3 @@
 		return u.Service == j.Service && p.admits(u) && j.Demand.Within(u.Capacity)
 	})
 }
-
-// returnClosed gives back what waits for upstreams that may start nothing more.
-func (p *Pool) returnClosed() {
-	for _, j := range slices.Clone(p.queue) {
-		if p.closedTo(j) {
-			p.returnAll(j, "nothing may start here")
-		}
-	}
-}
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -337,19 +337,6 @@
 	})
 }
 
-// returnUnplaced gives back what was blocked when its job was offered, and would have
-// been given back then: all of a pool that drains, and what may not wait here.
-func (p *Pool) returnUnplaced() {
-	for _, j := range slices.Clone(p.queue) {
-		switch {
-		case p.draining:
-			p.returnAll(j, "draining")
-		case !j.MayQueue:
-			p.returnWaiting(j, "no room")
-		}
-	}
-}
-
 func (p *Pool) tickUpstream(u *upstream) {
 	lapsed := u.silent && p.now.After(u.lapsed())
 	for _, r := range sortedRuns(u) {
