--- a/ingress/watch_test.go
+++ b/ingress/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/sedgehatch/sedgehatch/connset"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/owner"
+	"github.com/sedgehatch/sedgehatch/platform/standin"
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
@@ -41,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	body := `{"BestEffort":true,"Steps":[{"Count":1,"Cpu":100,"EstimatedMs":50}]}`
+	body := standin.Job{Tasks: 1, MilliCPU: 100, Takes: 50 * time.Millisecond}.Body()
 	if _, err := fmt.Fprintf(customer, "POST /checks/0000000000000001 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
 		t.Fatal(err)
 	}
