--- a/directory/directory.go
+++ b/directory/directory.go
@@ -65,6 +65,7 @@
 	return d.take(now, entries)
 }
 
+// take is Update. The lock is held.
 func (d *Directory) take(now time.Time, entries []Entry) (draining []string) {
 	for _, e := range entries {
 		switch {
@@ -85,7 +86,7 @@
 
 // close keeps an upstream whose entry was overwritten by one that cannot be read:
 // what runs there is still looked after, and nothing new starts until a good entry
-// is back. One that was not known stays unknown.
+// is back. One that was not known stays unknown. The lock is held.
 func (d *Directory) close(id string) {
 	if u, known := d.upstreams[id]; known {
 		u.Closed = true
@@ -93,6 +94,8 @@
 	}
 }
 
+// drains notes that an upstream is leaving, and reports whether that is news. The lock
+// is held.
 func (d *Directory) drains(now time.Time, id string) bool {
 	if _, known := d.drainedAt[id]; known {
 		return false
@@ -180,6 +183,7 @@
 	return list
 }
 
+// marked returns an upstream with what is known of it from all sides. The lock is held.
 func (d *Directory) marked(u fleet.Upstream) fleet.Upstream {
 	_, draining := d.drainedAt[u.ID]
 	u.Draining = u.Draining || draining
--- a/directory/zones.go
+++ b/directory/zones.go
@@ -70,6 +70,7 @@
 	return d.setZones(states)
 }
 
+// setZones is UpdateZones. The lock is held.
 func (d *Directory) setZones(states []ZoneState) []ZoneState {
 	var changed []ZoneState
 	for _, s := range states {
--- a/node/operators.go
+++ b/node/operators.go
@@ -18,6 +18,7 @@
 // What operators want stands in the store: the configuration, and the availability
 // zones that are evacuated. One watch tells of both.
 
+// followOperators keeps up with both until the instance stops.
 func (n *Node) followOperators() {
 	n.follow(follower{
 		prefix: platform.OperatorPrefix, wait: n.configWait, rest: noRest,
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -12,6 +12,7 @@
 	"github.com/sedgehatch/sedgehatch/platform"
 )
 
+// followUpstreams keeps the directory of upstreams up to date until the instance stops.
 func (n *Node) followUpstreams() {
 	n.follow(follower{
 		prefix: platform.UpstreamPrefix, wait: always(upstreamWait), rest: n.upstreamRest, needed: n.needsUpstreams, roughly: n.needsRoughly,
@@ -69,7 +70,8 @@
 	reasons map[string]string // by key
 }
 
-// entry notes whether an entry could be read, and reports whether it is refused.
+// entry notes whether an entry could be read, and reports whether it is refused. It
+// logs a reason that is new for its key.
 func (r *entryRefusals) entry(n *Node, key string, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
