TestDeadline does not take for granted that a job starts within 200 ms

The deadline of 200 ms had passed before anything started; "not run" is the true answer then, and the test expected "failed". Its verdict hung on the machine. Change: while the answer is "not run" for the deadline, no start may be in the record, and a deadline twice as long is tried, up to the length of the tasks; then the answer has to be "failed" for the deadline, as before. The check of "not run" is new.

--- a/experiment/failure_test.go
+++ b/experiment/failure_test.go
@@ -272,20 +272,38 @@
 func TestDeadline(t *testing.T) {
 	c := small(t, nil)
 	cl := callers(t, c)
-	job := tasks(4, 5*time.Second)
-	job.Deadline = 200 * time.Millisecond
-	for i := range job.Tasks {
-		job.Tasks[i].RunMs = 10 // declared far off
+	var answer api.Answer
+	// Where the machine is busy a short deadline passes before anything has started.
+	// Then "not run" has to be true, and a longer one is tried.
+	for deadline := 200 * time.Millisecond; deadline < longTask; deadline *= 2 {
+		job := tasks(4, longTask)
+		job.Deadline = deadline
+		for i := range job.Tasks {
+			job.Tasks[i].RunMs = 10 // declared far off
+		}
+		before, _ := c.Recorder.Starts()
+		var err error
+		if answer, err = cl.Do(context.Background(), job); err != nil {
+			t.Fatal(err)
+		}
+		if answer.Fate != fate.NotRun {
+			break
+		}
+		if started, _ := c.Recorder.Starts(); answer.Reason != fate.ReasonDeadline || started != before {
+			t.Fatalf("answer %s %s with %d starts", answer.Fate, answer.Reason, started-before)
+		}
 	}
-	answer, err := cl.Do(context.Background(), job)
-	if err != nil || answer.Fate != fate.Failed || answer.Reason != fate.ReasonDeadline {
-		t.Errorf("answer %s %s, %v", answer.Fate, answer.Reason, err)
+	if answer.Fate != fate.Failed || answer.Reason != fate.ReasonDeadline {
+		t.Fatalf("answer %s %s", answer.Fate, answer.Reason)
 	}
 	if !strings.HasPrefix(string(answer.Tasks[0].State), string(fate.TaskUnknown)) {
 		t.Errorf("task state %s", answer.Tasks[0].State)
 	}
 }
 
+// longTask is how long the tasks of TestDeadline work: beyond any deadline in it.
+const longTask = 5 * time.Second
+
 // An upstream may answer after its lease has ended: the task ran once, and its
 // result is as good.
 func TestAnswerAfterTheLease(t *testing.T) {
