--- a/ingress/network_test.go
+++ b/ingress/network_test.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
@@ -76,102 +75,6 @@
 
 func (p *process) AfterFunc(d time.Duration, f func()) { p.w.AfterFunc(d, func() { p.do(f) }) }
 
-// modelLink is a connection between a coordinator and an owner.
-type modelLink struct {
-	number       int
-	c            *modelCoordinator
-	o            *modelOwner
-	silent       bool // nothing passes, and neither end is told
-	cOpen, oOpen bool
-	cHeard       time.Time
-	oHeard       time.Time
-	offers       map[schedule.JobKey]owner.Answer // of the coordinator
-}
-
-func (l *modelLink) key() string { return fmt.Sprintf("%s#%d", l.c.name, l.number) }
-
-func (l *modelLink) toOwner(f func()) {
-	if l.silent {
-		return
-	}
-	l.c.w.AfterFunc(modelHop, func() {
-		l.o.do(func() {
-			if l.oOpen {
-				l.oHeard = l.c.w.Now()
-				f()
-			}
-		})
-	})
-}
-
-func (l *modelLink) toCoordinator(f func()) {
-	if l.silent {
-		return
-	}
-	l.c.w.AfterFunc(modelHop, func() {
-		l.c.do(func() {
-			if l.cOpen {
-				l.cHeard = l.c.w.Now()
-				f()
-			}
-		})
-	})
-}
-
-// closeAtCoordinator ends the link there: what became of its offers is not known.
-func (l *modelLink) closeAtCoordinator() {
-	if !l.cOpen {
-		return
-	}
-	l.toOwner(l.closeAtOwner)
-	l.cOpen = false
-	offers := l.offers
-	l.offers = map[schedule.JobKey]owner.Answer{}
-	for _, key := range l.c.w.sortedKeys(offers) {
-		offers[key].Ended(schedule.Result{Key: key, Outcome: schedule.Unknown, Begun: true}, schedule.Load{})
-	}
-}
-
-func (l *modelLink) closeAtOwner() {
-	if !l.oOpen {
-		return
-	}
-	l.toCoordinator(l.closeAtCoordinator)
-	l.oOpen = false
-	if l.o.pool != nil {
-		l.o.apply(l.o.pool.WithdrawAll(l.o.Now(), l.key(), "closed"))
-	}
-}
-
-// beat lets both ends speak, and find out that the other does not.
-func (l *modelLink) beat() {
-	l.c.AfterFunc(modelBeat, func() {
-		if !l.cOpen {
-			return
-		}
-		l.toOwner(func() {})
-		if l.c.Now().Sub(l.cHeard) >= modelSilence {
-			l.closeAtCoordinator()
-			return
-		}
-		l.beat()
-	})
-}
-
-func (l *modelLink) beatOwner() {
-	l.o.AfterFunc(modelBeat, func() {
-		if !l.oOpen {
-			return
-		}
-		l.toCoordinator(func() {})
-		if l.o.Now().Sub(l.oHeard) >= modelSilence {
-			l.closeAtOwner()
-			return
-		}
-		l.beatOwner()
-	})
-}
-
 // modelOwner is a process that may own the group of its zone.
 type modelOwner struct {
 	process
