--- a/soak/run.go
+++ b/soak/run.go
@@ -193,15 +193,13 @@
 // whether its upstreams get tasks later than they may.
 func (in *installation) evacuate(zone string, d time.Duration, t *tally) {
 	in.mu.Lock()
-	busy := in.evacuated[zone]
-	in.evacuated[zone] = true
-	if !busy {
-		in.evacuations++
-	}
-	in.mu.Unlock()
-	if busy {
+	if in.evacuated[zone] {
+		in.mu.Unlock()
 		return
 	}
+	in.evacuated[zone] = true
+	in.evacuations++
+	in.mu.Unlock()
 	began := time.Now()
 	in.store.Evacuate(zone)
 	time.Sleep(evacuationBound + d)
