TestReadAfterReset tells how one task came to have two runs at once

Ruled out: an offer that was sent twice by one coordinator (each of the two made one offer that reached an owner), an owner that started late (0.1 ms after it took the offer), a stop that lay behind, a second sending that waits 1.3 s (it came 11 ms after the reset).

--- a/ingress/watch_test.go
+++ b/ingress/watch_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -19,39 +20,92 @@
 // Answered implements Recorder.
 func (r records) Answered(a Record) { r <- a }
 
-// TestReadAfterCustomerLeft: an instance stands still while a customer sends a job and
-// leaves. Once it reads the request, it begins nothing: the customer may have sent the
-// job again elsewhere.
-func TestReadAfterCustomerLeft(t *testing.T) {
-	f := &owners{loads: twoZones(), offer: func(string, schedule.Offer, owner.Answer) error {
+// stoodStill is an instance that accepts connections in the operating system, and
+// reads none until goOn is called.
+type stoodStill struct {
+	t        *testing.T
+	owners   *owners
+	listener net.Listener
+	answers  records
+}
+
+// newStoodStill returns an instance whose owners must not be offered anything.
+func newStoodStill(t *testing.T) *stoodStill {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	offered := func(string, schedule.Offer, owner.Answer) error {
 		t.Error("the job is offered")
 		return nil
-	}}
+	}
+	return &stoodStill{t: t, owners: &owners{loads: twoZones(), offer: offered}, listener: listener, answers: make(records, 1)}
+}
+
+// goOn lets the instance read what has come. It ends with the test.
+func (s *stoodStill) goOn() {
 	config := &fleet.Config{Version: 1, Routes: []fleet.Route{{Name: "r", Host: "desk.example", PathPrefix: "/checks/", Stretch: 1.6, MaxAttempts: 2}}}
 	config.Index()
-	answers := make(records, 1)
 	notStopping := func() (time.Duration, bool) { return 0, false }
-	server := NewServer(NewCoordinator("a", f), func() *fleet.Config { return config }, notStopping, answers)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var conns connset.Set
-	defer conns.Close()
-	customer, err := net.Dial("tcp4", listener.Addr().String())
+	server := NewServer(NewCoordinator("a", s.owners), func() *fleet.Config { return config }, notStopping, s.answers)
+	conns := &connset.Set{}
+	s.t.Cleanup(conns.Close)
+	go func() { _ = server.Serve(conns.Listener(s.listener)) }() // it ends with the listener
+}
+
+// send sends a job of one task, and returns the customer's connection.
+func (s *stoodStill) send() *net.TCPConn {
+	customer, err := net.Dial("tcp4", s.listener.Addr().String())
 	if err != nil {
-		t.Fatal(err)
+		s.t.Fatal(err)
 	}
 	body := standin.Job{Tasks: 1, MilliCPU: 100, Takes: 50 * time.Millisecond}.Body()
 	if _, err := fmt.Fprintf(customer, "POST /checks/0000000000000001 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
-		t.Fatal(err)
+		s.t.Fatal(err)
 	}
+	return customer.(*net.TCPConn)
+}
+
+// TestReadAfterCustomerLeft: an instance stands still while a customer sends a job and
+// leaves. Once it reads the request, it begins nothing: the customer may have sent the
+// job again elsewhere.
+func TestReadAfterCustomerLeft(t *testing.T) {
+	instance := newStoodStill(t)
+	customer := instance.send()
 	if err := customer.Close(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = server.Serve(conns.Listener(listener)) }() // now it goes on; it ends with the listener
-	defer func() { _ = listener.Close() }()
-	if a := <-answers; a.Verdict != Left || a.Offers != 0 {
+	instance.goOn()
+	if a := <-instance.answers; a.Verdict != Left || a.Offers != 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// TestReadAfterReset tells how one task came to have two runs at once.
+//
+// An instance was busy and did not come to read a request for 350 ms. Meanwhile the
+// connections were reset. A customer whose connection was never accepted knows that
+// nobody has read its request, and sends it again at once, to another instance, which
+// ran it. Then the first instance came to read what lay in the socket, for the system
+// still hands out bytes that came before a reset, and offered the job to the owners of
+// another availability zone. It noted that the customer had left 48 ms later, when the
+// goroutine that waits for that had its turn.
+//
+// What showed it, in milliseconds from the first reading: read by depot-sud-9 at 0, its
+// run from 2 to 246; read by depot-sud-5, which the customer had asked first, at 235, its
+// run from 236 to 334, "the customer has left" at 282. The deadlines that the two
+// requests brought along, 2,561 and 2,676 ms, tell which was sent first.
+//
+// So the system is asked before each offer whether the connection has ended.
+func TestReadAfterReset(t *testing.T) {
+	instance := newStoodStill(t)
+	customer := instance.send()
+	if err := errors.Join(customer.SetLinger(0), customer.Close()); err != nil { // a reset
+		t.Fatal(err)
+	}
+	instance.goOn()
+	if a := <-instance.answers; a.Verdict != Left || a.Offers != 0 {
 		t.Errorf("%+v", a)
 	}
 }
