A job ends with the last connection that waits for it; an offer that comes after its end is withdrawn

Symptom: TestLeavesWhileOffered (0 offers withdrawn after they were sent) and TestSentAgainAndLeft (504 at the deadline, 5 s later, instead of at once).

Cause, of the first: offers are noted under the lock and sent without it; whoever gives the verdict in between withdraws what is noted, of which nothing was sent. Of the second: a job that was joined took no notice of any connection's end from then on, and its customer could send it to another instance while it went on here.

An offer looks after it was sent whether its job has ended. Offers are numbered by coordinator and not by job: one that is withdrawn late cannot be taken for an offer of the same job sent again.

Both tests pass. The model of two runs has customers that send again at once where their request was not read.

--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -55,9 +56,10 @@
 	Route *fleet.Route
 	// Patience is how long the customer waits for an answer.
 	Patience time.Duration
-	// HasLeft tells at once whether the customer has left; nil is never. It is asked
-	// before each offer: an instance that stood still reads requests whose customers
-	// have long sent them again elsewhere, and would run them a second time.
+	// HasLeft tells at once whether the customer's connection has ended; nil is never.
+	// It is asked before each offer: an instance that was held up for a while reads
+	// requests whose customers have long sent them again elsewhere, and would run them
+	// a second time.
 	HasLeft func() bool
 }
 
@@ -83,6 +85,7 @@
 	clock   Clock
 	policy  Policy
 	returns returnPlan
+	parts   atomic.Uint32 // offers so far, which it numbers
 	shards  [shardCount]shard
 }
 
@@ -113,27 +116,25 @@
 }
 
 // Run coordinates a job until it has a verdict, or left is closed because its
-// customer is gone.
+// customer is gone. A job that is open already goes on, and answers both.
 func (c *Coordinator) Run(r Request, left <-chan struct{}) Answered {
-	p := c.newPending(r)
-	if other := c.open(p); other != p {
-		return other.join(left, r.Patience)
+	p, me, first := c.open(r)
+	if first {
+		p.offerIdle()
 	}
-	defer c.close(p)
-	p.offerIdle()
-	return p.wait(left)
+	return p.await(me, left, r.Patience)
 }
 
 // Begin coordinates a job without waiting, and calls decided with its verdict. It
 // returns what a simulation calls when the customer's patience is over.
 func (c *Coordinator) Begin(r Request, decided func(Answered)) (timeUp func()) {
-	p := c.newPending(r)
+	p, me := c.newPending(r)
 	p.onVerdict = decided
 	p.offerIdle()
-	return p.timeUp
+	return func() { p.timeUp(me) }
 }
 
-func (c *Coordinator) newPending(r Request) *pending {
+func (c *Coordinator) newPending(r Request) (*pending, *customer) {
 	p := &pending{
 		Request: r, c: c, began: c.clock.Now(), decided: make(chan struct{}), left: map[int]bool{}, past: map[int]schedule.Past{},
 		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{}, cut: map[string]bool{}, full: map[string]bool{},
@@ -142,27 +143,33 @@
 		p.left[i] = true
 		p.idle = append(p.idle, i)
 	}
-	return p
+	return p, p.attach(r)
 }
 
-// open enters a job and returns the one that stands in the books: another,
-// where the same is open already.
-func (c *Coordinator) open(p *pending) *pending {
-	s := c.shard(p.Job.ID)
+// open returns the open job of a request, with the connection that waits for it now,
+// and whether the request is the first one for it.
+func (c *Coordinator) open(r Request) (p *pending, me *customer, first bool) {
+	s := c.shard(r.Job.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if other := s.open[p.Job.ID]; other != nil {
-		return other
+	if other := s.open[r.Job.ID]; other != nil {
+		if me := other.attach(r); me != nil {
+			return other, me, false
+		}
 	}
-	s.open[p.Job.ID] = p
-	return p
+	p, me = c.newPending(r)
+	s.open[r.Job.ID] = p
+	return p, me, true
 }
 
+// close takes a job out of the books, unless another of its id has taken its place.
 func (c *Coordinator) close(p *pending) {
 	s := c.shard(p.Job.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.open, p.Job.ID)
+	if s.open[p.Job.ID] == p {
+		delete(s.open, p.Job.ID)
+	}
 }
 
 // State returns the state of an open job.
--- a/ingress/network_test.go
+++ b/ingress/network_test.go
@@ -34,6 +34,7 @@
 	// modelDeadline how long it waits for an answer.
 	modelResend   = 1300 * time.Millisecond
 	modelDeadline = 1500 * time.Millisecond
+	modelPatience = modelDeadline - 50*time.Millisecond
 	// modelWatch is the longest time from the end of a customer's connection to the
 	// moment at which the goroutine that waits for it is scheduled.
 	modelWatch = 150 // ms
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -27,7 +27,7 @@
 	left   map[int]bool          // tasks that are not done
 	past   map[int]schedule.Past // of those that ran in vain, and go on elsewhere
 	idle   []int                 // tasks that no owner has
-	parts  map[int]*part         // offers that have not ended, by number
+	parts  map[int]*part         // offers that have not ended, by number, which no other offer of the coordinator has
 	tried  map[string]bool       // groups that had no room
 	never  map[string]bool       // groups where no task can ever fit
 	cut    map[string]bool       // groups whose owner could not be reached
@@ -39,7 +39,8 @@
 	closed bool     // nothing may start at any of them
 	// ownersAge is the age of the oldest of their load reports.
 	ownersAge time.Duration
-	joined    bool // its customer has sent it again, and waits there
+	customers []*customer
+	until     time.Time // when the last of them stops waiting
 	settled   bool
 	retrying  bool // the idle tasks are offered again after a pause
 }
@@ -52,24 +53,6 @@
 	queue  bool
 }
 
-// join waits for the verdict of a job that its customer sent again while it is
-// open: it goes on for whoever asked last.
-func (p *pending) join(left <-chan struct{}, patience time.Duration) Answered {
-	p.mu.Lock()
-	p.joined = true
-	p.mu.Unlock()
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-p.decided:
-		return p.answer
-	case <-left:
-		return Answered{Verdict: Left, Reason: "the customer has left"}
-	case <-timer.C:
-		return Answered{Verdict: Unknown, Reason: "the customer's deadline has passed"}
-	}
-}
-
 // maxAsked bounds the groups that are remembered for the log.
 const maxAsked = 8
 
@@ -77,37 +60,6 @@
 // reached: one that is lost is replaced within a second.
 const retryOwners = 25 * time.Millisecond
 
-// wait returns the verdict. Tasks that no owner has are offered again from time
-// to time.
-func (p *pending) wait(left <-chan struct{}) Answered {
-	patience := time.NewTimer(p.Patience)
-	defer patience.Stop()
-	for {
-		select {
-		case <-p.decided:
-			return p.answer
-		case <-left:
-			left = nil
-			p.leave()
-		case <-patience.C:
-			p.timeUp()
-		}
-	}
-}
-
-// timeUp takes the end of the customer's patience.
-func (p *pending) timeUp() { p.settle(Unknown, "the customer's deadline has passed") }
-
-// leave takes the news that the customer has left.
-func (p *pending) leave() {
-	p.mu.Lock()
-	joined := p.joined
-	p.mu.Unlock()
-	if !joined {
-		p.settle(Left, "the customer has left")
-	}
-}
-
 // settle gives the verdict, once, and withdraws what is still offered.
 func (p *pending) settle(v Verdict, reason string) {
 	p.mu.Lock()
@@ -130,7 +82,25 @@
 		p.onVerdict(p.answer)
 	}
 	for _, part := range parts {
-		p.c.owners.Withdraw(part.group, schedule.JobKey{ID: p.Job.ID, Part: part.number}, reason)
+		p.withdraw(part)
+	}
+	p.c.close(p)
+}
+
+func (p *pending) withdraw(part *part) {
+	p.c.owners.Withdraw(part.group, schedule.JobKey{ID: p.Job.ID, Part: part.number}, p.answer.Reason)
+}
+
+// withdrawIfSettled withdraws an offer that was sent after the job had got its verdict:
+// there was nothing to withdraw yet, and its tasks would run for nobody, beside those
+// that the customer has run elsewhere meanwhile.
+func (p *pending) withdrawIfSettled(part *part) {
+	p.mu.Lock()
+	_, open := p.parts[part.number]
+	unwanted := open && p.settled
+	p.mu.Unlock()
+	if unwanted {
+		p.withdraw(part)
 	}
 }
 
@@ -138,9 +108,7 @@
 // is nobody left to ask.
 func (p *pending) offerIdle() {
 	for {
-		if p.HasLeft != nil && p.HasLeft() {
-			p.leave() // unless it waits here on another connection
-		}
+		p.dropLeft()
 		p.mu.Lock()
 		if p.settled || len(p.idle) == 0 {
 			p.mu.Unlock()
@@ -163,6 +131,7 @@
 			Ended:    func(r schedule.Result, _ schedule.Load) { p.ended(part, r) },
 		})
 		if err == nil {
+			p.withdrawIfSettled(part)
 			return
 		}
 		p.unsent(part)
@@ -182,16 +151,17 @@
 // offer makes an offer of the idle tasks. The lock is held.
 func (p *pending) offer(choice Choice) (*part, schedule.Offer) {
 	step := p.Job.Steps[0]
-	age := p.c.clock.Now().Sub(p.began)
+	now := p.c.clock.Now()
 	p.offers++
+	number := int(p.c.parts.Add(1))
 	o := schedule.Offer{
-		Key:     schedule.JobKey{ID: p.Job.ID, Part: p.offers},
+		Key:     schedule.JobKey{ID: p.Job.ID, Part: number},
 		Service: p.Route.Service, Route: p.Route.Name, Spec: p.Job.Spec, Demand: step.Demand, Estimate: step.Estimate,
 		Priority: p.Route.Priority, MaxAttempts: p.Route.MaxAttempts, Tasks: p.idle,
-		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: age, Patience: p.Patience - age, MayQueue: choice.Queue, Whole: choice.Whole, Begun: p.begun,
+		Stretch: p.Route.Stretch, Slack: p.Route.Slack, Age: now.Sub(p.began), Patience: p.until.Sub(now), MayQueue: choice.Queue, Whole: choice.Whole, Begun: p.begun,
 		Past: lo.PickByKeys(p.past, p.idle),
 	}
-	part := &part{number: p.offers, group: choice.Group, tasks: lo.Keyify(p.idle), queue: choice.Queue}
+	part := &part{number: number, group: choice.Group, tasks: lo.Keyify(p.idle), queue: choice.Queue}
 	p.idle = nil
 	p.parts[part.number] = part
 	p.tried[choice.Group] = true
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -49,7 +49,12 @@
 }
 
 // modelConn is a customer's connection.
-type modelConn struct{ closed bool }
+type modelConn struct {
+	read   bool // the coordinator has read the request
+	closed bool
+	job    *pending
+	waits  *customer
+}
 
 func newFleetWorld(t modelFailer, seed uint64) *fleetWorld {
 	w := &fleetWorld{
@@ -106,61 +111,65 @@
 // mostSends is how often a customer sends a job.
 const mostSends = 3
 
-// send sends a job to a coordinator, and again to another 1.3 s after it broke off or
-// was told nothing that it can believe.
+// send sends a job to a coordinator. Its customer sends it again to another 1.3 s after
+// it broke off or was told nothing that it can believe; at once where the connection was
+// reset before anybody had read the request.
 func (w *fleetWorld) send(j *modelJob, to int) {
 	conn := &modelConn{}
 	j.sends++
 	c := w.coordinators[to%len(w.coordinators)]
-	again := func() {
+	again := func(after time.Duration) {
 		if conn.closed {
 			return
 		}
 		conn.closed = true
-		w.left(c, conn, j)
+		w.left(c, conn)
 		if j.sends < mostSends && !j.done {
-			w.AfterFunc(modelResend+w.Millis(0, 20), func() { w.send(j, to+1) })
+			w.AfterFunc(after, func() { w.send(j, to+1) })
 		}
 	}
+	later := func() { again(modelResend + w.Millis(0, 20)) }
 	w.AfterFunc(modelClientHop, func() {
-		c.do(func() { w.request(c, conn, j, again) })
+		c.do(func() { w.request(c, conn, j, later) })
 	})
-	w.AfterFunc(modelDeadline, again)
+	w.AfterFunc(modelDeadline, later)
 	if w.Rand.IntN(5) < 2 {
-		w.AfterFunc(w.Millis(0, 700), again) // it leaves, or its connection is reset
+		w.AfterFunc(w.Millis(0, 700), func() { // its connection is reset
+			if conn.read {
+				later()
+			} else {
+				again(modelClientHop)
+			}
+		})
 	}
 }
 
 // left lets a coordinator notice the end of a customer's connection, some time later.
-func (w *fleetWorld) left(c *modelCoordinator, conn *modelConn, j *modelJob) {
+func (w *fleetWorld) left(c *modelCoordinator, conn *modelConn) {
 	w.AfterFunc(modelClientHop, func() {
 		c.do(func() {
 			c.AfterFunc(w.Millis(0, modelWatch), func() {
-				if p := c.opened(j.id); p != nil && p.HasLeft() && conn.closed {
-					p.leave()
+				if conn.job != nil {
+					conn.job.drop(conn.waits, Left, reasonLeft)
 				}
 			})
 		})
 	})
 }
 
-// opened returns an open job.
-func (c *modelCoordinator) opened(id string) *pending {
-	s := c.c.shard(id)
-	return s.open[id]
-}
-
 // request takes a job from its customer.
 func (w *fleetWorld) request(c *modelCoordinator, conn *modelConn, j *modelJob, again func()) {
 	estimate := j.takes
 	job := &fleet.Job{ID: j.id, Ephemeral: true, Steps: []fleet.Step{{Count: j.tasks, Estimate: estimate, Demand: fleet.Demand{MilliCPU: 3000}}}}
 	route := &fleet.Route{Name: "r", Service: "s", Stretch: 1.6, Slack: 300 * time.Millisecond, MaxAttempts: 4}
-	p := c.c.newPending(Request{Job: job, Route: route, Patience: modelDeadline - 50*time.Millisecond, HasLeft: func() bool { return conn.closed }})
-	if other := c.c.open(p); other != p {
+	conn.read = true
+	p, me, first := c.c.open(Request{Job: job, Route: route, Patience: modelPatience, HasLeft: func() bool { return conn.closed }})
+	conn.job, conn.waits = p, me
+	c.AfterFunc(modelPatience, func() { p.timeUp(me) })
+	if !first {
 		return // it is answered there; this customer's deadline passes
 	}
 	p.onVerdict = func(a Answered) {
-		c.c.close(p)
 		w.verdicts[a.Verdict]++
 		w.AfterFunc(modelClientHop, func() {
 			switch a.Verdict {
@@ -173,7 +182,6 @@
 		})
 	}
 	p.offerIdle()
-	c.AfterFunc(p.Patience, p.timeUp)
 }
 
 // fault lets one thing go wrong.
