--- a/ingress/modellink_test.go
+++ b/ingress/modellink_test.go
@@ -13,7 +13,8 @@
 	number       int
 	c            *modelCoordinator
 	o            *modelOwner
-	silent       bool // nothing passes, and neither end is told
+	silent       bool      // nothing passes, and neither end is told
+	heldUntil    time.Time // what is sent before arrives then, in order
 	cOpen, oOpen bool
 	cHeard       time.Time
 	oHeard       time.Time
@@ -22,11 +23,16 @@
 
 func (l *modelLink) key() string { return fmt.Sprintf("%s#%d", l.c.name, l.number) }
 
+// hop is how long a message takes that is sent now.
+func (l *modelLink) hop() time.Duration {
+	return max(modelHop, l.heldUntil.Sub(l.c.w.Now())+modelHop)
+}
+
 func (l *modelLink) toOwner(f func()) {
 	if l.silent {
 		return
 	}
-	l.c.w.AfterFunc(modelHop, func() {
+	l.c.w.AfterFunc(l.hop(), func() {
 		l.o.do(func() {
 			if l.oOpen {
 				l.oHeard = l.c.w.Now()
@@ -40,7 +46,7 @@
 	if l.silent {
 		return
 	}
-	l.c.w.AfterFunc(modelHop, func() {
+	l.c.w.AfterFunc(l.hop(), func() {
 		l.c.do(func() {
 			if l.cOpen {
 				l.cHeard = l.c.w.Now()
@@ -57,6 +63,7 @@
 	}
 	l.toOwner(l.closeAtOwner)
 	l.cOpen = false
+	l.c.w.note("", "%s ends at the coordinator", l.key())
 	offers := l.offers
 	l.offers = map[schedule.JobKey]owner.Answer{}
 	for _, key := range l.c.w.sortedKeys(offers) {
@@ -70,6 +77,7 @@
 	}
 	l.toCoordinator(l.closeAtCoordinator)
 	l.oOpen = false
+	l.c.w.note("", "%s ends at the owner", l.key())
 	if l.o.pool != nil {
 		l.o.apply(l.o.pool.WithdrawAll(l.o.Now(), l.key(), "closed"))
 	}
--- a/ingress/network_test.go
+++ b/ingress/network_test.go
@@ -61,6 +61,7 @@
 		return
 	}
 	p.paused = true
+	p.w.note("", "%s stands still for %v", p.name, d)
 	p.w.AfterFunc(d, func() {
 		p.paused = false
 		inbox := p.inbox
@@ -88,6 +89,7 @@
 
 // take begins to own the group, under a token above all others.
 func (o *modelOwner) take() {
+	o.w.note("", "%s takes the group", o.name)
 	o.w.token++
 	o.pool = schedule.NewPool(schedule.DefaultConfig, o.w.token)
 	o.answers = map[schedule.JobKey]owner.Answer{}
@@ -170,6 +172,7 @@
 func (o *modelOwner) apply(e schedule.Effects) {
 	pool := o.pool
 	for _, s := range e.Starts {
+		o.w.note(s.Order.Run.Task.Job, "%s starts %v on %s", o.name, s.Order.Run, s.Upstream.ID)
 		o.AfterFunc(o.w.Millis(0, 1), func() {
 			o.w.upstreams[s.Upstream.ID].CallStart(s.Order, modelStart, func(r fleet.Refusal, err error) {
 				o.do(func() {
@@ -181,6 +184,7 @@
 		})
 	}
 	for _, s := range e.Stops {
+		o.w.note(s.Run.Task.Job, "%s stops %v on %s", o.name, s.Run, s.Upstream.ID)
 		o.AfterFunc(o.w.Millis(0, 1), func() {
 			o.w.upstreams[s.Upstream.ID].CallStop(s.Run, pool.Token(), modelCall, func(err error) {
 				o.do(func() {
@@ -239,6 +243,7 @@
 		return
 	}
 	offer.Key.Coordinator = l.key()
+	o.w.note(offer.Key.ID, "%s takes the offer on %s", o.name, l.key())
 	o.answers[offer.Key] = answer
 	o.apply(o.pool.Offer(o.Now(), offer))
 }
@@ -261,6 +266,9 @@
 	c     *Coordinator
 	links map[*modelOwner]*modelLink
 	views map[string]OwnerLoad
+	// stalls makes the process stand still once, between its decision on an offer and
+	// the sending of it.
+	stalls bool
 }
 
 // Loads implements Owners.
@@ -308,7 +316,12 @@
 		l = c.w.connect(c, o)
 	}
 	l.offers[offer.Key] = answer
-	l.toOwner(func() { o.offered(l, offer) })
+	if c.stalls {
+		c.stalls = false
+		c.pause(c.w.Millis(30, 3000))
+	}
+	c.w.note(offer.Key.ID, "%s offers to %s on %s, part %d", c.name, o.name, l.key(), offer.Key.Part)
+	c.do(func() { l.toOwner(func() { o.offered(l, offer) }) })
 	return nil
 }
 
@@ -339,6 +352,7 @@
 	token        uint64
 	links        int
 	starts       int
+	notes        []modelNote
 	verdicts     map[Verdict]int
 }
 
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -48,6 +48,16 @@
 	done  bool
 }
 
+// modelBegan is when a play begins.
+var modelBegan = time.Unix(1_000_000, 0)
+
+// modelNote is a line of the story of a play.
+type modelNote struct {
+	at   time.Duration
+	job  string
+	text string
+}
+
 // modelConn is a customer's connection.
 type modelConn struct {
 	read   bool // the coordinator has read the request
@@ -58,7 +68,7 @@
 
 func newFleetWorld(t modelFailer, seed uint64) *fleetWorld {
 	w := &fleetWorld{
-		Simulation: standin.NewSimulation(time.Unix(1_000_000, 0), seed), t: t, zones: []string{"a", "b"},
+		Simulation: standin.NewSimulation(modelBegan, seed), t: t, zones: []string{"a", "b"},
 		upstreams: map[string]*standin.SimulatedUpstream{}, jobs: map[string]*modelJob{}, verdicts: map[Verdict]int{},
 	}
 	for _, zone := range w.zones {
@@ -102,12 +112,29 @@
 		u.Advance(w.Now())
 		for _, r := range u.Running() {
 			if r.Task == began.Task && (id != at || r != began) {
-				w.t.Fatalf("%v runs on %s while %v begins on %s at %v", r, id, began, at, w.Now().Sub(time.Unix(1_000_000, 0)))
+				w.note(began.Task.Job, "%v runs on %s while %v begins on %s", r, id, began, at)
+				w.t.Fatalf("%s", w.story(began.Task.Job))
 			}
 		}
 	}
 }
 
+// note keeps what happened to a job, or to the world where job is "".
+func (w *fleetWorld) note(job, format string, args ...any) {
+	w.notes = append(w.notes, modelNote{w.Now().Sub(modelBegan), job, fmt.Sprintf(format, args...)})
+}
+
+// story tells what happened to a job, and in the world meanwhile.
+func (w *fleetWorld) story(job string) string {
+	var b strings.Builder
+	for _, n := range w.notes {
+		if n.job == job || n.job == "" {
+			fmt.Fprintf(&b, "\n%9.3f s  %s", n.at.Seconds(), n.text)
+		}
+	}
+	return b.String()
+}
+
 // mostSends is how often a customer sends a job.
 const mostSends = 3
 
@@ -118,11 +145,13 @@
 	conn := &modelConn{}
 	j.sends++
 	c := w.coordinators[to%len(w.coordinators)]
+	w.note(j.id, "sent to %s, time %d", c.name, j.sends)
 	again := func(after time.Duration) {
 		if conn.closed {
 			return
 		}
 		conn.closed = true
+		w.note(j.id, "the customer breaks off from %s", c.name)
 		w.left(c, conn)
 		if j.sends < mostSends && !j.done {
 			w.AfterFunc(after, func() { w.send(j, to+1) })
@@ -163,6 +192,7 @@
 	job := &fleet.Job{ID: j.id, Ephemeral: true, Steps: []fleet.Step{{Count: j.tasks, Estimate: estimate, Demand: fleet.Demand{MilliCPU: 3000}}}}
 	route := &fleet.Route{Name: "r", Service: "s", Stretch: 1.6, Slack: 300 * time.Millisecond, MaxAttempts: 4}
 	conn.read = true
+	w.note(j.id, "read by %s", c.name)
 	p, me, first := c.c.open(Request{Job: job, Route: route, Patience: modelPatience, HasLeft: func() bool { return conn.closed }})
 	conn.job, conn.waits = p, me
 	c.AfterFunc(modelPatience, func() { p.timeUp(me) })
@@ -171,6 +201,7 @@
 	}
 	p.onVerdict = func(a Answered) {
 		w.verdicts[a.Verdict]++
+		w.note(j.id, "%s says %s: %s", c.name, a.Verdict, a.Reason)
 		w.AfterFunc(modelClientHop, func() {
 			switch a.Verdict {
 			case Completed, Failed, NotRun:
@@ -186,23 +217,46 @@
 
 // fault lets one thing go wrong.
 func (w *fleetWorld) fault() {
-	switch w.Rand.IntN(5) {
+	switch kind := w.Rand.IntN(9); kind {
 	case 0:
 		w.owners[w.Rand.IntN(len(w.owners))].pause(w.Millis(30, 3000))
 	case 1:
 		w.coordinators[w.Rand.IntN(len(w.coordinators))].pause(w.Millis(30, 3000))
-	case 2:
-		if l := w.anyLink(); l != nil {
-			l.silent = true
-		}
-	case 3:
-		if l := w.anyLink(); l != nil && !l.silent {
-			l.c.do(l.closeAtCoordinator)
-			l.o.do(l.closeAtOwner)
-		}
 	case 4:
 		u := w.upstreams[w.ids[w.Rand.IntN(len(w.ids))]]
 		u.Cut = !u.Cut
+		w.note("", "%s cut off: %v", u.ID, u.Cut)
+	case 8:
+		w.coordinators[w.Rand.IntN(len(w.coordinators))].stalls = true
+	default:
+		if l := w.anyLink(); l != nil {
+			w.linkFault(l, kind)
+		}
+	}
+}
+
+// linkFault lets one thing go wrong with a link.
+func (w *fleetWorld) linkFault(l *modelLink, kind int) {
+	switch kind {
+	case 2:
+		w.note("", "%s goes silent", l.key())
+		l.silent = true
+	case 3:
+		w.note("", "%s is reset", l.key())
+		l.c.do(l.closeAtCoordinator)
+		l.o.do(l.closeAtOwner)
+	case 5:
+		w.note("", "%s is reset at the coordinator, silent at the owner", l.key())
+		l.silent = true
+		l.c.do(l.closeAtCoordinator)
+	case 6:
+		w.note("", "%s is reset at the owner, silent at the coordinator", l.key())
+		l.silent = true
+		l.o.do(l.closeAtOwner)
+	case 7:
+		late := w.Millis(30, 2000)
+		w.note("", "what is sent on %s arrives %v late", l.key(), late)
+		l.heldUntil = w.Now().Add(late)
 	}
 }
 
@@ -242,9 +296,11 @@
 
 // TestTwoRuns searches over orders of events for two runs of one task at once: two
 // coordinators, two zones with an owner and a standby each, any of which stands still
-// for up to 3 s, links that go silent or break, upstreams that are cut off, calls that
-// are lost or carried out late, and customers that leave at any time and send their
-// job again to the other coordinator 1.3 s later.
+// for up to 3 s, a coordinator also between its look at a customer's connection and the
+// sending of the offer; links that go silent or break, at one end or both, or deliver
+// late; upstreams that are cut off, calls that are lost or carried out late, and
+// customers that leave at any time and send their job again to the other coordinator,
+// 1.3 s later or, where nobody had read it, at once.
 func TestTwoRuns(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		twoRunsCase{
@@ -260,6 +316,17 @@
 		// An owner and a coordinator of one zone stood still at the same time; the owner
 		// woke up first and started what it read.
 		{seed: 0x39f8d7, loss: 0.02, late: 0.05, faults: 20},
+		// A withdrawal was lost on a link that had gone silent, and the owner took its
+		// coordinator for lost 1.2 s later.
+		{seed: 0x335e9124d3, late: 0.05, faults: 20},
+		// A coordinator stood still between its look at the customer's connection and the
+		// sending of the offer.
+		{seed: 0xf4609a, late: 0.05, faults: 19},
+		{seed: 0x18b93, late: 0.05, faults: 23},
+		// An offer arrived 1.7 s late, on a link that its coordinator had taken for lost.
+		{seed: 0xf02, loss: 0.02, faults: 1},
+		{seed: 0x5d33, loss: 0.02, late: 0.05, faults: 22},
+		{seed: 0x1ec, late: 0.05, faults: 23},
 	} {
 		t.Run(fmt.Sprintf("%#x", c.seed), func(t *testing.T) { c.run(t) })
 	}
