--- a/ingress/server.go
+++ b/ingress/server.go
@@ -25,6 +25,7 @@
 	Status     int
 	Answered
 	Took          time.Duration
+	Patience      time.Duration // the customer's deadline when it sent the request
 	Objective     time.Duration // by the customer's own estimate
 	Late          bool
 	Tasks         int
@@ -164,7 +165,7 @@
 	}
 	left, stop := watch(ctx.Conn())
 	request := Request{Job: job, Route: route, Patience: patience - answerMargin, HasLeft: hasLeft(ctx.Conn())}
-	record.Objective = request.Objective()
+	record.Objective, record.Patience = request.Objective(), patience
 	record.Answered = s.coordinator.Run(request, left)
 	stop()
 	respond(ctx, record.Answered)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -279,7 +279,7 @@
 		Carried:  carried,
 	})
 	p.decide(Decision{
-		Kind: DecidedStart, Job: j.Key.ID, Task: t.index, Run: t.number, Upstream: u.ID,
+		Kind: DecidedStart, Job: j.Key.ID, Coordinator: j.Key.Coordinator, Task: t.index, Run: t.number, Upstream: u.ID,
 		Room: u.Capacity.Minus(u.used).MilliCPU, Age: p.now.Sub(j.offered),
 	})
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -350,7 +350,7 @@
 		Key: j.Key, Outcome: outcome, Done: j.done, Returned: returned, Past: j.past, Begun: j.begun,
 	})
 	p.decide(Decision{
-		Kind: DecidedResult, Job: j.Key.ID, Task: len(j.done), Reason: string(outcome), Age: p.now.Sub(j.offered),
+		Kind: DecidedResult, Job: j.Key.ID, Coordinator: j.Key.Coordinator, Task: len(j.done), Reason: string(outcome), Age: p.now.Sub(j.offered),
 		Late: p.now.After(j.sent().Add(j.allowed())),
 	})
 }
--- a/schedule/return.go
+++ b/schedule/return.go
@@ -37,7 +37,7 @@
 	if len(returned) == 0 {
 		return
 	}
-	p.decide(Decision{Kind: DecidedReturn, Job: j.Key.ID, Task: len(returned), Reason: reason})
+	p.decide(Decision{Kind: DecidedReturn, Job: j.Key.ID, Coordinator: j.Key.Coordinator, Task: len(returned), Reason: reason})
 	if j.left == 0 {
 		p.forget(j)
 		p.result(j, Completed, returned)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -177,16 +177,19 @@
 
 // Decision is one line for the log.
 type Decision struct {
-	Kind     DecisionKind
-	Job      string
-	Task     int
-	Run      uint32
-	Upstream string
-	Reason   string
-	Room     int64 // thousandths of a core left on the upstream
-	Queued   int   // tasks that wait in the pool
-	Age      time.Duration
-	Late     bool // a result comes after the job's objective
+	Kind DecisionKind
+	Job  string
+	// Coordinator is whose offer it is about; two of one job mean that its customer has
+	// sent it twice.
+	Coordinator string
+	Task        int
+	Run         uint32
+	Upstream    string
+	Reason      string
+	Room        int64 // thousandths of a core left on the upstream
+	Queued      int   // tasks that wait in the pool
+	Age         time.Duration
+	Late        bool // a result comes after the job's objective
 }
 
 // DecisionKind is what a decision was about.
