The end of a customer's connection is seen behind what is unread on it

TestResetBehindNextRequest: a customer that sent its next request before the answer to the first, and whose connection was reset, was never noticed to have left: the goroutine that waits for the end had read a byte and waited no more, and a look at the next unread byte tells of no end. Its job was offered ten times, until it was late. The system is asked for the state of the connection instead. Fails before, with one offer after it.

--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // watchedListener makes connections whose end can be noticed while a request on
@@ -47,7 +49,8 @@
 
 // hasEnded reports whether the other side has closed the connection or reset it, as
 // far as the operating system knows now: the goroutine that waits for the end may not
-// have been scheduled yet. It reads nothing.
+// have been scheduled yet, or waits no more because the next request has come. It reads
+// nothing.
 func (c *watchedConn) hasEnded() bool {
 	sys, is := c.Conn.(syscall.Conn)
 	if !is {
@@ -58,14 +61,22 @@
 		return false // it is closed here, or is none of the system; the watch tells
 	}
 	ended := false
-	err = raw.Control(func(fd uintptr) {
-		var next [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ended = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	})
+	err = raw.Control(func(fd uintptr) { ended = peerEnded(int32(fd)) })
 	return ended && err == nil
 }
 
+// peerEnded asks the system whether the other end of a socket is gone.
+func peerEnded(fd int32) bool {
+	asked := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
+	for {
+		_, err := unix.Poll(asked, 0)
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		return err == nil && asked[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
+}
+
 // hasLeft returns what tells at once whether the customer on a connection has left.
 func hasLeft(conn net.Conn) func() bool {
 	c, watched := conn.(*watchedConn)
--- a/ingress/watch_test.go
+++ b/ingress/watch_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/connset"
+	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/owner"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
@@ -109,3 +110,22 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// TestResetBehindNextRequest: while a job is being offered, its customer sends the next
+// request without waiting for the answer, and then the connection is reset. What is
+// unread there does not hide the end.
+func TestResetBehindNextRequest(t *testing.T) {
+	instance := newStoodStill(t)
+	customer := instance.send()
+	instance.owners.offer = func(string, schedule.Offer, owner.Answer) error {
+		_, err := customer.Write([]byte("GET /checks/ HTTP/1.1\r\n"))
+		if err := errors.Join(err, customer.SetLinger(0), customer.Close()); err != nil {
+			t.Error(err)
+		}
+		return failure.Unreachable.New("cut")
+	}
+	instance.goOn()
+	if a := <-instance.answers; a.Verdict != Left || a.Offers != 1 {
+		t.Errorf("%+v", a)
+	}
+}
