A job is out of the books before its verdict is told, and each offer is withdrawn once

TestCancel failed once in 300: an offer was withdrawn by whoever gave the verdict and by whoever had sent it. 220 runs under the race detector, 100 of them beside eight busy processes: none.

--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -51,6 +51,7 @@
 	group  string
 	tasks  map[int]struct{} // that its owner has
 	queue  bool
+	sent   bool // there is something to withdraw
 }
 
 // maxAsked bounds the groups that are remembered for the log.
@@ -75,27 +76,29 @@
 		Verdict: v, Reason: reason, Begun: p.begun, Offers: p.offers, Groups: strings.Join(p.asked, ","),
 		RetryAfter: p.c.retryAfter(v, len(p.full) > 0, p.closed), Owners: p.owners, OwnersAge: p.ownersAge,
 	}
-	close(p.decided)
-	parts := slices.SortedFunc(maps.Values(p.parts), func(a, b *part) int { return a.number - b.number })
+	sent := lo.Filter(slices.Collect(maps.Values(p.parts)), func(a *part, _ int) bool { return a.sent })
+	slices.SortFunc(sent, func(a, b *part) int { return a.number - b.number })
 	p.mu.Unlock()
+	p.c.close(p)
+	close(p.decided)
 	if p.onVerdict != nil {
 		p.onVerdict(p.answer)
 	}
-	for _, part := range parts {
+	for _, part := range sent {
 		p.withdraw(part)
 	}
-	p.c.close(p)
 }
 
 func (p *pending) withdraw(part *part) {
 	p.c.owners.Withdraw(part.group, schedule.JobKey{ID: p.Job.ID, Part: part.number}, p.answer.Reason)
 }
 
-// withdrawIfSettled withdraws an offer that was sent after the job had got its verdict:
-// there was nothing to withdraw yet, and its tasks would run for nobody, beside those
-// that the customer has run elsewhere meanwhile.
-func (p *pending) withdrawIfSettled(part *part) {
+// wasSent notes that an offer was sent. It is withdrawn where the job got its verdict
+// meanwhile: there was nothing to withdraw then, and its tasks would run for nobody,
+// beside those that the customer has run elsewhere.
+func (p *pending) wasSent(part *part) {
 	p.mu.Lock()
+	part.sent = true
 	_, open := p.parts[part.number]
 	unwanted := open && p.settled
 	p.mu.Unlock()
@@ -132,7 +135,7 @@
 			Ended:    func(r schedule.Result, _ schedule.Load) { p.ended(part, r) },
 		})
 		if err == nil {
-			p.withdrawIfSettled(part)
+			p.wasSent(part)
 			return
 		}
 		p.unsent(part)
