--- a/explain/explain.go
+++ b/explain/explain.go
@@ -3,12 +3,15 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Line is one line of a log that concerns a job, or what instances believed
@@ -182,10 +185,10 @@
 		if len(s.evacuated) > 0 {
 			text += "; evacuated then: " + strings.Join(s.evacuated, ", ")
 		}
-		return text + "."
+		return text + s.sendings() + "."
 	}
 	if l, found := s.find("job_late"); found {
-		return fmt.Sprintf("%s was complete after %s ms, its objective was %s ms%s.", s.Job, l.String("took_ms"), l.String("objective_ms"), s.because(l))
+		return fmt.Sprintf("%s was complete after %s ms, its objective was %s ms%s.", s.Job, l.String("took_ms"), l.String("objective_ms"), s.because(l)+s.sendings())
 	}
 	if l, found := s.find("job_answered"); found {
 		return fmt.Sprintf("%s was complete in time, after %s ms.", s.Job, l.String("took_ms"))
@@ -196,6 +199,27 @@
 	return fmt.Sprintf("The answer to %s is not in these logs.", s.Job)
 }
 
+// sendings names the instances that answered the job where there are several: its
+// customer has sent it more than once, to the one with the longest deadline first.
+func (s *Story) sendings() string {
+	answers := lo.Filter(s.Lines, func(l Line, _ int) bool {
+		return l.Event == "job_not_served" || l.Event == "job_late" || l.Event == "job_answered"
+	})
+	if len(answers) < 2 {
+		return ""
+	}
+	patience := func(l Line) float64 {
+		ms, _ := l.Fields["patience_ms"].(float64) // 0 where a line has none
+		return ms
+	}
+	slices.SortStableFunc(answers, func(a, b Line) int { return cmp.Compare(patience(b), patience(a)) })
+	text := fmt.Sprintf("; its customer sent it to %s (%.0f ms before its deadline)", answers[0].Instance, patience(answers[0]))
+	for _, l := range answers[1:] {
+		text += fmt.Sprintf(", %s (%.0f)", l.Instance, patience(l))
+	}
+	return text
+}
+
 // because adds what the lines before the end say of its reason.
 func (s *Story) because(end Line) string {
 	if l, found := s.find("offer_lost"); found {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -21,6 +21,8 @@
 {"time":"2026-04-04T22:12:07.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"ff","status":503,"verdict":"not_run","reason":"no room in time","owners":2,"took_ms":30,"groups":"b/0"}
 {"time":"2026-04-04T22:12:08.000Z","level":"INFO","msg":"zone_returned","instance":"i-1","zone":"a","revision":10,"from":"store"}
 {"time":"2026-04-04T22:12:09.000Z","level":"INFO","msg":"task_started","instance":"i-1","job":"dd","run":1,"age_ms":0}
+{"time":"2026-04-04T22:12:10.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"gg","status":504,"verdict":"left","reason":"the customer left before its request was read","took_ms":0.1,"patience_ms":2676}
+{"time":"2026-04-04T22:12:10.200Z","level":"INFO","msg":"job_late","instance":"i-3","job":"gg","took_ms":210,"objective_ms":190,"groups":"a/0","patience_ms":2561}
 no line of a log
 `
 
@@ -35,6 +37,7 @@
 			"lines of the owners of b/0: they ended, or their logs are not given"},
 		"cc": {"cc was answered 503 (not_run) by i-2 after 90 ms: no owner can be reached; no owner of upstreams was known.", "lines that were dropped while the output stalled (22:12:02)"},
 		"ff": {"ff was answered 503 (not_run) by i-2 after 30 ms: no room in time; evacuated then: a.", ""},
+		"gg": {"gg was answered 504 (left) by i-2 after 0.1 ms: the customer left before its request was read; its customer sent it to i-2 (2676 ms before its deadline), i-3 (2561).", ""},
 		"dd": {"The answer to dd is not in these logs.", "the line of the answer: the instance that took the job ended, or its log is not given"},
 		"ee": {"No line tells of ee.", "any line of the job: it went well and was not in the sample, its id is wrong, or the logs of its instances are not given"},
 	} {
