--- a/soak/customer.go
+++ b/soak/customer.go
@@ -72,8 +72,10 @@
 	deadline = 4 * time.Second
 	// sendings bounds how often one job is sent.
 	sendings = 3
-	// leaveShare of the customers' requests are broken off early.
-	leaveShare = 0.05
+	// leaveShare of the customers' requests are broken off early, and leaveStillShare of
+	// those to an instance that stands still.
+	leaveShare      = 0.05
+	leaveStillShare = 0.5
 )
 
 // customer sends one job after the other until ctx ends. It keeps connections
@@ -111,10 +113,13 @@
 	for range sendings {
 		leaves := c.rng.Float64() < leaveShare
 		sent := time.Now()
-		status, answer := c.send(ctx, job, leaves)
+		status, answer, unread := c.send(ctx, job, leaves)
 		switch {
 		case ctx.Err() != nil:
 			return
+		case unread:
+			c.tally.add("unread")
+			continue // nobody has read it: it is sent again at once
 		case status == http.StatusOK && answer == `{"State":"completed"}`:
 			c.tally.add("completed")
 			if done := c.in.ledger.Done(id); done != job.Tasks {
@@ -147,27 +152,33 @@
 }
 
 // send sends a job to an instance that is picked at random. The status is 0
-// without an answer.
-func (c *customer) send(ctx context.Context, job standin.Job, leaves bool) (int, string) {
+// without an answer; unread is set where the instance stood still all the while.
+func (c *customer) send(ctx context.Context, job standin.Job, leaves bool) (status int, answer string, unread bool) {
 	limit := deadline
+	soon := func() { limit = time.Duration(20+c.rng.IntN(100)) * time.Millisecond }
 	if leaves {
-		limit = time.Duration(20+c.rng.IntN(100)) * time.Millisecond
+		soon()
+	}
+	p := c.in.processes[c.rng.IntN(len(c.in.processes))]
+	number, still := p.stillness()
+	if still && !leaves && c.rng.Float64() < leaveStillShare {
+		soon()
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	p := c.in.processes[c.rng.IntN(len(c.in.processes))]
 	req, err := standin.NewRequest(ctx, http.MethodPost, p.customers(), host, prefix(0)+job.ID, job.Body(), deadline)
 	if err != nil {
-		return 0, ""
+		return 0, "", false
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return 0, ""
+		now, paused := p.stillness()
+		return 0, "", still && paused && now == number
 	}
 	defer func() { _ = res.Body.Close() }() // it has been read
 	raw, err := io.ReadAll(res.Body)
 	if err != nil {
-		return 0, ""
+		return 0, "", false
 	}
-	return res.StatusCode, string(raw)
+	return res.StatusCode, string(raw), false
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -57,6 +57,7 @@
 	cmd    *exec.Cmd     // nil while the program does not run
 	ended  chan struct{} // closed once cmd has ended
 	paused bool
+	pauses int // signals that paused it or let it go on
 	life   int
 }
 
@@ -113,9 +114,18 @@
 		return
 	}
 	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
+	p.pauses++
 	_ = p.cmd.Process.Signal(s) // one that has just ended needs none
 }
 
+// stillness tells whether a process stands still, and which time it is: one that is the
+// same later has not run meanwhile.
+func (p *process) stillness() (number int, paused bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pauses, p.cmd != nil && p.paused
+}
+
 // end waits until the program has ended, after a signal that makes it. Several
 // may end the same program at once.
 func (p *process) end(s syscall.Signal) {
