A closed mesh takes no connections

Cause: Serve started a goroutine for each connection that it accepted without a look at whether the mesh was closed; Close had done waiting by then, or was about to. dial and keep have looked under the lock all along.

Change: one method starts what Close waits for, under the lock, or not at all. The other wait groups of the product and of the soak (node, dispatch, entry, proxy) add only before Close, or from a goroutine that they count already.

--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -135,8 +135,22 @@
 		if err != nil {
 			return
 		}
-		m.running.Go(func() { m.accept(conn) })
+		if !m.start(func() { m.accept(conn) }) {
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
+// start runs f in a goroutine that Close waits for, and reports false where the mesh is
+// closed: Close may have done waiting.
+func (m *Mesh) start(f func()) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.closed {
+		m.running.Go(f)
 	}
+	return !m.closed
 }
 
 func (m *Mesh) take(k *link, f *Frame) {
