A pool that wakes up notes anew which leases it must not renew

Symptom: scenario woken_up, a start beside a run whose coordinator was last alive .9 s ago.

Cause: which upstreams have no leases to be renewed was noted in Tick alone, and a pool whose process stood still reads its connections first.

Change: a placement notes it anew where the note is older than 50 ms, two ticks. That adds to the .5 s of AliveToStart: 1.284 s in all at the worst, against 1.3 s.

--- a/schedule/coordinator.go
+++ b/schedule/coordinator.go
@@ -114,14 +114,28 @@
 	return true
 }
 
-// weighLeases notes which upstreams have no leases to be renewed now. It is done once
-// while time passes: each placement looks at all upstreams, and would look at all runs.
+// leasesWeighed is how long a note holds of which upstreams have no leases to be renewed:
+// a start that goes by it prolongs what runs beside it, so that it adds to AliveToStart.
+// Time passes for a pool twice as often, unless its process stood still.
+const leasesWeighed = 50 * time.Millisecond
+
+// weighLeases notes which upstreams have no leases to be renewed now. It is done while time
+// passes: each placement looks at all upstreams, and would look at all runs.
 func (p *Pool) weighLeases() {
+	p.leasesAt = p.now
 	for _, u := range p.sorted {
 		u.held = !p.mayRenew(u)
 	}
 }
 
+// leasesKnown makes sure that the note is of now: a pool whose process stood still reads
+// what came meanwhile before time passes for it.
+func (p *Pool) leasesKnown() {
+	if p.now.Sub(p.leasesAt) > leasesWeighed {
+		p.weighLeases()
+	}
+}
+
 // reasonUnheard is why the work of a coordinator is given up.
 const reasonUnheard = "its coordinator is not heard"
 
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -22,8 +22,9 @@
 	byTask    map[fleet.TaskRef]*run
 	// coordinators are those with jobs here that work under a lease.
 	coordinators map[string]*coordinator
-	queue        []*job // with waiting tasks
-	waiting      int    // tasks that wait
+	leasesAt     time.Time // when it was noted which upstreams have no leases to be renewed
+	queue        []*job    // with waiting tasks
+	waiting      int       // tasks that wait
 	times        map[string]*runTimes
 	reports      missRate // of all upstreams
 	meanSpeed    float64  // of all upstreams, as in speed
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -296,7 +296,7 @@
 	reported  time.Time   // when the last report that counts was asked for
 	misses    int         // reports in a row that did not come, while nothing else was answered
 	silent    bool
-	held      bool // its leases must not be renewed; as of the last tick
+	held      bool // its leases must not be renewed; as of leasesAt of the pool
 	health    health
 	speed     speed
 }
