No lease is renewed ahead of an offer or a withdrawal that is still being sent

Found by going through the argument of the leases thread by thread: a job gets its verdict under its lock, and its offers are withdrawn after that, by the same thread. If the process stands still in between, the thread that reads the owner's heartbeats may go first on waking up: the job is no longer among the open ones, nobody is found who has left, and the lease is renewed with the time of the last heartbeat. An owner that stood still as well starts what waited there, some milliseconds before the withdrawal comes. The same for an offer that is withdrawn once it is sent.

--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -88,7 +88,10 @@
 	policy  Policy
 	returns returnPlan
 	parts   atomic.Uint32 // offers so far, which it numbers
-	shards  [shardCount]shard
+	// unsent counts the goroutines that have decided on an offer or on withdrawals and may
+	// not have sent them yet.
+	unsent atomic.Int32
+	shards [shardCount]shard
 }
 
 // shard holds some of the open jobs under its own lock.
@@ -204,11 +207,14 @@
 	return true
 }
 
-// DropLeft ends the jobs whose customers have left, as far as the system knows now.
-func (c *Coordinator) DropLeft() {
+// DropLeft ends the jobs whose customers have left, as far as the system knows now. It
+// reports whether all that was decided till then has been sent: a lease that is renewed
+// ahead of a withdrawal vouches for a customer that has left.
+func (c *Coordinator) DropLeft() (sent bool) {
 	for _, p := range c.all() {
 		p.dropLeft()
 	}
+	return c.unsent.Load() == 0
 }
 
 // Abandon gives up every open job: this instance ends.
--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -66,3 +66,69 @@
 		t.Errorf("the first: %+v, %d withdrawn", a, len(f.withdrawn))
 	}
 }
+
+// TestNoLeaseAheadOfWithdrawals: a lease must not be renewed between the moment at which a
+// job has got its verdict and the withdrawal of its offers.
+//
+// The two are threads of one process, which may stand still in between: on waking up, the
+// thread that reads the owner's heartbeats goes first, finds nobody who has left among the
+// open jobs, and renews the lease. The owner, which stood still as well, starts what waited
+// there, while the customer has the job run elsewhere.
+func TestNoLeaseAheadOfWithdrawals(t *testing.T) {
+	left, withdrawing, goOn := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	offered := make(chan struct{})
+	f := &blockedOwners{
+		owners:      owners{loads: twoZones(), offer: func(string, schedule.Offer, owner.Answer) error { close(offered); return nil }},
+		withdrawing: withdrawing, goOn: goOn,
+	}
+	c := NewCoordinator("a", f)
+	answered := make(chan Answered)
+	go func() { answered <- c.Run(request(1), left) }()
+	<-offered
+	close(left)
+	<-withdrawing
+	if c.DropLeft() {
+		t.Error("a lease may be renewed while an offer is being withdrawn")
+	}
+	close(goOn)
+	<-answered
+	if c.unsent.Load() != 0 {
+		t.Errorf("%d threads are still sending", c.unsent.Load())
+	}
+}
+
+// TestNoLeaseWhileOffering: nor while an offer is being sent, which is withdrawn as soon as
+// it is, where its job has got its verdict meanwhile.
+func TestNoLeaseWhileOffering(t *testing.T) {
+	left, offering, goOn := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	f := &owners{loads: twoZones(), offer: func(string, schedule.Offer, owner.Answer) error {
+		close(offering)
+		<-goOn
+		return nil
+	}}
+	c := NewCoordinator("a", f)
+	answered := make(chan Answered)
+	go func() { answered <- c.Run(request(1), left) }()
+	<-offering
+	if c.DropLeft() {
+		t.Error("a lease may be renewed while an offer is being sent")
+	}
+	close(goOn)
+	close(left)
+	<-answered
+	if !c.DropLeft() {
+		t.Error("no lease is renewed though nothing is being sent")
+	}
+}
+
+// blockedOwners are owners to which a withdrawal takes until goOn is closed.
+type blockedOwners struct {
+	owners
+	withdrawing, goOn chan struct{}
+}
+
+func (f *blockedOwners) Withdraw(group string, key schedule.JobKey, reason string) {
+	close(f.withdrawing)
+	<-f.goOn
+	f.owners.Withdraw(group, key, reason)
+}
--- a/ingress/modellink_test.go
+++ b/ingress/modellink_test.go
@@ -19,6 +19,7 @@
 	cHeard       time.Time
 	oHeard       time.Time
 	offers       map[schedule.JobKey]owner.Answer // of the coordinator
+	unsent       map[schedule.JobKey][]func()     // what follows offers that are still being sent
 }
 
 func (l *modelLink) key() string { return fmt.Sprintf("%s#%d", l.c.name, l.number) }
@@ -92,7 +93,9 @@
 	if len(l.offers) == 0 {
 		return
 	}
-	l.c.c.DropLeft()
+	if !l.c.c.DropLeft() {
+		return
+	}
 	l.toOwner(func() {
 		if l.o.pool != nil {
 			l.o.pool.Renew(l.key(), sent)
--- a/ingress/network_test.go
+++ b/ingress/network_test.go
@@ -269,8 +269,29 @@
 	// heardFrom holds when each owner sent the last heartbeat that came from it.
 	heardFrom map[*modelOwner]time.Time
 	// stalls makes the process stand still once, between its decision on an offer and
-	// the sending of it.
-	stalls bool
+	// the sending of it; stallsOffer and stallsWithdrawal likewise, but the thread that
+	// sends goes on some milliseconds after others that have read what came meanwhile.
+	stalls           bool
+	stallsOffer      bool
+	stallsWithdrawal bool
+}
+
+// modelThread is how much later than others a thread goes on at most once its process
+// runs again, in milliseconds.
+const modelThread = 5
+
+// sendAfter lets the process stand still, and calls send some time after it runs again:
+// until then a thread is at it, as the coordinator counts them.
+func (c *modelCoordinator) sendAfter(send func()) {
+	c.c.unsent.Add(1)
+	pause := c.w.Millis(30, 3000)
+	c.pause(pause)
+	c.w.AfterFunc(pause+c.w.Millis(0, modelThread), func() {
+		c.do(func() {
+			send()
+			c.c.unsent.Add(-1)
+		})
+	})
 }
 
 // Loads implements Owners.
@@ -324,7 +345,20 @@
 		c.pause(c.w.Millis(30, 3000))
 	}
 	c.w.note(offer.Key.ID, "%s offers to %s on %s, part %d", c.name, o.name, l.key(), offer.Key.Part)
-	c.do(func() { l.toOwner(func() { o.offered(l, offer) }) })
+	send := func() { l.toOwner(func() { o.offered(l, offer) }) }
+	if c.stallsOffer {
+		c.stallsOffer = false
+		l.unsent[offer.Key] = nil
+		c.sendAfter(func() {
+			send()
+			for _, f := range l.unsent[offer.Key] {
+				f()
+			}
+			delete(l.unsent, offer.Key)
+		})
+		return nil
+	}
+	c.do(send)
 	return nil
 }
 
@@ -337,7 +371,17 @@
 		}
 		if _, open := l.offers[key]; open {
 			delete(l.offers, key)
-			l.toOwner(func() { o.withdrawn(l, key) })
+			send := func() { l.toOwner(func() { o.withdrawn(l, key) }) }
+			_, unsent := l.unsent[key]
+			switch {
+			case unsent:
+				l.unsent[key] = append(l.unsent[key], send)
+			case c.stallsWithdrawal:
+				c.stallsWithdrawal = false
+				c.sendAfter(send)
+			default:
+				send()
+			}
 		}
 	}
 }
@@ -377,7 +421,7 @@
 
 func (w *fleetWorld) connect(c *modelCoordinator, o *modelOwner) *modelLink {
 	w.links++
-	l := &modelLink{number: w.links, c: c, o: o, cOpen: true, oOpen: true, cHeard: w.Now(), oHeard: w.Now(), offers: map[schedule.JobKey]owner.Answer{}}
+	l := &modelLink{number: w.links, c: c, o: o, cOpen: true, oOpen: true, cHeard: w.Now(), oHeard: w.Now(), offers: map[schedule.JobKey]owner.Answer{}, unsent: map[schedule.JobKey][]func(){}}
 	c.links[o] = l
 	c.heardFrom[o] = w.Now() // they tell each other the time when they connect
 	l.beat()
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -160,7 +160,7 @@
 	}
 	pause := func() time.Duration { return modelResend + w.Millis(0, 20) }
 	later := func() { again(pause) }
-	if w.faultKinds == mostFaults { // it draws the pause first, and the kept seeds with it
+	if w.faultKinds != fewFaults { // it draws the pause first, and the kept seeds with it
 		later = func() {
 			drawn := pause()
 			again(func() time.Duration { return drawn })
@@ -236,6 +236,10 @@
 		w.note("", "%s cut off: %v", u.ID, u.Cut)
 	case 8:
 		w.coordinators[w.Rand.IntN(len(w.coordinators))].stalls = true
+	case 9:
+		w.coordinators[w.Rand.IntN(len(w.coordinators))].stallsOffer = true
+	case 10:
+		w.coordinators[w.Rand.IntN(len(w.coordinators))].stallsWithdrawal = true
 	default:
 		if l := w.anyLink(); l != nil {
 			w.linkFault(l, kind)
@@ -288,6 +292,7 @@
 const (
 	fewFaults  = 5
 	mostFaults = 9
+	allFaults  = 11
 	nearBeat   = 100 * time.Millisecond
 	farBeat    = 250 * time.Millisecond
 )
@@ -327,7 +332,7 @@
 		twoRunsCase{
 			seed: rapid.Uint64().Draw(t, "seed"), loss: rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "loss"),
 			late: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"), faults: rapid.IntRange(0, 25).Draw(t, "faults"),
-			kinds: mostFaults, beat: rapid.SampledFrom([]time.Duration{nearBeat, farBeat}).Draw(t, "beat"),
+			kinds: allFaults, beat: rapid.SampledFrom([]time.Duration{nearBeat, farBeat}).Draw(t, "beat"),
 		}.run(t)
 	})
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -51,15 +51,11 @@
 const renewEach = 150 * time.Millisecond
 
 // renewalDue reports whether offers on a connection are open whose lease is to be renewed
-// now, and takes note.
+// now.
 func (r *router) renewalDue(link inner.Link) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Since(r.renewed[link.Number()]) < renewEach || !r.offersOn(link) {
-		return false
-	}
-	r.renewed[link.Number()] = time.Now()
-	return true
+	return time.Since(r.renewed[link.Number()]) >= renewEach && r.offersOn(link)
 }
 
 // offersOn reports whether an offer on a connection is open. The lock is held.
@@ -76,10 +72,12 @@
 // there, it renews the lease of those, once it has looked after the customers of all.
 func (r *router) heardOwner(link inner.Link, from fate.Incarnation, clockMs uint64) {
 	r.heardClock(from, clockMs)
-	if !r.renewalDue(link) {
+	if !r.renewalDue(link) || !r.n.ingress.DropLeft() {
 		return
 	}
-	r.n.ingress.DropLeft()
+	r.mu.Lock()
+	r.renewed[link.Number()] = time.Now()
+	r.mu.Unlock()
 	r.n.metrics.Sent("renewal")
 	err := link.Send(&inner.Frame{Body: &inner.Frame_Renewal{Renewal: &inner.Renewal{ClockMs: clockMs}}})
 	if err != nil {
@@ -103,7 +101,9 @@
 		return
 	}
 	now := time.Now()
-	n.ingress.DropLeft()
+	if !n.ingress.DropLeft() {
+		return
+	}
 	for _, g := range groups {
 		g.Renew(self, now)
 	}
