--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -20,7 +20,7 @@
 	return code, o.String(), e.String()
 }
 
-func fleet(t *testing.T) *experiment.Cluster {
+func startFleet(t *testing.T) *experiment.Cluster {
 	t.Helper()
 	c, err := experiment.StartCluster(experiment.Spec{Zones: []experiment.ZoneSpec{{Name: "a", Entries: 2, Upstreams: 2}}})
 	if err != nil {
@@ -41,7 +41,7 @@
 
 // TestExitCodes holds that each fate ends with its own code.
 func TestExitCodes(t *testing.T) {
-	c := fleet(t)
+	c := startFleet(t)
 	entry := "--entry=" + c.Addresses()[0]
 	for _, job := range []struct {
 		text string
@@ -75,7 +75,7 @@
 }
 
 func TestSettingsCommands(t *testing.T) {
-	c := fleet(t)
+	c := startFleet(t)
 	at := []string{"--platform=" + c.Platform.Address()}
 	change := append(at, "--entry="+c.Addresses()[0])
 	do := func(want int, contains string, args ...string) {
