--- a/cli/pages_test.go
+++ b/cli/pages_test.go
@@ -133,21 +133,27 @@
 	return path
 }
 
-// freePort is a port of the loopback on which nobody listens.
-func (s *site) freePort() int {
-	s.t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }() // it is taken by the daemon
-	return l.Addr().(*net.TCPAddr).Port
+// Ports of the daemons, under those that the system gives away.
+const (
+	customersPort = 18161
+	readinessPort = 18167
+	peersPort     = 17720
+	callersPort   = 17400
+	innerPort     = 17500
+)
+
+// daemonIP is an address of the loopback that no other process uses: a port that was free
+// a moment ago may be taken.
+func daemonIP() string {
+	const hosts = 254
+	pid := os.Getpid()
+	return fmt.Sprintf("127.88.%d.%d", pid/hosts%hosts, 1+pid%hosts)
 }
 
 func (s *site) platformSettings() string {
 	s.t.Helper()
 	raw, err := standin.Settings(standin.Process{
-		Name: "a-1", IP: "127.0.0.1", Zone: "a", CustomersPort: s.freePort(), ReadinessPort: s.freePort(), PeersPort: s.freePort(),
+		Name: "a-1", IP: daemonIP(), Zone: "a", CustomersPort: customersPort, ReadinessPort: readinessPort, PeersPort: peersPort,
 		Store: s.store.Address, FirstStart: true,
 	})
 	if err != nil {
@@ -158,7 +164,7 @@
 
 func (s *site) entrySettings() string {
 	return fmt.Sprintf("[instance]\nfleet = alone\nname = e\nregion = r\nzone = a\nrack = r1\n"+
-		"[listen]\ncallers = 127.0.0.1:%d\ninner = 127.0.0.1:%d\n[platform]\naddress = %s\n", s.freePort(), s.freePort(), s.cluster.Platform.Address())
+		"[listen]\ncallers = %[1]s:%[2]d\ninner = %[1]s:%[3]d\n[platform]\naddress = %[4]s\n", daemonIP(), callersPort, innerPort, s.cluster.Platform.Address())
 }
 
 // session submits a job, and returns the session that it was submitted in.
