--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -142,7 +142,7 @@
 func (c *Coordinator) newPending(r Request) (*pending, *customer) {
 	p := &pending{
 		Request: r, c: c, began: c.clock.Now(), decided: make(chan struct{}), left: map[int]bool{}, past: map[int]schedule.Past{},
-		parts: map[int]*part{}, tried: map[string]bool{}, never: map[string]bool{}, cut: map[string]bool{}, full: map[string]bool{},
+		parts: map[int]*part{}, search: newSearch(),
 	}
 	for i := range r.Job.Steps[0].Count {
 		p.left[i] = true
@@ -264,18 +264,17 @@
 }
 
 // retryAfter is when a customer should send its job again, zero where it should
-// not. Crowded is set where the load was the reason, closed where nothing may start
-// on any upstream.
-func (c *Coordinator) retryAfter(v Verdict, crowded, closed bool) time.Duration {
+// not. Why is what its search for room came to.
+func (c *Coordinator) retryAfter(v Verdict, why outcome) time.Duration {
 	switch {
 	case v == Completed:
 		c.returns.completed(c.clock.Now())
 		return 0
 	case v != NotRun:
 		return 0
-	case crowded && c.policy.SpreadReturns:
+	case why == crowded && c.policy.SpreadReturns:
 		return c.returns.next(c.clock.Now())
-	case closed:
+	case why == closed:
 		return closedReturn
 	default:
 		return soonest
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -28,17 +28,10 @@
 	past   map[int]schedule.Past // of those that ran in vain, and go on elsewhere
 	idle   []int                 // tasks that no owner has
 	parts  map[int]*part         // offers that have not ended, by number, which no other offer of the coordinator has
-	tried  map[string]bool       // groups that had no room
-	never  map[string]bool       // groups where no task can ever fit
-	cut    map[string]bool       // groups whose owner could not be reached
-	full   map[string]bool       // groups that expect no room in time
+	search search
 	begun  bool
-	offers int      // that were made
-	asked  []string // groups that were offered tasks, in order
-	owners int      // known at the last offer
-	closed bool     // nothing may start at any of them
-	// ownersAge is the age of the oldest of their load reports.
-	ownersAge time.Duration
+	offers int // that were made
+
 	customers []*customer
 	until     time.Time // when the last of them stops waiting
 	settled   bool
@@ -54,9 +47,6 @@
 	sent   bool // there is something to withdraw
 }
 
-// maxAsked bounds the groups that are remembered for the log.
-const maxAsked = 8
-
 // retryOwners is the pause before owners are asked again after none could be
 // reached: one that is lost is replaced within a second.
 const retryOwners = 25 * time.Millisecond
@@ -73,8 +63,8 @@
 		v = NotRun
 	}
 	p.answer = Answered{
-		Verdict: v, Reason: reason, Begun: p.begun, Offers: p.offers, Groups: strings.Join(p.asked, ","),
-		RetryAfter: p.c.retryAfter(v, len(p.full) > 0, p.closed), Owners: p.owners, OwnersAge: p.ownersAge,
+		Verdict: v, Reason: reason, Begun: p.begun, Offers: p.offers, Groups: strings.Join(p.search.asked, ","),
+		RetryAfter: p.c.retryAfter(v, p.search.outcome(p.begun)), Owners: p.search.owners, OwnersAge: p.search.ownersAge,
 	}
 	sent := lo.Filter(slices.Collect(maps.Values(p.parts)), func(a *part, _ int) bool { return a.sent })
 	slices.SortFunc(sent, func(a, b *part) int { return a.number - b.number })
@@ -120,11 +110,7 @@
 			p.mu.Unlock()
 			return
 		}
-		loads := p.c.owners.Loads()
-		p.owners = len(loads)
-		p.closed = len(loads) > 0 && lo.EveryBy(loads, func(l OwnerLoad) bool { return l.Closed })
-		p.ownersAge = lo.MaxBy(loads, func(a, b OwnerLoad) bool { return a.Age > b.Age }).Age
-		choice, found := p.c.policy.choose(p.usable(loads), p.c.zone, p.tried, len(p.idle), p.begun || len(p.parts) > 0)
+		choice, found := p.choose()
 		if !found {
 			p.mu.Unlock()
 			p.unplaced()
@@ -154,14 +140,15 @@
 	return true
 }
 
-// usable leaves out the groups that can never run the job or not in time, and
-// those that could not be reached. Nobody is left once enough owners expect no room in
-// time for a job of which nothing began.
-func (p *pending) usable(loads []OwnerLoad) []OwnerLoad {
-	if p.c.policy.BoundAsks && len(p.full) >= mostFull && !p.begun && len(p.parts) == 0 {
-		return nil
+// choose picks whom to offer the idle tasks. Nobody is left once enough owners expect no
+// room in time for a job of which nothing began. The lock is held.
+func (p *pending) choose() (Choice, bool) {
+	begun := p.begun || len(p.parts) > 0
+	loads := p.search.look(p.c.owners.Loads())
+	if p.c.policy.BoundAsks && len(p.search.full) >= mostFull && !begun {
+		return Choice{}, false
 	}
-	return lo.Filter(loads, func(l OwnerLoad, _ int) bool { return !p.never[l.Group] && !p.cut[l.Group] && !p.full[l.Group] })
+	return p.c.policy.choose(loads, p.c.zone, p.search.tried, len(p.idle), begun)
 }
 
 // offer makes an offer of the idle tasks, whose customers were there at a time. The lock
@@ -181,10 +168,7 @@
 	part := &part{number: number, group: choice.Group, tasks: lo.Keyify(p.idle), queue: choice.Queue}
 	p.idle = nil
 	p.parts[part.number] = part
-	p.tried[choice.Group] = true
-	if len(p.asked) < maxAsked {
-		p.asked = append(p.asked, choice.Group)
-	}
+	p.search.chose(choice.Group)
 	return part, o
 }
 
@@ -194,7 +178,7 @@
 	defer p.mu.Unlock()
 	p.takeBack(part, lo.Keys(part.tasks))
 	delete(p.parts, part.number)
-	p.cut[part.group] = true // not again for this job
+	p.search.cut[part.group] = true // until nobody else is left to ask
 }
 
 // takeBack makes tasks idle that an offer still has. The lock is held.
@@ -213,22 +197,22 @@
 func (p *pending) unplaced() {
 	p.mu.Lock()
 	waits := len(p.parts) > 0
-	begun, never, full, closed := p.begun, len(p.never) > 0 && len(p.cut)+len(p.full) == 0, len(p.full) > 0, p.closed
-	clear(p.cut)
-	clear(p.tried)
+	begun := p.begun
+	why := p.search.outcome(begun)
+	p.search.again()
 	p.mu.Unlock()
 	switch {
-	case full && begun:
+	case why == crowded && begun:
 		p.settle(Unknown, "no room in time for all of it")
 	case waits:
 		return // its other tasks are under way; these go on when one of them ends
-	case never && !begun:
+	case why == tooLarge:
 		p.settle(Failed, "no upstream is large enough")
-	case full:
+	case why == crowded:
 		p.settle(NotRun, "no room in time")
-	case closed && begun:
+	case why == closed && begun:
 		p.settle(Unknown, "nothing may start on any upstream")
-	case closed:
+	case why == closed:
 		p.settle(NotRun, "nothing may start on any upstream")
 	case p.c.clock.Now().Sub(p.began) < p.Objective():
 		p.offerLater()
@@ -282,9 +266,9 @@
 	}
 	switch r.Outcome {
 	case schedule.NeverFits:
-		p.never[part.group] = true
+		p.search.never[part.group] = true
 	case schedule.Expired:
-		p.full[part.group] = true
+		p.search.full[part.group] = true
 	}
 	complete := len(p.left) == 0
 	p.mu.Unlock()
--- a/ingress/returns_test.go
+++ b/ingress/returns_test.go
@@ -66,18 +66,18 @@
 func TestRetryAfter(t *testing.T) {
 	c := NewSimulated("a", &owners{}, stillClock{}, DefaultPolicy)
 	for range 3 {
-		if after := c.retryAfter(NotRun, false, false); after != soonest {
+		if after := c.retryAfter(NotRun, unreached); after != soonest {
 			t.Errorf("no owner: %v", after)
 		}
 	}
-	if first, second := c.retryAfter(NotRun, true, false), c.retryAfter(NotRun, true, false); first != time.Second || second != 2*time.Second {
+	if first, second := c.retryAfter(NotRun, crowded), c.retryAfter(NotRun, crowded); first != time.Second || second != 2*time.Second {
 		t.Errorf("crowded: %v, %v", first, second)
 	}
-	if after := c.retryAfter(NotRun, false, true); after != closedReturn {
+	if after := c.retryAfter(NotRun, closed); after != closedReturn {
 		t.Errorf("closed: %v", after)
 	}
 	for _, v := range []Verdict{Completed, Failed, Unknown, Left} {
-		if after := c.retryAfter(v, true, false); after != 0 {
+		if after := c.retryAfter(v, crowded); after != 0 {
 			t.Errorf("%s: %v", v, after)
 		}
 	}
