One walk over upstreams that fit, one seed for drawn tests, one way of a model's link

closedTo, anyLeft and everFits were one walk with three conditions (fitsAny); TestMain with the fixed seed stood in four test packages (fixedseed, each with the seed that it had); the two directions of the model's link were one function. Behaviour, draws and assertions are the same.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,27 +1,19 @@
 package directory
 
 import (
-	"flag"
 	"os"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/fixedseed"
 	"github.com/sedgehatch/sedgehatch/fleet"
 
 	"github.com/samber/lo"
 	"pgregory.net/rapid"
 )
 
-// TestMain gives rapid a fixed seed, so that every run has the same verdict;
-// -rapid.seed on the command line goes first.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 20261203)) }
 
 func entry(id, zone string) Entry {
 	return Entry{ID: id, Upstream: fleet.Upstream{ID: id, Zone: zone, Service: "s"}}
--- a/fate/model_test.go
+++ b/fate/model_test.go
@@ -1,23 +1,16 @@
 package fate
 
 import (
-	"flag"
 	"math/rand/v2"
 	"os"
 	"testing"
 
+	"github.com/sedgehatch/sedgehatch/fixedseed"
+
 	"pgregory.net/rapid"
 )
 
-// TestMain gives rapid a fixed seed, so that every run has the same verdict;
-// -rapid.seed on the command line goes first.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 20261202)) }
 
 type rapidChooser struct{ t *rapid.T }
 
--- a/ingress/modellink_test.go
+++ b/ingress/modellink_test.go
@@ -29,28 +29,19 @@
 	return max(modelHop, l.heldUntil.Sub(l.c.w.Now())+modelHop)
 }
 
-func (l *modelLink) toOwner(f func()) {
-	if l.silent {
-		return
-	}
-	l.c.w.AfterFunc(l.hop(), func() {
-		l.o.do(func() {
-			if l.oOpen {
-				l.oHeard = l.c.w.Now()
-				f()
-			}
-		})
-	})
-}
+func (l *modelLink) toOwner(f func()) { l.send(&l.o.process, &l.oOpen, &l.oHeard, f) }
+
+func (l *modelLink) toCoordinator(f func()) { l.send(&l.c.process, &l.cOpen, &l.cHeard, f) }
 
-func (l *modelLink) toCoordinator(f func()) {
+// send lets a process take a message, if its end of the link is open when it comes.
+func (l *modelLink) send(to *process, open *bool, heard *time.Time, f func()) {
 	if l.silent {
 		return
 	}
 	l.c.w.AfterFunc(l.hop(), func() {
-		l.c.do(func() {
-			if l.cOpen {
-				l.cHeard = l.c.w.Now()
+		to.do(func() {
+			if *open {
+				*heard = l.c.w.Now()
 				f()
 			}
 		})
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -10,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/fixedseed"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/owner"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
@@ -19,15 +19,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestMain gives rapid a fixed seed, so that every run has the same verdict;
-// -rapid.seed on the command line goes first.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261203"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 20261203)) }
 
 func (w *fleetWorld) sortedKeys(m map[schedule.JobKey]owner.Answer) []schedule.JobKey {
 	keys := make([]schedule.JobKey, 0, len(m))
--- a/schedule/closed.go
+++ b/schedule/closed.go
@@ -19,7 +19,13 @@
 // closedTo reports whether nothing of a job may start on any upstream. One that does
 // not answer, or is doubted, may do so soon, and counts.
 func (p *Pool) closedTo(j *job) bool {
-	return p.told && !slices.ContainsFunc(p.sorted, func(u *upstream) bool {
-		return u.Service == j.Service && p.admits(u) && j.Demand.Within(u.Capacity)
+	return p.told && !p.fitsAny(j, p.admits)
+}
+
+// fitsAny reports whether a task of a job fits, when it is empty, on any upstream of its
+// service for which may holds.
+func (p *Pool) fitsAny(j *job, may func(*upstream) bool) bool {
+	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
+		return u.Service == j.Service && j.Demand.Within(u.Capacity) && may(u)
 	})
 }
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -401,7 +401,5 @@
 // anyLeft reports whether any upstream that answers could run a task of j, now or
 // once it is not doubted any more.
 func (p *Pool) anyLeft(j *job) bool {
-	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
-		return u.Service == j.Service && u.joined && !u.silent && p.admits(u) && j.Demand.Within(u.Capacity)
-	})
+	return p.fitsAny(j, func(u *upstream) bool { return u.joined && !u.silent && p.admits(u) })
 }
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -10,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/fixedseed"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
 
@@ -17,15 +17,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestMain gives rapid a fixed seed, so that every run has the same verdict;
-// -rapid.seed on the command line goes first.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m, 20261202)) }
 
 // openKeys returns the keys of the jobs that are open, in a fixed order.
 func (w *world) openKeys() []JobKey {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -231,17 +231,8 @@
 // everFits reports whether any upstream could run a task of j. A pool that
 // knows no upstream yet cannot tell, and says yes.
 func (p *Pool) everFits(j *job) bool {
-	known := false
-	for _, u := range p.sorted {
-		if u.Service != j.Service {
-			continue
-		}
-		known = true
-		if j.Demand.Within(u.Capacity) {
-			return true
-		}
-	}
-	return !known
+	known := slices.ContainsFunc(p.sorted, func(u *upstream) bool { return u.Service == j.Service })
+	return !known || p.fitsAny(j, func(*upstream) bool { return true })
 }
 
 // Withdraw ends a job that its coordinator does not want any more.
