--- /dev/null
+++ b/schedule/tick.go
@@ -0,0 +1,88 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// Tick lets time pass.
+func (p *Pool) Tick(now time.Time) Effects {
+	return p.do(now, func() {
+		for _, u := range slices.Clone(p.sorted) {
+			p.tickUpstream(u)
+		}
+		p.giveUpUnheard()
+		p.weighLeases()
+		p.place()
+		p.returnClosed()
+		p.returnUnplaced()
+		p.rejectHopeless()
+		for _, j := range slices.Clone(p.queue) {
+			p.expire(j)
+		}
+	})
+}
+
+func (p *Pool) tickUpstream(u *upstream) {
+	lapsed := u.silent && p.now.After(u.lapsed())
+	for _, r := range sortedRuns(u) {
+		switch {
+		case lapsed:
+			p.remove(r)
+			p.again(r, "lease lapsed on a silent upstream")
+		case r.state == stopping && p.now.Sub(r.stopSent) >= p.repeatPause() && !u.silent:
+			p.sendStop(r)
+		case r.state == stopped && p.now.Sub(r.looked) >= p.repeatPause() && !u.silent:
+			r.looked = p.now
+			p.out.Looks = append(p.out.Looks, u.ID)
+		case r.state == running:
+			p.lookIfOverdue(r)
+			p.checkProgress(r)
+		}
+	}
+	if !u.listed && len(u.runs) == 0 && p.now.Sub(u.removed) > p.cfg.Removal {
+		p.decide(Decision{Kind: DecidedGone, Upstream: u.ID, Reason: "its entry is gone"})
+		p.drop(u)
+	}
+}
+
+// lookIfOverdue asks for a report at once where a run should have ended and
+// reports get lost: the next one may tell of the end only after its timeout, up to
+// 400 ms later. Worth .05 to .10 while a tenth to a half of all calls are lost
+// (laboratory, 24 seeds); on a sound network it asks for nothing.
+func (p *Pool) lookIfOverdue(r *run) {
+	u := r.up
+	if !p.cfg.Policy.LookOverdue || p.reports.share < lossyShare || u.silent || p.now.Before(r.expectedEnd(p.now)) && !p.now.After(r.ordered.Add(r.expect())) {
+		return
+	}
+	if p.now.Sub(u.reported) < overdueLook || p.now.Sub(r.looked) < overdueLook {
+		return
+	}
+	r.looked = p.now
+	p.out.Looks = append(p.out.Looks, u.ID)
+}
+
+// expire gives up a job that cannot end while that is of use, because tasks of
+// it wait and there is no room. One whose tasks wait for the end of a run that
+// may still be at work goes on, and so does one that has begun while any upstream
+// is left that could run the rest: it is served late rather than for nothing.
+func (p *Pool) expire(j *job) {
+	if !p.cfg.Policy.GiveUp || p.jobs[j.Key] != j || p.now.Add(j.expect/2).Before(j.expiry()) {
+		return
+	}
+	if j.hasBegun() && p.anyLeft(j) {
+		return
+	}
+	for _, t := range j.order {
+		if t.state == waiting {
+			p.end(j, Expired)
+			return
+		}
+	}
+}
+
+// anyLeft reports whether any upstream that answers could run a task of j, now or
+// once it is not doubted any more.
+func (p *Pool) anyLeft(j *job) bool {
+	return p.fitsAny(j, func(u *upstream) bool { return u.joined && !u.silent && p.admits(u) })
+}
