--- a/ingress/watch_test.go
+++ b/ingress/watch_test.go
@@ -85,18 +85,19 @@
 
 // TestReadAfterReset tells how one task came to have two runs at once.
 //
-// An instance was busy and did not come to read a request for 350 ms. Meanwhile the
-// connections were reset. A customer whose connection was never accepted knows that
-// nobody has read its request, and sends it again at once, to another instance, which
-// ran it. Then the first instance came to read what lay in the socket, for the system
-// still hands out bytes that came before a reset, and offered the job to the owners of
-// another availability zone. It noted that the customer had left 48 ms later, when the
-// goroutine that waits for that had its turn.
+// An instance had used up its processor time and did not come to accept a connection for
+// .28 s. Meanwhile the connections were reset. A customer whose connection was never
+// accepted knows that nobody has read its request, and sends it again at once, to another
+// instance, which ran it. Then the first instance came to read what lay in the socket, for
+// the system still hands out bytes that came before a reset, and offered the job to the
+// owners of another availability zone. It noted that the customer had left 10 ms later,
+// when the goroutine that waits for that had its turn.
 //
-// What showed it, in milliseconds from the first reading: read by depot-sud-9 at 0, its
-// run from 2 to 246; read by depot-sud-5, which the customer had asked first, at 235, its
-// run from 236 to 334, "the customer has left" at 282. The deadlines that the two
-// requests brought along, 2,561 and 2,676 ms, tell which was sent first.
+// What showed it, in milliseconds from the first reading: read by hotel-ville-12 at 0, its
+// run from 5 to 294; read by hotel-ville-7, which the customer had asked first, at 223 with
+// the connection ended, its run from 224 to 323, "the customer has left" at 233. The
+// deadlines that the two requests brought along, 2,445 and 2,621 ms, tell which was sent
+// first. Four other plays show the same.
 //
 // So the system is asked before each offer whether the connection has ended.
 func TestReadAfterReset(t *testing.T) {
