--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// TestEndMeetsStart: one fault ends a program while another starts it again, in any order.
+//
+// A run hung on seed 8007, on a busy machine: a fault had sent its signal to a program that
+// had just ended, and then waited for the end of the one that another fault had started in
+// between, which nobody had told to end. The goroutines of the run showed it: end(SIGKILL)
+// waiting for six minutes, all programs alive.
+func TestEndMeetsStart(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "program")
+	if err := os.WriteFile(program, []byte("#!/bin/sh\nexec sleep 600\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	store, err := NewProxy("127.0.0.1:1") // the program does not use it
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	p := &process{name: "p", ip: "127.0.0.1", zone: "z", store: store, dir: dir, daemon: program}
+	const rounds, faults = 3000, 4
+	for range rounds {
+		var ended sync.WaitGroup
+		for range faults {
+			ended.Go(func() { p.end(syscall.SIGKILL) })
+			ended.Go(func() {
+				if err := p.start(); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		ended.Wait()
+	}
+	p.end(syscall.SIGKILL)
+}
