The soak ends the program that it has sent its signal to

Cause: end sent its signal under one lock and read under the next which program it waits for; another fault may have started the next one in between.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -106,16 +106,20 @@
 	return nil
 }
 
-// signal sends a signal to the program, if it runs.
-func (p *process) signal(s syscall.Signal) {
+// signal sends signals to the program, if it runs, and returns the one that got them and
+// what tells of its end.
+func (p *process) signal(signals ...syscall.Signal) (*exec.Cmd, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
-		return
+		return nil, nil
+	}
+	for _, s := range signals {
+		p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
+		p.pauses++
+		_ = p.cmd.Process.Signal(s) // one that has just ended needs none
 	}
-	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
-	p.pauses++
-	_ = p.cmd.Process.Signal(s) // one that has just ended needs none
+	return p.cmd, p.ended
 }
 
 // stillness tells whether a process stands still, and which time it is: one that is the
@@ -129,11 +133,7 @@
 // end waits until the program has ended, after a signal that makes it. Several
 // may end the same program at once.
 func (p *process) end(s syscall.Signal) {
-	p.signal(syscall.SIGCONT)
-	p.signal(s)
-	p.mu.Lock()
-	cmd, ended := p.cmd, p.ended
-	p.mu.Unlock()
+	cmd, ended := p.signal(syscall.SIGCONT, s)
 	if cmd == nil {
 		return
 	}
