Answers of upstreams name the life that was asked; entries and reports tell when it was born

Plumbing for upstreams that start again under their id: fleet.Life is an id and the time of birth. The pool's inputs take it, and do not use it yet: behaviour is as before.

--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -1,9 +1,16 @@
 package fleet
 
-// Upstream is one life of a process that runs tasks. A restarted process is
-// another upstream, also at the same address.
+// Life names one life of an upstream. A process that starts again holds nothing from
+// before, whether it comes back under another id or under the same one.
+type Life struct {
+	ID   string
+	Born int64 // when it started, Unix milliseconds; 0 where the platform does not say
+}
+
+// Upstream is one life of a process that runs tasks.
 type Upstream struct {
 	ID       string
+	Born     int64 // as in Life
 	Service  string
 	Address  string // host and port
 	Zone     string
@@ -14,6 +21,9 @@
 	Capacity Demand
 }
 
+// Life returns the life that the upstream is.
+func (u Upstream) Life() Life { return Life{ID: u.ID, Born: u.Born} }
+
 // End is how a run ended.
 type End string
 
@@ -41,6 +51,7 @@
 
 // Report is what an upstream tells of itself.
 type Report struct {
+	Born    int64 // of the life that tells it, as in Life
 	ClockMs int64 // the upstream's steady clock, milliseconds
 	Running []RunningTask
 	Ended   []EndedRun
--- a/ingress/modelowner_test.go
+++ b/ingress/modelowner_test.go
@@ -91,7 +91,7 @@
 	o.w.upstreams[id].CallHold(order, modelCall, func(report fleet.Report, err error) {
 		o.do(func() {
 			if o.pool == pool {
-				o.apply(pool.Held(o.Now(), id, sent, report, err))
+				o.apply(pool.Held(o.Now(), fleet.Life{ID: id}, sent, report, err))
 				then(err)
 			}
 		})
@@ -108,7 +108,7 @@
 			o.w.upstreams[s.Upstream.ID].CallStart(s.Order, modelStart, func(r fleet.Refusal, err error) {
 				o.do(func() {
 					if o.pool == pool {
-						o.apply(pool.Started(o.Now(), s.Upstream.ID, s.Order.Run, r, err))
+						o.apply(pool.Started(o.Now(), s.Upstream.Life(), s.Order.Run, r, err))
 					}
 				})
 			})
@@ -120,7 +120,7 @@
 			o.w.upstreams[s.Upstream.ID].CallStop(s.Run, pool.Token(), modelCall, func(err error) {
 				o.do(func() {
 					if o.pool == pool {
-						o.apply(pool.Stopped(o.Now(), s.Upstream.ID, s.Run, err))
+						o.apply(pool.Stopped(o.Now(), s.Upstream.Life(), s.Run, err))
 					}
 				})
 			})
--- a/lab/world.go
+++ b/lab/world.go
@@ -249,12 +249,12 @@
 	}
 	for _, s := range e.Starts {
 		g.w.upstreams[s.Upstream.ID].CallStart(s.Order, startTimeout, func(r fleet.Refusal, err error) {
-			g.apply(g.pool.Started(g.w.Now(), s.Upstream.ID, s.Order.Run, r, err))
+			g.apply(g.pool.Started(g.w.Now(), s.Upstream.Life(), s.Order.Run, r, err))
 		})
 	}
 	for _, s := range e.Stops {
 		g.w.upstreams[s.Upstream.ID].CallStop(s.Run, g.pool.Token(), callTimeout, func(err error) {
-			g.apply(g.pool.Stopped(g.w.Now(), s.Upstream.ID, s.Run, err))
+			g.apply(g.pool.Stopped(g.w.Now(), s.Upstream.Life(), s.Run, err))
 		})
 	}
 	for _, id := range e.Looks {
@@ -296,7 +296,7 @@
 		timeout = lookTimeout
 	}
 	g.w.upstreams[id].CallHold(o, timeout, func(report fleet.Report, err error) {
-		g.apply(g.pool.Held(g.w.Now(), id, sent, report, err))
+		g.apply(g.pool.Held(g.w.Now(), fleet.Life{ID: id}, sent, report, err))
 		then(err == nil)
 	})
 }
--- a/owner/group.go
+++ b/owner/group.go
@@ -188,7 +188,7 @@
 func (g *Group) started(s schedule.Start, a started, took time.Duration) {
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
 		g.rtt.learn(now, took, a.err == nil)
-		return p.Started(now, s.Upstream.ID, s.Order.Run, a.refusal, a.err)
+		return p.Started(now, s.Upstream.Life(), s.Order.Run, a.refusal, a.err)
 	})
 }
 
@@ -198,7 +198,7 @@
 	err := g.calls.Stop(s.Upstream, s.Run, g.Token, limit)
 	g.seen.Called("stop", err, time.Since(began))
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
-		return p.Stopped(now, s.Upstream.ID, s.Run, err)
+		return p.Stopped(now, s.Upstream.Life(), s.Run, err)
 	})
 }
 
@@ -244,7 +244,7 @@
 // held gives the pool the answer to a hold that was sent at a time.
 func (g *Group) held(u fleet.Upstream, sent time.Time, a held) {
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
-		return p.Held(now, u.ID, sent, a.report, a.err)
+		return p.Held(now, u.Life(), sent, a.report, a.err)
 	})
 }
 
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -8,10 +8,10 @@
 	"github.com/sedgehatch/sedgehatch/fleet"
 )
 
-// Started takes the answer to a start.
-func (p *Pool) Started(now time.Time, upstreamID string, id fleet.Run, refusal fleet.Refusal, err error) Effects {
+// Started takes the answer to a start that was ordered of a life.
+func (p *Pool) Started(now time.Time, of fleet.Life, id fleet.Run, refusal fleet.Refusal, err error) Effects {
 	return p.do(now, func() {
-		u := p.upstreams[upstreamID]
+		u := p.upstreams[of.ID]
 		if u == nil || u.runs[id] == nil {
 			return // it has ended by now
 		}
@@ -73,10 +73,10 @@
 	}
 }
 
-// Stopped takes the answer to a stop.
-func (p *Pool) Stopped(now time.Time, upstreamID string, id fleet.Run, err error) Effects {
+// Stopped takes the answer to a stop that was ordered of a life.
+func (p *Pool) Stopped(now time.Time, of fleet.Life, id fleet.Run, err error) Effects {
 	return p.do(now, func() {
-		u := p.upstreams[upstreamID]
+		u := p.upstreams[of.ID]
 		if u == nil || u.runs[id] == nil {
 			return
 		}
@@ -124,10 +124,10 @@
 	return u.Upstream, fleet.HoldOrder{Token: p.token, SeenEnds: u.seenEnds}, true
 }
 
-// Held takes the answer to a hold or a look that was sent at a time.
-func (p *Pool) Held(now time.Time, upstreamID string, sent time.Time, report fleet.Report, err error) Effects {
+// Held takes the answer to a hold or a look that was sent to a life at a time.
+func (p *Pool) Held(now time.Time, to fleet.Life, sent time.Time, report fleet.Report, err error) Effects {
 	return p.do(now, func() {
-		u := p.upstreams[upstreamID]
+		u := p.upstreams[to.ID]
 		switch {
 		case u == nil:
 		case failure.Is(err, failure.Gone):
--- a/schedule/link_test.go
+++ b/schedule/link_test.go
@@ -20,7 +20,7 @@
 	}
 	added, _ := p.SetUpstreams(now, list)
 	for _, id := range added {
-		p.Held(now, id, now, fleet.Report{}, nil)
+		p.Held(now, fleet.Life{ID: id}, now, fleet.Report{}, nil)
 	}
 	return p
 }
