Failing: an upstream that starts again under its id is taken for its former life

Symptom: a pool asks the new life by the former one's count of ends. Ends that the new life counts from 1 are forgotten before anybody has read them, and their tasks run again; what the former life ran stays in the books, and its late answers change the new one's.

--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -77,8 +77,8 @@
 		w.stop(s)
 	}
 	for _, id := range e.Looks {
-		if _, o, known := w.pool.LookOrder(id); known {
-			w.hold(w.find(id), o, func(bool) {})
+		if u, o, known := w.pool.LookOrder(id); known {
+			w.hold(u, o, func(bool) {})
 		}
 	}
 	for _, r := range append(e.Returns, e.Results...) {
@@ -170,11 +170,11 @@
 		if epoch != w.epoch {
 			return
 		}
-		_, o, known := w.pool.HoldOrder(w.Now(), id)
+		u, o, known := w.pool.HoldOrder(w.Now(), id)
 		if !known {
 			return
 		}
-		w.hold(w.find(id), o, func(ok bool) {
+		w.hold(u, o, func(ok bool) {
 			if ok {
 				next()
 				return
@@ -246,6 +246,13 @@
 	w.listUpstreams()
 }
 
+// restart starts an upstream again under its id. Its entry tells that some time later.
+func (w *world) restart(u *standin.SimulatedUpstream) {
+	down := w.Millis(1000, 3000)
+	u.Crash(down)
+	w.AfterFunc(down+w.Millis(0, 1500), w.listUpstreams)
+}
+
 // listUpstreams tells the pool of the upstreams as they are listed now.
 func (w *world) listUpstreams() {
 	var list []fleet.Upstream
@@ -289,6 +296,7 @@
 		w.sending[ref]++
 		delete(w.begun, ref)
 		delete(w.returned, ref)
+		delete(w.noted, ref)
 	}
 	w.apply(effects)
 }
@@ -303,6 +311,7 @@
 			loss: rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss"),
 			late: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late"),
 			jobs: rapid.IntRange(20, 80).Draw(t, "jobs"), evacuates: rapid.Bool().Draw(t, "evacuates"),
+			restarts: rapid.Bool().Draw(t, "restarts"),
 		}.run(t)
 	})
 }
@@ -327,11 +336,13 @@
 	// evacuates closes all upstreams at some times and opens them again; the seeds
 	// that were kept before do without.
 	evacuates bool
+	// restarts starts upstreams again under the same id; as evacuates.
+	restarts bool
 }
 
 func (c modelCase) run(t failer) {
 	w := newWorld(t, c.seed)
-	w.evacuates = c.evacuates
+	w.evacuates, w.restarts = c.evacuates, c.restarts
 	w.takeOver()
 	w.Run(epochZero.Add(300 * time.Millisecond))
 	w.setFaults(c.loss, c.late)
@@ -371,6 +382,12 @@
 			break
 		}
 		w.offer(i)
+	case 7:
+		if w.restarts {
+			w.restart(u)
+			break
+		}
+		w.offer(i)
 	case 4:
 		if key, found := w.anyOpen(); found {
 			delete(w.open, key)
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -57,11 +57,11 @@
 	case "withdraw":
 		return text(s.pool.Withdraw(s.now, JobKey{"home", first, 0}, "left"))
 	case "ack":
-		return text(s.pool.Started(s.now, first, runOf(t, arg("run", "")), refusals[arg("refused", "")], errs[arg("error", "")]))
+		return text(s.pool.Started(s.now, s.life(first, arg), runOf(t, arg("run", "")), refusals[arg("refused", "")], errs[arg("error", "")]))
 	case "stopped":
-		return text(s.pool.Stopped(s.now, first, runOf(t, arg("run", "")), errs[arg("error", "")]))
+		return text(s.pool.Stopped(s.now, s.life(first, arg), runOf(t, arg("run", "")), errs[arg("error", "")]))
 	case "report":
-		return text(s.pool.Held(s.now, first, s.now, s.report(t, first, arg), errs[arg("error", "")]))
+		return text(s.pool.Held(s.now, s.life(first, arg), s.now, s.report(t, first, arg), errs[arg("error", "")]))
 	case "hold":
 		_, o, _ := s.pool.HoldOrder(s.now, first)
 		return fmt.Sprintf("lease %d ms, wait %d ms\n", max(o.LeaseUntilMs-s.clock(), 0), o.WaitMs)
@@ -95,6 +95,16 @@
 	"late": fleet.RefusedLate, "unhealthy": fleet.RefusedUnhealthy,
 }
 
+// life is the life of an upstream that a call was made to: born, or the one that the
+// pool knows.
+func (s *scenario) life(id string, arg func(string, string) string) fleet.Life {
+	born, err := strconv.ParseInt(arg("born", "0"), 10, 64)
+	if u := s.pool.upstreams[id]; err == nil && born == 0 && u != nil {
+		return u.Life()
+	}
+	return fleet.Life{ID: id, Born: born}
+}
+
 func (s *scenario) clock() int64 { return s.now.Sub(epochZero).Milliseconds() }
 
 func duration(t *testing.T, text string) time.Duration {
@@ -120,11 +130,22 @@
 		list = append(list, fleet.Upstream{
 			ID: fields[0], Service: "s", Capacity: fleet.Demand{MilliCPU: int64(number(t, fields[1]))},
 			Draining: slices.Contains(fields[2:], "draining"), Closed: slices.Contains(fields[2:], "closed"),
+			Born: bornOf(t, fields[2:]),
 		})
 	}
 	return list
 }
 
+// bornOf reads born=N.
+func bornOf(t *testing.T, fields []string) int64 {
+	for _, f := range fields {
+		if born, is := strings.CutPrefix(f, "born="); is {
+			return int64(number(t, born))
+		}
+	}
+	return 0
+}
+
 func (s *scenario) offer(t *testing.T, id string, arg func(string, string) string) Offer {
 	o := Offer{
 		Key: JobKey{arg("from", "home"), id, 0}, Service: "s", Route: "r" + arg("est", "100ms"), Demand: fleet.Demand{MilliCPU: int64(number(t, arg("cpu", "8000")))},
@@ -157,7 +178,13 @@
 }
 
 func (s *scenario) report(t *testing.T, upstream string, arg func(string, string) string) fleet.Report {
-	r := fleet.Report{ClockMs: s.clock()}
+	r := fleet.Report{ClockMs: s.clock(), Born: int64(number(t, arg("says", "0")))}
+	if r.Born == 0 {
+		r.Born = s.life(upstream, arg).Born
+	}
+	if arg("counts", "") == "anew" {
+		s.seq[upstream] = 0
+	}
 	for _, part := range strings.FieldsFunc(arg("running", ""), func(c rune) bool { return c == ',' }) {
 		run, percent, _ := strings.Cut(part, ":")
 		r.Running = append(r.Running, fleet.RunningTask{Run: runOf(t, run), Percent: number(t, percent)})
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -24,13 +24,15 @@
 	epoch     int // of the pool; answers to one that is gone are dropped
 	open      map[JobKey]*simJob
 	sending   map[fleet.TaskRef]int  // how often a task was offered
-	ordered   map[fleet.Run]int      // the sending that a run was ordered for
+	ordered   map[fleet.Run]int      // the sending that a run was ordered for last
 	begun     map[fleet.TaskRef]bool // of its last sending
 	returned  map[fleet.TaskRef]bool // as never begun, and not offered since
 	lost      []lostJob
 	results   int
-	evacuates bool // now and then
-	evacuated bool // nothing may start anywhere
+	noted     map[fleet.TaskRef]bool // an end as done was taken note of, and not offered since
+	evacuates bool                   // now and then
+	restarts  bool                   // upstreams, under the same id
+	evacuated bool                   // nothing may start anywhere
 }
 
 type simJob struct {
@@ -60,7 +62,7 @@
 	w.ordered[s.Order.Run] = w.sending[s.Order.Run.Task]
 	w.find(s.Upstream.ID).CallStart(s.Order, simStartTimeout, func(refusal fleet.Refusal, err error) {
 		w.ifCurrent(epoch, func(p *Pool, now time.Time) Effects {
-			return p.Started(now, s.Upstream.ID, s.Order.Run, refusal, err)
+			return p.Started(now, s.Upstream.Life(), s.Order.Run, refusal, err)
 		})
 	})
 }
@@ -68,17 +70,18 @@
 func (w *world) stop(s Stop) {
 	epoch := w.epoch
 	w.find(s.Upstream.ID).CallStop(s.Run, w.pool.Token(), simTimeout, func(err error) {
-		w.ifCurrent(epoch, func(p *Pool, now time.Time) Effects { return p.Stopped(now, s.Upstream.ID, s.Run, err) })
+		w.ifCurrent(epoch, func(p *Pool, now time.Time) Effects { return p.Stopped(now, s.Upstream.Life(), s.Run, err) })
 	})
 }
 
-func (w *world) hold(u *standin.SimulatedUpstream, o fleet.HoldOrder, then func(ok bool)) {
+func (w *world) hold(to fleet.Upstream, o fleet.HoldOrder, then func(ok bool)) {
 	epoch, sent := w.epoch, w.Now()
+	u := w.find(to.ID)
 	u.CallHold(o, simTimeout, func(report fleet.Report, err error) {
 		if epoch != w.epoch {
 			return
 		}
-		w.apply(w.pool.Held(w.Now(), u.ID, sent, report, err))
+		w.apply(w.pool.Held(w.Now(), to.Life(), sent, report, err))
 		then(err == nil)
 	})
 }
@@ -97,7 +100,7 @@
 func newWorld(t failer, seed uint64) *world {
 	w := &world{
 		Simulation: standin.NewSimulation(epochZero, seed), t: t,
-		open: map[JobKey]*simJob{}, begun: map[fleet.TaskRef]bool{}, returned: map[fleet.TaskRef]bool{},
+		open: map[JobKey]*simJob{}, begun: map[fleet.TaskRef]bool{}, returned: map[fleet.TaskRef]bool{}, noted: map[fleet.TaskRef]bool{},
 		sending: map[fleet.TaskRef]int{}, ordered: map[fleet.Run]int{},
 	}
 	for i := range 4 {
@@ -113,7 +116,17 @@
 		})
 	u.Rate = 0.98 + 0.02*w.Rand.Float64()
 	u.StopTime = func() time.Duration { return w.Millis(0, simStopTime) }
+	beganFor := map[fleet.Run]int{} // the sending that a run began for here
+	u.Noted = func(e fleet.EndedRun) {
+		if e.End == fleet.EndDone && beganFor[e.Run] == w.sending[e.Run.Task] {
+			w.noted[e.Run.Task] = true
+		}
+	}
 	u.Began = func(r fleet.Run) {
+		beganFor[r] = w.ordered[r]
+		if w.noted[r.Task] && w.ordered[r] == w.sending[r.Task] {
+			w.t.Fatalf("%v begins after an end of its task as done was taken note of", r)
+		}
 		if w.returned[r.Task] {
 			w.t.Fatalf("%v begins after its task was returned as never begun", r)
 		}
