A pool knows its upstreams by life: one that starts again under its id holds nothing from before

Cause: upstreams were known by id alone. Ends are acknowledged, and runs started, only where the same life must still answer: a report came within a lease, and none was missed since. Not excluded: an order that is delayed from one life into the next and overtakes the first report of that one.

--- a/ingress/modelowner_test.go
+++ b/ingress/modelowner_test.go
@@ -127,7 +127,7 @@
 		})
 	}
 	for _, id := range e.Looks {
-		if _, order, known := pool.LookOrder(id); known {
+		if _, order, known := pool.LookOrder(o.Now(), id); known {
 			o.hold(pool, id, order, func(error) {})
 		}
 	}
--- a/lab/world.go
+++ b/lab/world.go
@@ -258,7 +258,7 @@
 		})
 	}
 	for _, id := range e.Looks {
-		if _, o, known := g.pool.LookOrder(id); known {
+		if _, o, known := g.pool.LookOrder(g.w.Now(), id); known {
 			g.hold(id, o, func(bool) {})
 		}
 	}
--- a/owner/group.go
+++ b/owner/group.go
@@ -204,7 +204,7 @@
 
 func (g *Group) look(id string) {
 	g.mu.Lock()
-	u, order, known := g.pool.LookOrder(id)
+	u, order, known := g.pool.LookOrder(time.Now(), id)
 	known = known && !g.closed
 	g.mu.Unlock()
 	if known {
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -117,6 +117,7 @@
 		r.state = running
 		r.acked = p.now
 	}
+	r.shown = true
 	if percent >= r.percent+progressRise {
 		r.moved = p.now
 	}
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -17,6 +17,8 @@
 		}
 		r := u.runs[id]
 		switch {
+		case err != nil && of.Born < u.Born:
+			// It says nothing of this life, in which the run is being stopped.
 		case failure.Is(err, failure.Gone):
 			p.gone(u, "another life answers")
 		case err != nil:
@@ -76,7 +78,7 @@
 // Stopped takes the answer to a stop that was ordered of a life.
 func (p *Pool) Stopped(now time.Time, of fleet.Life, id fleet.Run, err error) Effects {
 	return p.do(now, func() {
-		u := p.upstreams[of.ID]
+		u := p.current(of, 0)
 		if u == nil || u.runs[id] == nil {
 			return
 		}
@@ -104,7 +106,7 @@
 		return fleet.Upstream{}, fleet.HoldOrder{}, false
 	}
 	p.now = now
-	o := fleet.HoldOrder{Token: p.token, SeenEnds: u.seenEnds}
+	o := fleet.HoldOrder{Token: p.token, SeenEnds: p.seenEnds(u)}
 	// Runs of a former owner are over at the latest with the leases that it granted.
 	if u.joined && !u.silent && u.unknown == 0 && p.mayRenew(u) {
 		o.LeaseUntilMs = p.grant(u)
@@ -115,19 +117,31 @@
 	return u.Upstream, o, true
 }
 
+// seenEnds returns up to which end an upstream may forget its ends: none while another
+// life may answer, which counts its own anew and would forget ends that nobody has seen.
+// A process that goes down leaves a call without an answer, unless this one stood still
+// meanwhile.
+func (p *Pool) seenEnds(u *upstream) uint64 {
+	if u.misses > 0 || !p.heardLately(u) {
+		return 0
+	}
+	return u.seenEnds
+}
+
 // LookOrder returns an order that asks for a report at once.
-func (p *Pool) LookOrder(upstreamID string) (fleet.Upstream, fleet.HoldOrder, bool) {
+func (p *Pool) LookOrder(now time.Time, upstreamID string) (fleet.Upstream, fleet.HoldOrder, bool) {
 	u := p.upstreams[upstreamID]
 	if u == nil {
 		return fleet.Upstream{}, fleet.HoldOrder{}, false
 	}
-	return u.Upstream, fleet.HoldOrder{Token: p.token, SeenEnds: u.seenEnds}, true
+	p.now = now
+	return u.Upstream, fleet.HoldOrder{Token: p.token, SeenEnds: p.seenEnds(u)}, true
 }
 
 // Held takes the answer to a hold or a look that was sent to a life at a time.
 func (p *Pool) Held(now time.Time, to fleet.Life, sent time.Time, report fleet.Report, err error) Effects {
 	return p.do(now, func() {
-		u := p.upstreams[to.ID]
+		u := p.current(to, report.Born)
 		switch {
 		case u == nil:
 		case failure.Is(err, failure.Gone):
@@ -201,6 +215,7 @@
 		}
 		switch {
 		case r.state == stopped && sent.After(r.stopAcked):
+			u.leaveUnresolved(r)
 			p.remove(r)
 			p.again(r, "stopped")
 		case r.state == running && sent.After(r.acked):
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -77,7 +77,7 @@
 		w.stop(s)
 	}
 	for _, id := range e.Looks {
-		if u, o, known := w.pool.LookOrder(id); known {
+		if u, o, known := w.pool.LookOrder(w.Now(), id); known {
 			w.hold(u, o, func(bool) {})
 		}
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -254,7 +254,7 @@
 // usable reports whether an upstream may get a task now.
 func (p *Pool) usable(u *upstream, now time.Time) bool {
 	switch {
-	case !u.joined, u.silent, u.unknown > 0, !p.admits(u), u.held:
+	case !u.joined, u.silent, u.unknown > 0, !p.admits(u), u.held, !p.heardLately(u):
 		return false
 	case u.health.doubted:
 		return now.After(u.health.until) && (len(u.runs) == 0 || !p.cfg.Policy.SingleTrial)
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -70,7 +70,8 @@
 		listed := map[string]bool{}
 		for _, u := range list {
 			listed[u.ID] = true
-			if !p.fencedIDs[u.ID] && !p.draining && p.upsert(u) {
+			known := p.upstreams[u.ID] != nil
+			if !p.fencedIDs[u.ID] && (known || !p.draining) && p.upsert(u) {
 				added = append(added, u.ID)
 			}
 		}
@@ -88,17 +89,19 @@
 // upsert reports whether the upstream is new. One that is draining stays so for
 // the rest of its life.
 func (p *Pool) upsert(listed fleet.Upstream) bool {
-	if u := p.upstreams[listed.ID]; u != nil {
+	u := p.upstreams[listed.ID]
+	switch {
+	case u == nil:
+		p.insert(listed)
+		return true
+	case listed.Born > u.Born:
+		u = p.restarted(u, listed)
+	case listed.Born == u.Born:
 		listed.Draining = listed.Draining || u.Draining
 		u.Upstream = listed
-		u.listed = true
-		return false
 	}
-	u := &upstream{Upstream: listed, listed: true, runs: map[fleet.Run]*run{}}
-	p.upstreams[u.ID] = u
-	p.sorted = append(p.sorted, u)
-	slices.SortFunc(p.sorted, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
-	return true
+	u.listed = true // an entry of a former life tells no more than that
+	return false
 }
 
 // FencedAt returns when the pool lost the first of the upstreams that have seen
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -235,6 +235,7 @@
 	expected  time.Duration // when it was ordered
 	judged    bool          // its pace has told of the upstream's speed
 	looked    time.Time     // when a report was last asked for that must show it gone
+	shown     bool          // in a report
 	percent   int
 	moved     time.Time // when percent last rose
 	seen      time.Time // when percent was last told
@@ -293,10 +294,12 @@
 	grantedMs int64 // the end of the longest lease that was ordered
 	seenEnds  uint64
 	over      []fleet.Run // the last ones that ended, newest last
-	reported  time.Time   // when the last report that counts was asked for
-	misses    int         // reports in a row that did not come, while nothing else was answered
-	silent    bool
-	held      bool // its leases must not be renewed; as of leasesAt of the pool
-	health    health
-	speed     speed
+	// unresolved are runs that were given up without a word on whether they began.
+	unresolved []fleet.Run
+	reported   time.Time // when the last report that counts was asked for
+	misses     int       // reports in a row that did not come, while nothing else was answered
+	silent     bool
+	held       bool // its leases must not be renewed; as of leasesAt of the pool
+	health     health
+	speed      speed
 }
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -28,6 +28,7 @@
 	for _, r := range sortedRuns(u) {
 		switch {
 		case lapsed:
+			u.leaveUnresolved(r)
 			p.remove(r)
 			p.again(r, "lease lapsed on a silent upstream")
 		case r.state == stopping && p.now.Sub(r.stopSent) >= p.repeatPause() && !u.silent:
