The directory knows upstreams by life: drains and entries of a former one say nothing of the next

Cause: drains, told for as long as an id lives, closed the next life of an upstream for good; a write that is carried out late could bring an older entry back. Change: drains are of a life, also between instances (inner.UpstreamLife); of two entries the one of the later birth, then of the higher sequence, counts; the largest capacity of a life is kept. Where entries tell births, one that does not is refused as missing "born".

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -28,62 +28,90 @@
 
 // Directory is one such place. Use New.
 type Directory struct {
-	mu        sync.Mutex // guards what follows
-	upstreams map[string]fleet.Upstream
-	listed    bool                 // the upstreams have been read
-	drainedAt map[string]time.Time // when an upstream was first known to drain
-	services  map[string]bool      // that the configuration names; nil before there is one
-	zones     zones
+	mu          sync.Mutex // guards what follows
+	upstreams   map[string]fleet.Upstream
+	listed      bool                     // the upstreams have been read
+	drainedAt   map[fleet.Life]time.Time // when an upstream was first known to drain
+	tellsBirths bool                     // some entry has told when its upstream was born
+	services    map[string]bool          // that the configuration names; nil before there is one
+	zones       zones
 }
 
 // New returns a directory that knows nothing.
 func New() *Directory {
-	return &Directory{upstreams: map[string]fleet.Upstream{}, drainedAt: map[string]time.Time{}, zones: zones{rows: map[string]zoneRow{}}}
+	return &Directory{upstreams: map[string]fleet.Upstream{}, drainedAt: map[fleet.Life]time.Time{}, zones: zones{rows: map[string]zoneRow{}}}
 }
 
-// Replace takes the whole list of upstreams. It returns the ids of those that are
-// newly known to drain.
-func (d *Directory) Replace(now time.Time, entries []Entry) (draining []string) {
+// Replace takes the whole list of upstreams. It returns those that are newly known to
+// drain.
+func (d *Directory) Replace(now time.Time, entries []Entry) (draining []fleet.Life) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before := d.upstreams
 	d.upstreams = make(map[string]fleet.Upstream, len(entries))
 	d.listed = true
 	for _, e := range entries {
-		if u, known := before[e.ID]; known && e.Refused {
+		if u, known := before[e.ID]; known {
 			d.upstreams[e.ID] = u
 		}
 	}
 	return d.take(now, entries)
 }
 
-// Update takes the entries that have changed. It returns the ids of those that are
-// newly known to drain.
-func (d *Directory) Update(now time.Time, entries []Entry) (draining []string) {
+// Update takes the entries that have changed. It returns those that are newly known to
+// drain.
+func (d *Directory) Update(now time.Time, entries []Entry) (draining []fleet.Life) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.take(now, entries)
 }
 
 // take is Update. The lock is held.
-func (d *Directory) take(now time.Time, entries []Entry) (draining []string) {
+func (d *Directory) take(now time.Time, entries []Entry) (draining []fleet.Life) {
 	for _, e := range entries {
 		switch {
 		case e.Gone:
+			delete(d.drainedAt, d.upstreams[e.ID].Life())
 			delete(d.upstreams, e.ID)
-			delete(d.drainedAt, e.ID)
 		case e.Refused:
 			d.close(e.ID)
-		default:
-			d.upstreams[e.ID] = e.Upstream
-			if e.Upstream.Draining && d.drains(now, e.ID) {
-				draining = append(draining, e.ID)
+		case d.enter(e.Upstream):
+			if e.Upstream.Draining && d.drains(now, e.Upstream.Life()) {
+				draining = append(draining, e.Upstream.Life())
 			}
 		}
 	}
 	return draining
 }
 
+// enter takes an entry that can be read, unless a newer one of its upstream is known: a
+// write may be carried out late. It reports whether it did. The lock is held.
+func (d *Directory) enter(u fleet.Upstream) bool {
+	known := d.upstreams[u.ID]
+	switch {
+	case u.Born < known.Born:
+		return false
+	case u.Born > known.Born:
+		delete(d.drainedAt, known.Life())
+		u.Largest = u.Capacity
+	case u.Sequence < known.Sequence:
+		return false
+	default:
+		u.Largest = u.Capacity.Max(known.Largest)
+	}
+	d.upstreams[u.ID] = u
+	return true
+}
+
+// TellsBirths notes whether some of the entries tell when their upstreams were born, and
+// reports whether any ever did: on such a platform each entry of an upstream does.
+func (d *Directory) TellsBirths(entries []Entry) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tellsBirths = d.tellsBirths || slices.ContainsFunc(entries, func(e Entry) bool { return e.Upstream.Born > 0 })
+	return d.tellsBirths
+}
+
 // close keeps an upstream whose entry was overwritten by one that cannot be read:
 // what runs there is still looked after, and nothing new starts until a good entry
 // is back. One that was not known stays unknown. The lock is held.
@@ -96,27 +124,28 @@
 
 // drains notes that an upstream is leaving, and reports whether that is news. The lock
 // is held.
-func (d *Directory) drains(now time.Time, id string) bool {
-	if _, known := d.drainedAt[id]; known {
+func (d *Directory) drains(now time.Time, life fleet.Life) bool {
+	if _, known := d.drainedAt[life]; known {
 		return false
 	}
-	d.drainedAt[id] = now
+	d.drainedAt[life] = now
 	return true
 }
 
 // Drains notes what a peer says: that upstreams are leaving. It returns those of
 // which that is news. They stay so for the rest of their lives.
-func (d *Directory) Drains(now time.Time, ids []string) []string {
+func (d *Directory) Drains(now time.Time, lives []fleet.Life) []fleet.Life {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return lo.Filter(ids, func(id string, _ int) bool { return d.drains(now, id) })
+	return lo.Filter(lives, func(life fleet.Life, _ int) bool { return d.drains(now, life) })
 }
 
 // DrainsSince returns the upstreams that were first known to drain after a moment.
-func (d *Directory) DrainsSince(since time.Time) []string {
+func (d *Directory) DrainsSince(since time.Time) []fleet.Life {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.Sorted(maps.Keys(lo.PickBy(d.drainedAt, func(_ string, at time.Time) bool { return at.After(since) })))
+	recent := maps.Keys(lo.PickBy(d.drainedAt, func(_ fleet.Life, at time.Time) bool { return at.After(since) }))
+	return slices.SortedFunc(recent, fleet.CompareLives)
 }
 
 // Unlist notes that the list is not followed any more.
@@ -185,7 +214,7 @@
 
 // marked returns an upstream with what is known of it from all sides. The lock is held.
 func (d *Directory) marked(u fleet.Upstream) fleet.Upstream {
-	_, draining := d.drainedAt[u.ID]
+	_, draining := d.drainedAt[u.Life()]
 	u.Draining = u.Draining || draining
 	u.Closed = u.Closed || d.zones.rows[u.Zone].evacuated
 	return u
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -43,7 +43,7 @@
 			d.Replace(now, []Entry{entry("u1", "a"), entry("u2", "b"), {ID: "u3", Refused: true}})
 		}, []string{"u1", "u2"}},
 		{"it is written again", func() { d.Update(now, []Entry{entry("u3", "b")}) }, []string{"u1", "u2", "u3"}},
-		{"a peer says that one drains", func() { d.Drains(now, []string{"u2"}) }, []string{"u1", "u3"}},
+		{"a peer says that one drains", func() { d.Drains(now, []fleet.Life{{ID: "u2"}}) }, []string{"u1", "u3"}},
 		{"its entry has not changed", func() { d.Update(now, []Entry{entry("u2", "b")}) }, []string{"u1", "u3"}},
 		{"a zone is evacuated", func() { d.UpdateZones([]ZoneState{{"b", true, 10}}) }, []string{"u1"}},
 		{"the service is not configured", func() { d.SetServices([]string{"other"}) }, []string{}},
--- /dev/null
+++ b/directory/lives_test.go
@@ -0,0 +1,62 @@
+package directory
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+)
+
+// TestLives: an upstream starts again under its id. Whatever came before of its former
+// life, and whatever comes late, says nothing of the new one.
+func TestLives(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New()
+	life := func(born, sequence int64, draining bool) []Entry {
+		return []Entry{{ID: "u", Upstream: fleet.Upstream{ID: "u", Service: "s", Zone: "a", Born: born, Sequence: sequence, Draining: draining}}}
+	}
+	drains := func(born int64) { d.Drains(now, []fleet.Life{{ID: "u", Born: born}}) }
+	for _, step := range []struct {
+		what string
+		do   func()
+		open bool
+	}{
+		{"it is listed", func() { d.Replace(now, life(5, 7, false)) }, true},
+		{"it drains", func() { d.Update(now, life(5, 8, true)) }, false},
+		{"an older write is carried out late", func() { d.Update(now, life(5, 7, false)) }, false},
+		{"it starts again, and counts anew", func() { d.Update(now, life(9, 1, false)) }, true},
+		{"a write of the former life is carried out late", func() { d.Update(now, life(5, 9, true)) }, true},
+		{"the list is read again", func() { d.Replace(now, life(9, 1, false)) }, true},
+		{"a peer tells that the former life drains", func() { drains(5) }, true},
+		{"a peer tells that the next life drains", func() { drains(12) }, true},
+		{"the next life is listed", func() { d.Update(now, life(12, 3, false)) }, false},
+		{"a later one is", func() { d.Replace(now, life(15, 1, false)) }, true},
+		{"its entry goes and comes back", func() {
+			d.Update(now, []Entry{{ID: "u", Gone: true}})
+			d.Update(now, life(15, 2, false))
+		}, true},
+	} {
+		step.do()
+		if got := slices.Contains(open(d), "u"); got != step.open {
+			t.Fatalf("%s: open %v, want %v", step.what, got, step.open)
+		}
+	}
+}
+
+// TestLargestCapacity: the largest capacity of a life is kept while its room shrinks and
+// grows; a new life begins with what it tells first.
+func TestLargestCapacity(t *testing.T) {
+	d := New()
+	for i, step := range []struct {
+		born, sequence, cpu, largest int64
+	}{
+		{5, 1, 8000, 8000}, {5, 2, 3000, 8000}, {5, 1, 9000, 8000}, {5, 3, 9000, 9000}, {7, 1, 2000, 2000},
+	} {
+		capacity := fleet.Demand{MilliCPU: step.cpu}
+		d.Update(time.Unix(1000, 0), []Entry{{ID: "u", Upstream: fleet.Upstream{ID: "u", Born: step.born, Sequence: step.sequence, Capacity: capacity}}})
+		if u, _ := d.Lookup("u"); u.Largest.MilliCPU != step.largest {
+			t.Errorf("step %d: %+v, want %d at most", i, u, step.largest)
+		}
+	}
+}
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -22,6 +22,11 @@
 	return Demand{d.MilliCPU - o.MilliCPU, d.MemoryMB - o.MemoryMB, d.GPUs - o.GPUs}
 }
 
+// Max returns the larger of two demands in each respect.
+func (d Demand) Max(o Demand) Demand {
+	return Demand{max(d.MilliCPU, o.MilliCPU), max(d.MemoryMB, o.MemoryMB), max(d.GPUs, o.GPUs)}
+}
+
 // Within reports whether d fits into room.
 func (d Demand) Within(room Demand) bool {
 	return d.MilliCPU <= room.MilliCPU && d.MemoryMB <= room.MemoryMB && d.GPUs <= room.GPUs
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -1,5 +1,10 @@
 package fleet
 
+import (
+	"cmp"
+	"strings"
+)
+
 // Life names one life of an upstream. A process that starts again holds nothing from
 // before, whether it comes back under another id or under the same one.
 type Life struct {
@@ -7,6 +12,11 @@
 	Born int64 // when it started, Unix milliseconds; 0 where the platform does not say
 }
 
+// CompareLives orders lives by id and birth.
+func CompareLives(a, b Life) int {
+	return cmp.Or(strings.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+}
+
 // Upstream is one life of a process that runs tasks.
 type Upstream struct {
 	ID       string
@@ -17,8 +27,12 @@
 	Draining bool // it is leaving, for good
 	// Closed is set while nothing new may start there, for a reason that may
 	// pass: its availability zone is evacuated, or its entry cannot be read.
-	Closed   bool
+	Closed bool
+	// Capacity is what the upstream has now, and Largest the most that it had in this
+	// life: it may shrink and grow again.
 	Capacity Demand
+	Largest  Demand
+	Sequence int64 // rises with what the upstream says of itself, in each life from the start
 }
 
 // Life returns the life that the upstream is.
--- a/node/convert.go
+++ b/node/convert.go
@@ -28,6 +28,14 @@
 	return lo.Map(list, func(v int, _ int) uint32 { return uint32(v) })
 }
 
+func livesTo(lives []fleet.Life) []*inner.UpstreamLife {
+	return lo.Map(lives, func(l fleet.Life, _ int) *inner.UpstreamLife { return &inner.UpstreamLife{Id: l.ID, Born: l.Born} })
+}
+
+func livesFrom(list []*inner.UpstreamLife) []fleet.Life {
+	return lo.Map(list, func(l *inner.UpstreamLife, _ int) fleet.Life { return fleet.Life{ID: l.GetId(), Born: l.GetBorn()} })
+}
+
 // pastTo words what tasks that go elsewhere take along, by task.
 func pastTo(past map[int]schedule.Past) []*inner.TaskPast {
 	var list []*inner.TaskPast
--- a/node/peers.go
+++ b/node/peers.go
@@ -56,7 +56,7 @@
 	}
 	n.mu.Unlock()
 	p.ClockMs = n.clockMs()
-	p.Draining = n.directory.DrainsSince(time.Now().Add(-tellDrains))
+	p.Draining = livesTo(n.directory.DrainsSince(time.Now().Add(-tellDrains)))
 	n.tellZones(p)
 	if c := n.config.Load(); c != nil {
 		p.ConfigVersion = c.Version
@@ -229,7 +229,7 @@
 		}
 	}
 	n.mu.Unlock()
-	leaving := n.directory.Drains(time.Now(), p.GetDraining())
+	leaving := n.directory.Drains(time.Now(), livesFrom(p.GetDraining()))
 	n.logDrains(leaving, from.Instance())
 	n.hearZones(from.Instance(), p)
 	n.router.heardOwner(link, from, p.GetClockMs())
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -8,6 +8,7 @@
 	"github.com/sedgehatch/sedgehatch/directory"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/platform"
 )
@@ -37,25 +38,39 @@
 		}
 		list = append(list, e)
 	}
+	if n.directory.TellsBirths(list) {
+		n.refuseUnborn(list)
+	}
 	return list
 }
 
+// refuseUnborn refuses the entries that do not tell when their upstream was born, where
+// upstreams do: somebody else wrote them.
+func (n *Node) refuseUnborn(list []directory.Entry) {
+	missing := failure.Field(failure.Protocol, "born", "is missing")
+	for i, e := range list {
+		if !e.Gone && !e.Refused && e.Upstream.Born == 0 {
+			list[i].Refused = n.refusals.entry(n, platform.UpstreamPrefix+e.ID, missing)
+		}
+	}
+}
+
 // upstreamsChanged gives owned groups the list as it is now, and notes the upstreams
 // that are newly known to drain.
-func (n *Node) upstreamsChanged(draining []string) {
+func (n *Node) upstreamsChanged(draining []fleet.Life) {
 	n.logDrains(draining, "store")
 	n.updateGroups()
 }
 
 // logDrains logs those of some upstreams that this instance owns.
-func (n *Node) logDrains(ids []string, from string) {
-	for _, id := range ids {
-		u, listed := n.directory.Lookup(id)
+func (n *Node) logDrains(lives []fleet.Life, from string) {
+	for _, life := range lives {
+		u, listed := n.directory.Lookup(life.ID)
 		n.mu.Lock()
 		owned := listed && n.groups[n.groupOf(u)] != nil
 		n.mu.Unlock()
 		if owned {
-			event.UpstreamLeaving.Log(n.log, slog.String("upstream", id), slog.String("from", from))
+			event.UpstreamLeaving.Log(n.log, slog.String("upstream", life.ID), slog.String("from", from))
 		}
 	}
 }
