Ages and leases are measured with a clock that counts suspended time

Cause: the steady clock stands while a machine is suspended. An owner that is suspended for 3 s took a coordinator for alive that it had last heard 3 s before, and started its tasks beside those that the customer had run elsewhere since. On the beat after a suspension customers whose time is over are answered: their timers are late. A start that was decided on a lease ago is not sent. Ruled out: reading the boot clock each time (a system call where time.Now is none), the time of day (it steps), timers on the boot clock (only answers to customers who have left wait).

--- a/event/event.go
+++ b/event/event.go
@@ -51,6 +51,8 @@
 	Reloaded        = add(604, "reloaded", slog.LevelInfo, "The settings file was read again.")
 	SettingsFileBad = add(605, "settings_file_bad", slog.LevelError, "The settings file is wrong after a change; the former settings stay.")
 	PeerUnsent      = add(606, "peer_unsent", slog.LevelWarn, "A message to a peer was not sent: no connection is open.")
+	Resumed         = add(607, "resumed", slog.LevelWarn, "The machine of this instance was suspended for a while; what it believed before has aged by that.")
+	ClockBlind      = add(608, "clock_blind", slog.LevelError, "The system does not tell suspended time: leases are too long by as much as the machine is suspended.")
 	JobAnswered     = add(701, "job_answered", slog.LevelInfo, "A job is complete, and its customer was told.")
 	JobNotServed    = add(702, "job_not_served", slog.LevelWarn, "A job was refused, failed, or lost; verdict and reason tell why.")
 	TaskStarted     = add(703, "task_started", slog.LevelInfo, "A start was ordered: room is what the upstream has left, in thousandths of a core.")
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/owner"
 	"github.com/sedgehatch/sedgehatch/schedule"
@@ -76,7 +77,7 @@
 // realClock is the clock of the process.
 type realClock struct{}
 
-func (realClock) Now() time.Time { return time.Now() }
+func (realClock) Now() time.Time { return clock.Now() }
 
 func (realClock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
 
@@ -217,6 +218,15 @@
 	return c.sending.Load() == 0
 }
 
+// DropOverdue ends the jobs whose customers do not wait any more. Their timers do so as
+// well, later by as much as the machine was suspended meanwhile.
+func (c *Coordinator) DropOverdue() {
+	now := c.clock.Now()
+	for _, p := range c.all() {
+		p.dropOverdue(now)
+	}
+}
+
 // Abandon gives up every open job: this instance ends.
 func (c *Coordinator) Abandon() {
 	for _, p := range c.all() {
--- a/ingress/customer.go
+++ b/ingress/customer.go
@@ -11,6 +11,7 @@
 // the last of them has ended: the customer may send it to another instance then.
 type customer struct {
 	hasLeft func() bool // as in Request
+	until   time.Time   // it stops waiting
 	gone    bool        // guarded by the lock of its job
 }
 
@@ -29,9 +30,9 @@
 	if p.settled {
 		return nil
 	}
-	me := &customer{hasLeft: r.HasLeft}
+	me := &customer{hasLeft: r.HasLeft, until: p.c.clock.Now().Add(r.Patience)}
 	p.customers = append(p.customers, me)
-	p.until = lo.Latest(p.until, p.c.clock.Now().Add(r.Patience))
+	p.until = lo.Latest(p.until, me.until)
 	return me
 }
 
@@ -67,6 +68,16 @@
 	return p.answer
 }
 
+// dropOverdue drops the connections whose customers do not wait any more by now.
+func (p *pending) dropOverdue(now time.Time) {
+	p.mu.Lock()
+	overdue := lo.Filter(p.customers, func(c *customer, _ int) bool { return !c.gone && now.After(c.until) })
+	p.mu.Unlock()
+	for _, c := range overdue {
+		p.timeUp(c)
+	}
+}
+
 // dropLeft drops the connections that have ended, as far as the system knows now.
 func (p *pending) dropLeft() {
 	p.mu.Lock()
--- a/ingress/modellink_test.go
+++ b/ingress/modellink_test.go
@@ -41,7 +41,7 @@
 	l.c.w.AfterFunc(l.hop(), func() {
 		to.do(func() {
 			if *open {
-				*heard = l.c.w.Now()
+				*heard = to.Now()
 				f()
 			}
 		})
--- a/ingress/network_test.go
+++ b/ingress/network_test.go
@@ -46,6 +46,9 @@
 	name   string
 	paused bool
 	inbox  []func()
+	// suspended is for how long its machine was suspended so far. Timers do not count
+	// that time; its clock does, unless steadyClocks is set.
+	suspended time.Duration
 }
 
 func (p *process) do(f func()) {
@@ -61,6 +64,9 @@
 		return
 	}
 	p.paused = true
+	if p.w.suspends {
+		p.suspended += d
+	}
 	p.w.note("", "%s stands still for %v", p.name, d)
 	p.w.AfterFunc(d, func() {
 		p.paused = false
@@ -73,9 +79,23 @@
 }
 
 // Now and AfterFunc implement Clock.
-func (p *process) Now() time.Time { return p.w.Now() }
+func (p *process) Now() time.Time {
+	if p.w.steadyClocks {
+		return p.w.Now().Add(-p.suspended)
+	}
+	return p.w.Now()
+}
 
-func (p *process) AfterFunc(d time.Duration, f func()) { p.w.AfterFunc(d, func() { p.do(f) }) }
+func (p *process) AfterFunc(d time.Duration, f func()) {
+	before := p.suspended
+	p.w.AfterFunc(d, func() {
+		if late := p.suspended - before; late > 0 {
+			p.AfterFunc(late, f)
+			return
+		}
+		p.do(f)
+	})
+}
 
 func loadAt(zone string, l schedule.Load) OwnerLoad {
 	return OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
@@ -234,8 +254,11 @@
 	starts       int
 	faultKinds   int           // that are drawn
 	beat         time.Duration // how often the two ends of a link hear each other
-	notes        []modelNote
-	verdicts     map[Verdict]int
+	// suspends makes the machines of processes that stand still be suspended, and
+	// steadyClocks makes their clocks stand as well then.
+	suspends, steadyClocks bool
+	notes                  []modelNote
+	verdicts               map[Verdict]int
 }
 
 type modelFailer interface {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/platform"
@@ -145,7 +146,7 @@
 }
 
 func (s *Server) submit(ctx *fasthttp.RequestCtx, config *fleet.Config, route *fleet.Route, id string) {
-	began := time.Now()
+	began := clock.Now()
 	job, err := parse(config, id, ctx.PostBody())
 	if err != nil {
 		problem(ctx, err)
@@ -204,7 +205,7 @@
 
 func (s *Server) answered(r Record, config *fleet.Config, route *fleet.Route, ctx *fasthttp.RequestCtx, began time.Time) {
 	r.Route, r.Status = route.Name, ctx.Response.StatusCode()
-	r.Took, r.ConfigVersion = time.Since(began), config.Version
+	r.Took, r.ConfigVersion = clock.Since(began), config.Version
 	r.Late = r.Objective > 0 && r.Took > r.Objective
 	s.record.Answered(r)
 }
--- /dev/null
+++ b/ingress/suspended_test.go
@@ -0,0 +1,63 @@
+package ingress
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A machine that is suspended goes on seconds later as if nothing had happened: its steady
+// clock has stood meanwhile, and its timers are late. A lease measured with that clock is
+// longer by the suspension: an owner that is suspended starts what it was offered before,
+// for customers that have sent their jobs again elsewhere since.
+
+// drawSuspended draws a play in which machines are suspended for up to 3 s.
+func drawSuspended(t *rapid.T) twoRunsCase {
+	return twoRunsCase{
+		seed: rapid.Uint64().Draw(t, "seed"), late: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"),
+		faults: rapid.IntRange(5, 25).Draw(t, "faults"), kinds: allFaults,
+		beat: rapid.SampledFrom([]time.Duration{nearBeat, farBeat}).Draw(t, "beat"), suspends: true,
+	}
+}
+
+// TestSuspended searches for two runs of one task at once, as TestTwoRuns does, while
+// machines are suspended.
+func TestSuspended(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { drawSuspended(t).run(t) })
+}
+
+// foundTwoRuns ends a play that has found what it looks for.
+type foundTwoRuns struct{ story string }
+
+// Fatalf implements modelFailer.
+func (foundTwoRuns) Fatalf(format string, args ...any) {
+	panic(foundTwoRuns{fmt.Sprintf(format, args...)})
+}
+
+// finds reports whether a play finds two runs of one task at once.
+func (c twoRunsCase) finds() (found bool) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			if _, found = reason.(foundTwoRuns); !found {
+				panic(reason)
+			}
+		}
+	}()
+	c.run(foundTwoRuns{})
+	return false
+}
+
+// TestSteadyClocksAreNotEnough: the search sees what clocks are for. With clocks that stand
+// while machines are suspended it finds two runs at once; with those that go on it does not.
+func TestSteadyClocksAreNotEnough(t *testing.T) {
+	c := twoRunsCase{seed: 125, faults: 25, kinds: allFaults, beat: nearBeat, suspends: true, steadyClocks: true}
+	if !c.finds() {
+		t.Error("two runs were not found")
+	}
+	c.steadyClocks = false
+	if c.finds() {
+		t.Error("two runs were found")
+	}
+}
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -276,6 +276,8 @@
 	faults     int // in each 100 jobs
 	kinds      int // of faults that are drawn
 	beat       time.Duration
+	// suspends and steadyClocks are as in fleetWorld.
+	suspends, steadyClocks bool
 }
 
 // What a play draws from: seeds that were kept before there were more kinds of faults,
@@ -292,6 +294,7 @@
 func (c twoRunsCase) run(t modelFailer) *fleetWorld {
 	w := newFleetWorld(t, c.seed)
 	w.faultKinds, w.beat = c.kinds, c.beat
+	w.suspends, w.steadyClocks = c.suspends, c.steadyClocks
 	w.Run(w.Now().Add(400 * time.Millisecond))
 	for _, u := range w.upstreams {
 		u.LossShare, u.LateShare = c.loss, c.late
--- a/inner/link.go
+++ b/inner/link.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
 
@@ -183,10 +184,10 @@
 	return k
 }
 
-var processBegan = time.Now()
+var processBegan = clock.Now()
 
 // steady is the time since the process began, on the steady clock.
-func steady() time.Duration { return time.Since(processBegan) }
+func steady() time.Duration { return clock.Since(processBegan) }
 
 func (k *link) heardNow()               { k.heard.Store(int64(steady())) }
 func (k *link) heardAt() time.Duration  { return time.Duration(k.heard.Load()) }
--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
 
@@ -225,12 +226,12 @@
 	if d.link != nil && !d.link.isDown() {
 		return d.link, nil
 	}
-	if d.err != nil && time.Since(d.failed) < retryDial {
+	if d.err != nil && clock.Since(d.failed) < retryDial {
 		return nil, d.err
 	}
 	d.link, d.err = m.dial(instance)
 	if d.err != nil {
-		d.failed = time.Now()
+		d.failed = clock.Now()
 	}
 	return d.link, d.err
 }
--- a/node/configask.go
+++ b/node/configask.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/inner"
 )
@@ -46,7 +47,7 @@
 		return
 	}
 	n.mu.Lock()
-	due := n.configAsk.due(time.Now(), version, config == nil)
+	due := n.configAsk.due(clock.Now(), version, config == nil)
 	n.mu.Unlock()
 	if !due {
 		return
--- a/node/follow.go
+++ b/node/follow.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/platform"
@@ -44,7 +45,7 @@
 		if err == nil {
 			revision = next
 			if !lost.IsZero() {
-				event.StoreBack.Log(n.log, slog.String("prefix", f.prefix), slog.Duration("away", time.Since(lost)))
+				event.StoreBack.Log(n.log, slog.String("prefix", f.prefix), slog.Duration("away", clock.Since(lost)))
 				lost = time.Time{}
 			}
 			pause.Reset()
@@ -61,7 +62,7 @@
 		}
 		known = known && !failure.Is(err, failure.Gone) // its history is gone: read all again
 		if lost.IsZero() {
-			lost = time.Now()
+			lost = clock.Now()
 			event.StoreLost.Log(n.log, slog.String("prefix", f.prefix), slog.String("error", err.Error()))
 		}
 		n.pause(pause.NextBackOff())
@@ -71,9 +72,9 @@
 // restRoughly pauses while the keys are only needed roughly, up to roughRest, and
 // reports whether they have to be read again in whole.
 func (n *Node) restRoughly(f follower) bool {
-	began, rested := time.Now(), false
+	began, rested := clock.Now(), false
 	for f.roughly != nil && f.roughly() && n.stop.Err() == nil {
-		if time.Since(began) >= roughRest {
+		if clock.Since(began) >= roughRest {
 			return true
 		}
 		n.pause(neededPoll)
--- a/node/groups.go
+++ b/node/groups.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -143,7 +144,7 @@
 		return
 	}
 	count := n.directory.Count(n.in.Zone)
-	if count == 0 || !n.counted(count, time.Now()) {
+	if count == 0 || !n.counted(count, clock.Now()) {
 		n.mu.Unlock()
 		return
 	}
--- a/node/lease.go
+++ b/node/lease.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
@@ -20,7 +21,7 @@
 const clockBegan = time.Hour
 
 // clockMs is the steady clock that peers are told.
-func (n *Node) clockMs() uint64 { return uint64((clockBegan + time.Since(n.began)).Milliseconds()) }
+func (n *Node) clockMs() uint64 { return uint64((clockBegan + clock.Since(n.began)).Milliseconds()) }
 
 // atClock is when the own steady clock showed a time.
 func (n *Node) atClock(ms uint64) time.Time {
@@ -31,7 +32,7 @@
 // peer's clock showed heardMs or more when it was heard, and the customer was there at a
 // time before now. It is 0 where the clock is not known.
 func aliveAt(heardMs uint64, there time.Time) uint64 {
-	ago := uint64(time.Since(there).Milliseconds()) + 1
+	ago := uint64(clock.Since(there).Milliseconds()) + 1
 	if ago >= heardMs {
 		return 0
 	}
@@ -55,7 +56,7 @@
 func (r *router) renewalDue(link inner.Link) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.renewed[link.Number()]) >= renewEach && r.offersOn(link)
+	return clock.Since(r.renewed[link.Number()]) >= renewEach && r.offersOn(link)
 }
 
 // offersOn reports whether an offer on a connection is open. The lock is held.
@@ -76,7 +77,7 @@
 		return
 	}
 	r.mu.Lock()
-	r.renewed[link.Number()] = time.Now()
+	r.renewed[link.Number()] = clock.Now()
 	r.mu.Unlock()
 	r.n.metrics.Sent("renewal")
 	err := link.Send(&inner.Frame{Body: &inner.Frame_Renewal{Renewal: &inner.Renewal{ClockMs: clockMs}}})
@@ -100,7 +101,7 @@
 	if len(groups) == 0 {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	if !n.ingress.DropLeft() {
 		return
 	}
--- a/node/log.go
+++ b/node/log.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/ingress"
 	"github.com/sedgehatch/sedgehatch/logging"
@@ -57,7 +58,7 @@
 }
 
 func (l *decisionLog) decided(group string, token uint64, d schedule.Decision) {
-	h := heldDecision{time.Now(), group, token, d}
+	h := heldDecision{clock.Now(), group, token, d}
 	if d.Job == "" {
 		l.write(h, 0)
 		return
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
@@ -147,10 +148,10 @@
 func (n *Node) farDue() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	joining := time.Since(n.taken) < joinTime
-	far := time.Since(n.toldFar) >= farEvery || joining || n.leaving.Load()
+	joining := clock.Since(n.taken) < joinTime
+	far := clock.Since(n.toldFar) >= farEvery || joining || n.leaving.Load()
 	if far {
-		n.toldFar = time.Now()
+		n.toldFar = clock.Now()
 	}
 	return far
 }
@@ -170,7 +171,7 @@
 	for _, name := range missed {
 		n.introduce(name)
 	}
-	if alone && time.Since(n.began) > seedAfter {
+	if alone && clock.Since(n.began) > seedAfter {
 		n.trySeeds()
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/connset"
 	"github.com/sedgehatch/sedgehatch/directory"
 	"github.com/sedgehatch/sedgehatch/event"
@@ -101,6 +102,7 @@
 	basis       neighbourBasis         // what both follow from
 	parted      map[string]bool        // instances that were told that neither needs the other
 	taken       time.Time              // when the last group was taken
+	suspended   time.Duration          // of this machine, as noticed last
 	leaps       uint                   // how often a token had to be raised beyond the time
 }
 
@@ -131,7 +133,7 @@
 	n := &Node{
 		in: in, self: fate.Incarnation(in.Name + "." + uuid.NewString()[:8]), log: do.MustInvoke[*slog.Logger](i),
 		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), calls: platform.NewUpstreams(), directory: directory.New(),
-		began: time.Now(),
+		began: clock.Now(),
 		table: membership.NewTable(silence), around: &membership.Neighbours{Hub: true, Hubs: 1}, sought: &membership.Neighbours{}, parted: map[string]bool{}, heard: map[string]*inner.Presence{},
 		groups: map[string]*held{}, dialing: map[string]bool{}, absent: map[string]time.Time{}, dials: map[string]dialOutcome{}, registered: map[string]string{}, unstaffed: map[string]time.Time{}, orphanRetry: map[string]time.Time{}, groupCounts: map[string]int{},
 	}
@@ -195,6 +197,9 @@
 
 // Run starts the instance and returns at once.
 func (n *Node) Run() {
+	if err := clock.System.Err(); err != nil {
+		event.ClockBlind.Log(n.log, slog.String("error", err.Error()))
+	}
 	n.running.Go(func() { n.mesh.Serve(n.listener) })
 	n.running.Go(n.followOperators)
 	n.running.Go(n.followUpstreams)
@@ -289,14 +294,14 @@
 	if ends == nil {
 		return 0, false
 	}
-	return time.Until(*ends), true
+	return clock.Until(*ends), true
 }
 
 // Stop is a planned stop: customers are sent elsewhere, owned groups go to
 // others, and what is open is finished. It reports false where the grace ended
 // first.
 func (n *Node) Stop() bool {
-	began := time.Now()
+	began := clock.Now()
 	limit := n.in.Timing.Grace - graceMargin
 	n.ends.Store(lo.ToPtr(began.Add(limit)))
 	n.leaving.Store(true)
@@ -304,21 +309,21 @@
 	n.handOver(0, limit)
 	n.tick()
 	drained := false
-	for !drained && time.Since(began) < limit {
+	for !drained && clock.Since(began) < limit {
 		time.Sleep(drainPoll)
-		n.handOver(time.Since(began), limit)
+		n.handOver(clock.Since(began), limit)
 		n.release()
 		n.mu.Lock()
 		owns := len(n.groups)
 		n.mu.Unlock()
-		drained = n.ingress.Open() == 0 && owns == 0 && time.Since(began) >= minDrain
+		drained = n.ingress.Open() == 0 && owns == 0 && clock.Since(began) >= minDrain
 	}
 	n.ends.Store(&began) // no job is taken any more
 	jobs := n.ingress.Open()
 	n.ingress.Abandon()
 	time.Sleep(flushTime)
 	event.NodeStopped.Log(n.log, slog.Bool("drained", drained), slog.Int("jobs", jobs),
-		slog.Duration("took", time.Since(began)))
+		slog.Duration("took", clock.Since(began)))
 	return drained
 }
 
--- a/node/orphans.go
+++ b/node/orphans.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/membership"
 )
@@ -54,9 +55,9 @@
 			continue
 		}
 		if n.unstaffed[zone].IsZero() {
-			n.unstaffed[zone] = time.Now()
+			n.unstaffed[zone] = clock.Now()
 		}
-		if time.Since(n.unstaffed[zone]) < orphanAfter || time.Now().Before(n.orphanRetry[zone]) {
+		if clock.Since(n.unstaffed[zone]) < orphanAfter || clock.Now().Before(n.orphanRetry[zone]) {
 			continue
 		}
 		groups = append(groups, groupsOf(zone, count)...)
@@ -84,11 +85,11 @@
 	n.mu.Lock()
 	for _, g := range n.ownedGroups() {
 		fenced, joined := g.FencedAt()
-		tried := time.Since(g.since) >= orphanTrial
+		tried := clock.Since(g.since) >= orphanTrial
 		if g.handing || !n.isForeign(g.Name) || fenced.IsZero() && (joined || !tried) {
 			continue
 		}
-		n.orphanRetry[zoneOf(g.Name)] = time.Now().Add(orphanPause)
+		n.orphanRetry[zoneOf(g.Name)] = clock.Now().Add(orphanPause)
 		event.GroupLost.Log(n.log, slog.String("group", g.Name), slog.Uint64("token", g.Token), slog.Bool("fenced", !fenced.IsZero()),
 			slog.Bool("joined", joined), slog.String("to", "unknown"))
 		delete(n.groups, g.Name)
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/owner"
@@ -69,7 +70,7 @@
 			wait = n.in.Timing.FenceSettle + fenceMargin
 			n.leaps = 0
 		}
-		if since.IsZero() || time.Since(since) < wait {
+		if since.IsZero() || clock.Since(since) < wait {
 			continue
 		}
 		n.highest += tokenLeap << n.leaps
@@ -120,7 +121,7 @@
 			return // one at a time
 		}
 		to := owners[g.Name]
-		if given == nil && to != "" && to != n.in.Name && time.Since(g.since) > handBackAfter && (n.isForeign(g.Name) || n.betterOwner(to, owners)) {
+		if given == nil && to != "" && to != n.in.Name && clock.Since(g.since) > handBackAfter && (n.isForeign(g.Name) || n.betterOwner(to, owners)) {
 			given = g
 		}
 	}
@@ -255,11 +256,11 @@
 
 // take begins to own a group. The lock is held.
 func (n *Node) take(group string) {
-	n.highest = membership.NextToken(time.Now().UnixMilli(), n.highest, string(n.self))
+	n.highest = membership.NextToken(clock.TimeOfDay().UnixMilli(), n.highest, string(n.self))
 	cfg := schedule.ConfigFor(n.in.Timing.MaxTaskLease)
 	cfg.LinkRate = n.in.LinkRate // counted in full by each group of an owner of several
-	n.groups[group] = &held{Group: owner.NewGroup(group, cfg, n.highest, n.calls, n), since: time.Now()}
-	n.taken = time.Now()
+	n.groups[group] = &held{Group: owner.NewGroup(group, cfg, n.highest, n.calls, n), since: clock.Now()}
+	n.taken = clock.Now()
 	event.GroupTaken.Log(n.log, slog.String("group", group), slog.Uint64("token", n.highest),
 		slog.Int("upstreams", len(n.membersOf(group))), slog.Int("candidates", len(n.candidates())))
 }
@@ -268,7 +269,7 @@
 // every instance of its availability zone that is listed and runs. One that
 // accepts no connection does not. The lock is held.
 func (n *Node) settled() bool {
-	age := time.Since(n.began)
+	age := clock.Since(n.began)
 	if age >= busySettleTime {
 		return true
 	}
@@ -308,13 +309,13 @@
 			listed = true
 		}
 	}
-	if !listed || time.Since(n.began) < isolatedLimit {
+	if !listed || clock.Since(n.began) < isolatedLimit {
 		return false // after a restart of all, the list is older than the loss
 	}
 	if n.alone.IsZero() {
-		n.alone = time.Now()
+		n.alone = clock.Now()
 	}
-	return time.Since(n.alone) < isolatedLimit
+	return clock.Since(n.alone) < isolatedLimit
 }
 
 // candidates returns the instances of the own availability zone that may own
--- a/node/peers.go
+++ b/node/peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -21,7 +22,7 @@
 func (n *Node) beat() {
 	for n.stop.Err() == nil {
 		n.mu.Lock()
-		joining := time.Since(n.taken) < joinTime
+		joining := clock.Since(n.taken) < joinTime
 		n.mu.Unlock()
 		if joining {
 			n.pause(joinEvery)
@@ -33,6 +34,7 @@
 }
 
 func (n *Node) tick() {
+	n.noticeSuspension()
 	n.renewOwn()
 	n.mu.Lock()
 	changes := n.table.Tick(n.nowMs())
@@ -44,7 +46,7 @@
 }
 
 // nowMs is a steady clock, in milliseconds.
-func (n *Node) nowMs() int64 { return time.Since(n.began).Milliseconds() }
+func (n *Node) nowMs() int64 { return clock.Since(n.began).Milliseconds() }
 
 // presence is what peers hear of this instance.
 func (n *Node) presence() *inner.Presence {
@@ -56,7 +58,7 @@
 	}
 	n.mu.Unlock()
 	p.ClockMs = n.clockMs()
-	p.Draining = livesTo(n.directory.DrainsSince(time.Now().Add(-tellDrains)))
+	p.Draining = livesTo(n.directory.DrainsSince(clock.Now().Add(-tellDrains)))
 	n.tellZones(p)
 	if c := n.config.Load(); c != nil {
 		p.ConfigVersion = c.Version
@@ -140,7 +142,7 @@
 // held.
 func (n *Node) isAbsent(instance string) bool {
 	at, refused := n.absent[instance]
-	return refused && time.Since(at) < absentFor
+	return refused && clock.Since(at) < absentFor
 }
 
 // refused notes that nothing listens where an instance should: it does not run.
@@ -148,7 +150,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if failure.Is(err, failure.Gone) {
-		n.absent[instance] = time.Now()
+		n.absent[instance] = clock.Now()
 		return
 	}
 	delete(n.absent, instance)
@@ -229,7 +231,7 @@
 		}
 	}
 	n.mu.Unlock()
-	leaving := n.directory.Drains(time.Now(), livesFrom(p.GetDraining()))
+	leaving := n.directory.Drains(clock.Now(), livesFrom(p.GetDraining()))
 	n.logDrains(leaving, from.Instance())
 	n.hearZones(from.Instance(), p)
 	n.router.heardOwner(link, from, p.GetClockMs())
--- a/node/relay.go
+++ b/node/relay.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
 )
@@ -17,9 +18,9 @@
 func (n *Node) relays() []*inner.RemoteOwner {
 	n.mu.Lock()
 	around := n.around
-	due := len(around.Spokes) > 0 && time.Since(n.relayed) >= relayEvery
+	due := len(around.Spokes) > 0 && clock.Since(n.relayed) >= relayEvery
 	if due {
-		n.relayed = time.Now()
+		n.relayed = clock.Now()
 	}
 	n.mu.Unlock()
 	if !due {
@@ -49,7 +50,7 @@
 			Claim: &inner.Claim{
 				Group: group, Token: v.token, Free: uint32(max(v.load.Free, 0)), Waiting: uint32(v.load.Waiting), Capacity: v.load.Capacity, Closed: v.load.Closed,
 			},
-			Incarnation: string(v.peer), AgeMs: uint32(time.Since(v.heard).Milliseconds()),
+			Incarnation: string(v.peer), AgeMs: uint32(clock.Since(v.heard).Milliseconds()),
 		})
 	}
 	return list
@@ -62,7 +63,7 @@
 	defer r.mu.Unlock()
 	for _, o := range owners {
 		c := o.GetClaim()
-		heard := time.Now().Add(-time.Duration(o.GetAgeMs()) * time.Millisecond)
+		heard := clock.Now().Add(-time.Duration(o.GetAgeMs()) * time.Millisecond)
 		v := r.views[c.GetGroup()]
 		if v != nil && (v.token > c.GetToken() || v.heard.After(heard)) {
 			continue
@@ -72,7 +73,7 @@
 		}
 	}
 	for group, v := range r.views {
-		if v.relayed && time.Since(v.heard) > forgetRelayed {
+		if v.relayed && clock.Since(v.heard) > forgetRelayed {
 			delete(r.views, group)
 		}
 	}
--- a/node/router.go
+++ b/node/router.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -59,9 +60,9 @@
 // fresh reports whether the owner was heard of lately.
 func (v *view) fresh() bool {
 	if v.relayed {
-		return time.Since(v.heard) < staleRelayed
+		return clock.Since(v.heard) < staleRelayed
 	}
-	return time.Since(v.heard) < staleLoad
+	return clock.Since(v.heard) < staleLoad
 }
 
 // offerKey names an offer to a peer.
@@ -104,7 +105,7 @@
 			continue
 		}
 		l := v.load
-		l.Age = time.Since(v.heard)
+		l.Age = clock.Since(v.heard)
 		if v.fresh() {
 			fresh = append(fresh, l)
 		} else {
@@ -133,7 +134,7 @@
 		if c.GetLeaving() || v != nil && v.token > c.GetToken() {
 			continue
 		}
-		r.views[c.GetGroup()] = &view{peer: from, token: c.GetToken(), load: loadOf(c.GetGroup(), loadFrom(c)), heard: time.Now()}
+		r.views[c.GetGroup()] = &view{peer: from, token: c.GetToken(), load: loadOf(c.GetGroup(), loadFrom(c)), heard: clock.Now()}
 	}
 	for group, v := range r.views {
 		if v.peer == from && !claimed[group] {
@@ -171,7 +172,7 @@
 	sent := &sentOffer{Answer: answer, peer: peer.Instance()}
 	r.sent[k] = sent
 	v.load.Free -= len(o.Tasks)
-	r.used[peer.Instance()] = time.Now()
+	r.used[peer.Instance()] = clock.Now()
 	aliveMs := aliveAt(r.clocks[peer], o.Alive)
 	r.mu.Unlock()
 	frame := &inner.Frame{Body: &inner.Frame_Offer{Offer: offerTo(group, o, aliveMs)}}
@@ -226,7 +227,7 @@
 	defer r.mu.Unlock()
 	if v := r.views[c.GetGroup()]; v != nil && v.token == c.GetToken() {
 		v.load = loadOf(c.GetGroup(), loadFrom(c))
-		v.heard = time.Now()
+		v.heard = clock.Now()
 	}
 }
 
@@ -327,7 +328,7 @@
 		used[sent.peer] = true
 	}
 	for instance, at := range r.used {
-		if time.Since(at) > useTime {
+		if clock.Since(at) > useTime {
 			delete(r.used, instance)
 			continue
 		}
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/directory"
 	"github.com/sedgehatch/sedgehatch/event"
 	"github.com/sedgehatch/sedgehatch/failure"
@@ -18,10 +19,10 @@
 	n.follow(follower{
 		prefix: platform.UpstreamPrefix, wait: always(upstreamWait), rest: n.upstreamRest, needed: n.needsUpstreams, roughly: n.needsRoughly,
 		replace: func(items []platform.Item, _ uint64) {
-			n.upstreamsChanged(n.directory.Replace(time.Now(), n.entries(items)))
+			n.upstreamsChanged(n.directory.Replace(clock.Now(), n.entries(items)))
 		},
 		update: func(items []platform.Item) {
-			n.upstreamsChanged(n.directory.Update(time.Now(), n.entries(items)))
+			n.upstreamsChanged(n.directory.Update(clock.Now(), n.entries(items)))
 		},
 	})
 }
--- a/owner/await.go
+++ b/owner/await.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
 
@@ -36,7 +37,7 @@
 func (g *Group) timeouts() (overdue, limit time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	overdue = g.rtt.timeout(now)
 	return overdue, limitOf(overdue) + g.pool.LinkDelay(now)
 }
@@ -54,7 +55,7 @@
 	if order.WaitMs > 0 {
 		least = holdOverdue
 	}
-	now := time.Now()
+	now := clock.Now()
 	answers := g.rtt.timeout(now)
 	queued := g.pool.LinkDelay(now)
 	overdue = max(reportTimeouts*answers, least) + queued
--- a/owner/group.go
+++ b/owner/group.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/schedule"
@@ -105,7 +106,7 @@
 		g.mu.Unlock()
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	g.pool.SetAnswerTime(g.rtt.timeout(now))
 	effects := input(g.pool, now)
 	tell := g.collect(&effects)
@@ -122,7 +123,7 @@
 	if len(effects.Returns) == 0 && len(effects.Results) == 0 {
 		return nil
 	}
-	load := g.pool.Load(time.Now())
+	load := g.pool.Load(clock.Now())
 	var tell []func()
 	for _, r := range effects.Returns {
 		if a, known := g.answers[r.Key]; known {
@@ -163,13 +164,17 @@
 // answer is still taken when it comes.
 func (g *Group) start(s schedule.Start) {
 	overdue, limit := g.timeouts()
-	began := time.Now()
+	began := clock.Now()
+	if began.After(s.SendBy) { // this process stood still
+		g.started(s, started{refusal: fleet.RefusedLate}, 0)
+		return
+	}
 	call := func() started {
 		refusal, err := g.calls.Start(s.Upstream, s.Order, limit)
-		g.seen.Called("start", err, time.Since(began))
+		g.seen.Called("start", err, clock.Since(began))
 		return started{refusal, err}
 	}
-	take := func(a started) { g.started(s, a, time.Since(began)-s.Carried) }
+	take := func(a started) { g.started(s, a, clock.Since(began)-s.Carried) }
 	answer, inTime := await(overdue+s.Carried, call, func(late started) {
 		if !failure.Is(late.err, failure.Lost) { // which has been told
 			take(late)
@@ -194,9 +199,9 @@
 
 func (g *Group) stop(s schedule.Stop) {
 	_, limit := g.timeouts()
-	began := time.Now()
+	began := clock.Now()
 	err := g.calls.Stop(s.Upstream, s.Run, g.Token, limit)
-	g.seen.Called("stop", err, time.Since(began))
+	g.seen.Called("stop", err, clock.Since(began))
 	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
 		return p.Stopped(now, s.Upstream.Life(), s.Run, err)
 	})
@@ -204,7 +209,7 @@
 
 func (g *Group) look(id string) {
 	g.mu.Lock()
-	u, order, known := g.pool.LookOrder(time.Now(), id)
+	u, order, known := g.pool.LookOrder(clock.Now(), id)
 	known = known && !g.closed
 	g.mu.Unlock()
 	if known {
@@ -221,10 +226,10 @@
 // hold makes one call for a report, as start does.
 func (g *Group) hold(u fleet.Upstream, order fleet.HoldOrder) error {
 	overdue, limit := g.reportTimeouts(order)
-	sent := time.Now()
+	sent := clock.Now()
 	call := func() held {
 		report, err := g.calls.Hold(u, order, limit)
-		g.seen.Called("hold", err, time.Since(sent))
+		g.seen.Called("hold", err, clock.Since(sent))
 		return held{report, err}
 	}
 	answer, inTime := await(overdue, call, func(late held) {
@@ -253,7 +258,7 @@
 func (g *Group) follow(id string) {
 	for {
 		g.mu.Lock()
-		u, order, known := g.pool.HoldOrder(time.Now(), id)
+		u, order, known := g.pool.HoldOrder(clock.Now(), id)
 		known = known && !g.closed
 		if !known {
 			delete(g.follows, id)
@@ -319,7 +324,7 @@
 func (g *Group) Load() schedule.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.pool.Load(time.Now())
+	return g.pool.Load(clock.Now())
 }
 
 // Waits are what the calls of a group wait for.
@@ -332,7 +337,7 @@
 func (g *Group) Waits() Waits {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	return Waits{Overdue: g.rtt.timeout(now), Link: g.pool.LinkDelay(now)}
 }
 
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -278,6 +278,7 @@
 		Upstream: u.Upstream,
 		Order:    fleet.StartOrder{Run: r.id, Spec: j.Spec, LeaseUntilMs: p.grant(u), Token: p.token},
 		Carried:  carried,
+		SendBy:   p.now.Add(p.cfg.Lease),
 	})
 	p.decide(Decision{
 		Kind: DecidedStart, Job: j.Key.ID, Coordinator: j.Key.Coordinator, Task: t.index, Run: t.number, Upstream: u.ID,
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -157,6 +157,9 @@
 	// Carried is how long the owner's link takes to carry it, behind what was
 	// handed to it before.
 	Carried time.Duration
+	// SendBy is when the lease that it grants is over: it must not be sent later. The
+	// upstream declines it then, but the next life of the upstream would not.
+	SendBy time.Time
 }
 
 // Stop orders the end of a run.
