Rooms that shrink are told at once, and a task that crashes upstreams is found out

Cause (rooms): capacity came from the own reading of the list alone, and an instance that is cut off from the store went on filling a room that had shrunk; a job that fitted none of the shrunken rooms was answered failed for good, or waited. Change: instances pass changed rooms on like drains (directory/rooms.go); the largest room of a life says what can ever run, the newest what can start; what fits none now is refused at once, 503; what ends on an overfull upstream frees nothing in the forecast. Cause (crashes): nothing told a task that crashes upstreams from upstreams that crash. Change (schedule/crash.go): all that ran in a crash is suspected, but where some of it was in one before, that alone. A suspected task is tried where the least runs beside it; it is given up after two crashes where two in five late crashes repeat under tasks, after three in any case, and travels with what is known of it. An upstream that answers again takes suspicion back. Ruled out: counting only runs that were just started (when a task crashes its upstream is not said), doubting upstreams for it (the next life is another).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -32,6 +32,7 @@
 	upstreams   map[string]fleet.Upstream
 	listed      bool                     // the upstreams have been read
 	drainedAt   map[fleet.Life]time.Time // when an upstream was first known to drain
+	resizedAt   map[fleet.Life]time.Time // when the capacity of an upstream was first known to have changed
 	tellsBirths bool                     // some entry has told when its upstream was born
 	services    map[string]bool          // that the configuration names; nil before there is one
 	zones       zones
@@ -39,7 +40,7 @@
 
 // New returns a directory that knows nothing.
 func New() *Directory {
-	return &Directory{upstreams: map[string]fleet.Upstream{}, drainedAt: map[fleet.Life]time.Time{}, zones: zones{rows: map[string]zoneRow{}}}
+	return &Directory{upstreams: map[string]fleet.Upstream{}, drainedAt: map[fleet.Life]time.Time{}, resizedAt: map[fleet.Life]time.Time{}, zones: zones{rows: map[string]zoneRow{}}}
 }
 
 // Replace takes the whole list of upstreams. It returns those that are newly known to
@@ -71,11 +72,11 @@
 	for _, e := range entries {
 		switch {
 		case e.Gone:
-			delete(d.drainedAt, d.upstreams[e.ID].Life())
+			d.forget(d.upstreams[e.ID].Life())
 			delete(d.upstreams, e.ID)
 		case e.Refused:
 			d.close(e.ID)
-		case d.enter(e.Upstream):
+		case d.enter(now, e.Upstream):
 			if e.Upstream.Draining && d.drains(now, e.Upstream.Life()) {
 				draining = append(draining, e.Upstream.Life())
 			}
@@ -86,23 +87,32 @@
 
 // enter takes an entry that can be read, unless a newer one of its upstream is known: a
 // write may be carried out late. It reports whether it did. The lock is held.
-func (d *Directory) enter(u fleet.Upstream) bool {
+func (d *Directory) enter(now time.Time, u fleet.Upstream) bool {
 	known := d.upstreams[u.ID]
 	switch {
 	case u.Born < known.Born:
 		return false
 	case u.Born > known.Born:
-		delete(d.drainedAt, known.Life())
+		d.forget(known.Life())
 		u.Largest = u.Capacity
 	case u.Sequence < known.Sequence:
 		return false
 	default:
 		u.Largest = u.Capacity.Max(known.Largest)
+		if known.ID != "" && u.Capacity != known.Capacity {
+			d.resizedAt[u.Life()] = now
+		}
 	}
 	d.upstreams[u.ID] = u
 	return true
 }
 
+// forget drops what was known of a life beside its entry. The lock is held.
+func (d *Directory) forget(life fleet.Life) {
+	delete(d.drainedAt, life)
+	delete(d.resizedAt, life)
+}
+
 // TellsBirths notes whether some of the entries tell when their upstreams were born, and
 // reports whether any ever did: on such a platform each entry of an upstream does.
 func (d *Directory) TellsBirths(entries []Entry) bool {
--- a/directory/lives_test.go
+++ b/directory/lives_test.go
@@ -60,3 +60,40 @@
 		}
 	}
 }
+
+// TestRooms: an instance that cannot read the list hears from a peer that a room has
+// shrunk. What the peer says late, or of another life, changes nothing.
+func TestRooms(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := func(sequence, cpu int64) []Entry {
+		return []Entry{{ID: "u", Upstream: fleet.Upstream{ID: "u", Born: 5, Sequence: sequence, Capacity: fleet.Demand{MilliCPU: cpu}}}}
+	}
+	reads, hears := New(), New()
+	reads.Replace(now, entry(1, 8000))
+	hears.Replace(now, entry(1, 8000))
+	if told := reads.RoomsSince(time.Time{}); len(told) > 0 {
+		t.Errorf("%v is told before anything has changed", told)
+	}
+	reads.Update(now, entry(2, 3000))
+	shrunk := reads.RoomsSince(now.Add(-time.Second))
+	reads.Update(now, entry(3, 6000))
+	grown := reads.RoomsSince(now.Add(-time.Second))
+	for _, step := range []struct {
+		what  string
+		rooms []Room
+		news  bool
+		cpu   int64
+	}{
+		{"it shrinks", shrunk, true, 3000}, {"again", shrunk, false, 3000}, {"it grows", grown, true, 6000}, {"late", shrunk, false, 6000},
+		{"another life", []Room{{Life: fleet.Life{ID: "u", Born: 6}, Sequence: 9, Capacity: fleet.Demand{MilliCPU: 1}}}, false, 6000},
+		{"an unknown one", []Room{{Life: fleet.Life{ID: "x", Born: 6}, Sequence: 9}}, false, 6000},
+	} {
+		news := hears.TakeRooms(now, step.rooms)
+		if u, _ := hears.Lookup("u"); news != step.news || u.Capacity.MilliCPU != step.cpu || u.Largest.MilliCPU != 8000 {
+			t.Errorf("%s: news %v, %+v", step.what, news, u)
+		}
+	}
+	if told := reads.RoomsSince(now); len(told) > 0 {
+		t.Errorf("%v is told for ever", told)
+	}
+}
--- a/ingress/pending.go
+++ b/ingress/pending.go
@@ -277,6 +277,8 @@
 		p.settle(Completed, "")
 	case r.Outcome == schedule.Failed:
 		p.settle(Failed, "a task failed as often as it may")
+	case r.Outcome == schedule.Crashed:
+		p.settle(Failed, "upstreams crash under a task")
 	case r.Outcome == schedule.Expired && r.Begun:
 		p.settle(Unknown, "no room in time for all of it")
 	case r.Outcome == schedule.Unknown:
--- a/node/convert.go
+++ b/node/convert.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/directory"
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/owner"
@@ -32,6 +33,24 @@
 	return lo.Map(lives, func(l fleet.Life, _ int) *inner.UpstreamLife { return &inner.UpstreamLife{Id: l.ID, Born: l.Born} })
 }
 
+func roomsTo(rooms []directory.Room) []*inner.UpstreamRoom {
+	return lo.Map(rooms, func(r directory.Room, _ int) *inner.UpstreamRoom {
+		return &inner.UpstreamRoom{
+			Life: &inner.UpstreamLife{Id: r.Life.ID, Born: r.Life.Born}, Sequence: r.Sequence,
+			MilliCpu: r.Capacity.MilliCPU, MemoryMb: r.Capacity.MemoryMB, Gpus: r.Capacity.GPUs,
+		}
+	})
+}
+
+func roomsFrom(list []*inner.UpstreamRoom) []directory.Room {
+	return lo.Map(list, func(r *inner.UpstreamRoom, _ int) directory.Room {
+		return directory.Room{
+			Life: fleet.Life{ID: r.GetLife().GetId(), Born: r.GetLife().GetBorn()}, Sequence: r.GetSequence(),
+			Capacity: fleet.Demand{MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), GPUs: r.GetGpus()},
+		}
+	})
+}
+
 func livesFrom(list []*inner.UpstreamLife) []fleet.Life {
 	return lo.Map(list, func(l *inner.UpstreamLife, _ int) fleet.Life { return fleet.Life{ID: l.GetId(), Born: l.GetBorn()} })
 }
@@ -40,7 +59,7 @@
 func pastTo(past map[int]schedule.Past) []*inner.TaskPast {
 	var list []*inner.TaskPast
 	for _, task := range slices.Sorted(maps.Keys(past)) {
-		list = append(list, &inner.TaskPast{Task: uint32(task), Number: past[task].Number, Failed: uint32(past[task].Failed)})
+		list = append(list, &inner.TaskPast{Task: uint32(task), Number: past[task].Number, Failed: uint32(past[task].Failed), Crashed: uint32(past[task].Crashed)})
 	}
 	return list
 }
@@ -51,7 +70,7 @@
 	}
 	past := make(map[int]schedule.Past, len(list))
 	for _, t := range list {
-		past[int(t.GetTask())] = schedule.Past{Number: t.GetNumber(), Failed: int(t.GetFailed())}
+		past[int(t.GetTask())] = schedule.Past{Number: t.GetNumber(), Failed: int(t.GetFailed()), Crashed: int(t.GetCrashed())}
 	}
 	return past
 }
--- a/node/lives_test.go
+++ b/node/lives_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/platform/standin"
 )
 
 // TestUpstreamStartsAgain: upstreams crash under work and start again under their ids, the
@@ -29,3 +34,56 @@
 		})
 	}
 }
+
+// TestRoomShrinks: the room of the only upstream shrinks to that of one task. Four tasks run
+// there one after the other; it grows again, and two run at once.
+func TestRoomShrinks(t *testing.T) {
+	in := newInstallation(t, []string{"a"}, 1, "a-1")
+	knows := func(capacity int64) {
+		in.until("the owner knows the room", func() bool {
+			groups := in.nodes["a-1"].owned()
+			return len(groups) == 1 && groups[0].Load().Capacity == capacity
+		})
+	}
+	for _, capacity := range []int64{taskSize, 2 * taskSize} {
+		in.upstreams[0].Resize(fleet.Demand{MilliCPU: capacity, MemoryMB: 1000})
+		knows(capacity)
+		in.until("four tasks are served", func() bool {
+			status, _ := in.submit("a-1", in.newID(), 4, 20)
+			return status == http.StatusOK
+		})
+	}
+}
+
+// TestTaskCrashesUpstreams: a task crashes each upstream that starts it, while others run
+// there. Its job is answered as failed after three crashes at the most; what ran beside it
+// is done, and the upstreams are used again.
+func TestTaskCrashesUpstreams(t *testing.T) {
+	in := newInstallation(t, []string{"a", "b"}, 3, "a-1", "a-2", "b-1")
+	bad := in.newID()
+	var crashes atomic.Int32
+	for _, u := range in.upstreams {
+		u.Change(func(c *standin.Core) {
+			c.Crashes = func(r fleet.Run) bool {
+				if r.Task.Job != bad {
+					return false
+				}
+				crashes.Add(1)
+				return true
+			}
+		})
+	}
+	beside := in.background("a-1", in.newID(), 4, 400)
+	in.until("others are at work", func() bool { return in.running() == 4 })
+	status, body := in.submit("a-1", bad, 1, 300)
+	if status != http.StatusOK || !strings.Contains(body, "failed") || crashes.Load() > 3 {
+		t.Errorf("answered %d %s after %d crashes", status, body, crashes.Load())
+	}
+	if status := <-beside; status != http.StatusOK {
+		t.Errorf("what ran beside it is answered %d", status)
+	}
+	in.until("all upstreams are used", func() bool {
+		status, _ := in.submit("a-2", in.newID(), 6, 10)
+		return status == http.StatusOK
+	})
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -59,6 +59,7 @@
 	n.mu.Unlock()
 	p.ClockMs = n.clockMs()
 	p.Draining = livesTo(n.directory.DrainsSince(clock.Now().Add(-tellDrains)))
+	p.Rooms = roomsTo(n.directory.RoomsSince(clock.Now().Add(-tellDrains)))
 	n.tellZones(p)
 	if c := n.config.Load(); c != nil {
 		p.ConfigVersion = c.Version
@@ -233,6 +234,7 @@
 	n.mu.Unlock()
 	leaving := n.directory.Drains(clock.Now(), livesFrom(p.GetDraining()))
 	n.logDrains(leaving, from.Instance())
+	resized := n.directory.TakeRooms(clock.Now(), roomsFrom(p.GetRooms()))
 	n.hearZones(from.Instance(), p)
 	n.router.heardOwner(link, from, p.GetClockMs())
 	n.router.heard(from, p)
@@ -243,7 +245,7 @@
 		// take long to open, and it should not take itself for alone.
 		n.answer(link, from.Instance())
 	}
-	if len(leaving) > 0 {
+	if len(leaving) > 0 || resized {
 		n.updateGroups()
 	}
 	n.learnsVersion(link, p.GetConfigVersion())
--- a/schedule/closed.go
+++ b/schedule/closed.go
@@ -22,10 +22,27 @@
 	return p.told && !p.fitsAny(j, p.admits)
 }
 
-// fitsAny reports whether a task of a job fits, when it is empty, on any upstream of its
-// service for which may holds.
+// fitsAny reports whether a task of a job fits, when it is empty and its room is as large as
+// it has been, on any upstream of its service for which may holds.
 func (p *Pool) fitsAny(j *job, may func(*upstream) bool) bool {
 	return slices.ContainsFunc(p.sorted, func(u *upstream) bool {
-		return u.Service == j.Service && j.Demand.Within(u.Capacity) && may(u)
+		return u.Service == j.Service && j.Demand.Within(u.Capacity.Max(u.Largest)) && may(u)
 	})
 }
+
+// fitsRoom reports whether a task of a job fits, when it is empty, on any upstream of its
+// service that is known to take something, with the room that it has now. Rooms shrink and
+// grow: a job that fits none may do so later, but nobody knows when.
+func (p *Pool) fitsRoom(j *job) bool {
+	shrunk := false
+	for _, u := range p.sorted {
+		if u.Service != j.Service || !p.admits(u) {
+			continue
+		}
+		if j.Demand.Within(u.Capacity) {
+			return true
+		}
+		shrunk = shrunk || j.Demand.Within(u.Largest)
+	}
+	return !shrunk
+}
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -43,8 +43,8 @@
 func (p *Pool) newForecast(service string) *forecast {
 	f := &forecast{now: p.now, carried: p.link.queued(p.now)}
 	for _, u := range p.sorted {
-		if u.Service != service || !p.usable(u, p.now) {
-			continue
+		if u.Service != service || !p.usable(u, p.now) || !u.used.Within(u.Capacity) {
+			continue // what ends on one whose room has shrunk frees nothing yet
 		}
 		for _, r := range u.runs {
 			f.free = append(f.free, r.expectedEnd(p.now))
@@ -177,6 +177,9 @@
 // hopeless reports whether a job is expected to end late. The room of one that is
 // not is taken from the forecast.
 func (p *Pool) hopeless(j *job, f *forecast) bool {
+	if !j.hasBegun() && !p.fitsRoom(j) {
+		return true
+	}
 	tasks := j.waitingTasks()
 	carried := f.carried + p.link.takes(float64(tasks)*orderBytes(j))
 	if j.hasBegun() {
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -178,6 +178,8 @@
 func (p *Pool) reported(u *upstream, sent time.Time, report fleet.Report) {
 	if u.silent {
 		p.decide(Decision{Kind: DecidedHeard, Upstream: u.ID, Age: p.now.Sub(u.clockAt)})
+		p.crashes.takeBack(u.suspects)
+		u.suspects = nil
 	}
 	u.misses, u.silent = 0, false
 	p.reports.count(false)
@@ -306,11 +308,14 @@
 // gone takes the end of an upstream's life: nothing of it runs.
 func (p *Pool) gone(u *upstream, reason string) {
 	p.decide(Decision{Kind: DecidedGone, Upstream: u.ID, Task: len(u.runs), Reason: reason})
+	runs := sortedRuns(u)
+	suspects := p.crashed(u, runs)
 	p.drop(u)
-	for _, r := range sortedRuns(u) {
+	for _, r := range runs {
 		p.remove(r)
 		p.again(r, "upstream gone")
 	}
+	p.giveUpConvicted(suspects)
 }
 
 // fenced takes the news that another owner has an upstream. What becomes of
--- a/schedule/lives.go
+++ b/schedule/lives.go
@@ -45,6 +45,7 @@
 func (p *Pool) restarted(u *upstream, next fleet.Upstream) *upstream {
 	p.decide(Decision{Kind: DecidedGone, Upstream: u.ID, Task: len(u.runs), Reason: "it has started again"})
 	runs := sortedRuns(u)
+	suspects := p.crashed(u, runs)
 	p.drop(u)
 	life := p.insert(next)
 	life.listed, life.removed = u.listed, u.removed
@@ -56,6 +57,7 @@
 		p.remove(r)
 		p.again(r, "its upstream has started again")
 	}
+	p.giveUpConvicted(suspects)
 	for _, id := range u.unresolved {
 		p.out.Stops = append(p.out.Stops, Stop{Upstream: life.Upstream, Run: id})
 	}
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -31,7 +31,7 @@
 			into = &slow
 		}
 		into.Capacity += u.Capacity.MilliCPU
-		into.Free += int(u.Capacity.Minus(u.used).MilliCPU / size)
+		into.Free += int(max(u.Capacity.Minus(u.used).MilliCPU, 0) / size)
 	}
 	if l.Capacity == 0 {
 		l.Capacity, l.Free = slow.Capacity, slow.Free
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -118,7 +118,7 @@
 		if t.state != waiting {
 			continue
 		}
-		u := p.choose(j)
+		u := p.chooseFor(j, t)
 		if u == nil {
 			return started
 		}
@@ -209,6 +209,14 @@
 	})
 }
 
+// chooseFor returns the upstream for a task, or nil.
+func (p *Pool) chooseFor(j *job, t *task) *upstream {
+	if p.isSuspected(p.ref(j, t)) {
+		return p.chooseApart(j)
+	}
+	return p.choose(j)
+}
+
 // choose returns the upstream with the least room left over for a task, or nil.
 // One that is slow is taken only where no other has room and the job can still be
 // in time there, or where all are slow.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -26,6 +26,7 @@
 	queue        []*job    // with waiting tasks
 	waiting      int       // tasks that wait
 	times        map[string]*runTimes
+	crashes      crashes
 	reports      missRate // of all upstreams
 	meanSpeed    float64  // of all upstreams, as in speed
 	link         link
@@ -44,7 +45,7 @@
 	return &Pool{
 		cfg: cfg, token: token, link: link{rate: linkShare * cfg.LinkRate}, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{}, byID: map[string][]*job{},
 		byTask: map[fleet.TaskRef]*run{}, coordinators: map[string]*coordinator{}, times: map[string]*runTimes{},
-		fencedIDs: map[string]bool{},
+		fencedIDs: map[string]bool{}, crashes: crashes{tasks: map[fleet.TaskRef]crashRecord{}},
 	}
 }
 
@@ -163,6 +164,7 @@
 		t := &task{index: index, number: o.Past[index].Number, attempts: o.Past[index].Failed}
 		j.tasks[index] = t
 		j.order = append(j.order, t)
+		p.crashes.learn(p.now, p.ref(j, t), o.Past[index].Crashed)
 	}
 	p.waiting += len(j.order)
 	for _, t := range j.order {
@@ -176,8 +178,12 @@
 	switch {
 	case p.draining:
 		p.returnAll(j, "draining")
+	case p.isConvicted(j):
+		p.end(j, Crashed)
 	case j.blocked == 0 && !p.everFits(j):
 		p.end(j, NeverFits)
+	case !j.hasBegun() && !p.fitsRoom(j):
+		p.end(j, Expired)
 	default:
 		p.enqueue(j)
 		p.place()
--- a/schedule/return.go
+++ b/schedule/return.go
@@ -31,6 +31,7 @@
 		j.left--
 		returned = append(returned, t.index)
 		if past, ran := t.past(); ran {
+			past.Crashed = p.crashes.of(p.ref(j, t))
 			j.past[t.index] = past
 		}
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -124,6 +124,8 @@
 type Past struct {
 	Number uint32 // of the last run
 	Failed int    // runs that failed
+	// Crashed is how many upstreams have crashed under it.
+	Crashed int
 }
 
 // Outcome is how a pool's part of a job ended.
@@ -133,6 +135,7 @@
 const (
 	Completed Outcome = "completed" // every task that was not returned is done
 	Failed    Outcome = "failed"    // a task failed as often as it may
+	Crashed   Outcome = "crashed"   // upstreams crash under a task
 	Expired   Outcome = "expired"   // it could not end in time any more
 	NeverFits Outcome = "never_fits"
 	Unknown   Outcome = "unknown" // the pool lost upstreams with tasks of it
@@ -299,10 +302,12 @@
 	over      []fleet.Run // the last ones that ended, newest last
 	// unresolved are runs that were given up without a word on whether they began.
 	unresolved []fleet.Run
-	reported   time.Time // when the last report that counts was asked for
-	misses     int       // reports in a row that did not come, while nothing else was answered
-	silent     bool
-	held       bool // its leases must not be renewed; as of leasesAt of the pool
-	health     health
-	speed      speed
+	// suspects are the tasks that are suspected because it was taken for crashed.
+	suspects []fleet.TaskRef
+	reported time.Time // when the last report that counts was asked for
+	misses   int       // reports in a row that did not come, while nothing else was answered
+	silent   bool
+	held     bool // its leases must not be renewed; as of leasesAt of the pool
+	health   health
+	speed    speed
 }
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -11,6 +11,7 @@
 		for _, u := range slices.Clone(p.sorted) {
 			p.tickUpstream(u)
 		}
+		p.crashes.forget(now)
 		p.giveUpUnheard()
 		p.weighLeases()
 		p.place()
@@ -24,13 +25,11 @@
 }
 
 func (p *Pool) tickUpstream(u *upstream) {
-	lapsed := u.silent && p.now.After(u.lapsed())
+	if u.silent && p.now.After(u.lapsed()) {
+		p.lapse(u)
+	}
 	for _, r := range sortedRuns(u) {
 		switch {
-		case lapsed:
-			u.leaveUnresolved(r)
-			p.remove(r)
-			p.again(r, "lease lapsed on a silent upstream")
 		case r.state == stopping && p.now.Sub(r.stopSent) >= p.repeatPause() && !u.silent:
 			p.sendStop(r)
 		case r.state == stopped && p.now.Sub(r.looked) >= p.repeatPause() && !u.silent:
@@ -47,6 +46,20 @@
 	}
 }
 
+// lapse takes the end of the leases of a silent upstream: nothing of it runs any more. It
+// may have crashed, or only be cut off.
+func (p *Pool) lapse(u *upstream) {
+	runs := sortedRuns(u)
+	suspects := p.crashed(u, runs)
+	u.suspects = append(u.suspects, suspects...)
+	for _, r := range runs {
+		u.leaveUnresolved(r)
+		p.remove(r)
+		p.again(r, "lease lapsed on a silent upstream")
+	}
+	p.giveUpConvicted(suspects)
+}
+
 // lookIfOverdue asks for a report at once where a run should have ended and
 // reports get lost: the next one may tell of the end only after its timeout, up to
 // 400 ms later. Worth .05 to .10 while a tenth to a half of all calls are lost
