Tasks run near their data and apart from each other where a job asks for it

Change: Affinity decodes into the rack with the data, AntiAffinity into how many tasks may be at work on one upstream; labels tell the rack of an upstream. Away from its data a task is forecast, judged and learned from by the platform's factor; it goes there where no place near its data is free and it can be in time, or no upstream of the group is near. A start beyond AntiAffinity is not made; what is being stopped counts. Jobs with AntiAffinity were declined. Not done: coordinators do not know which group has a rack; only the group's own upstreams are chosen by it. Tests, written with the change: scenarios rack, apart.

--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -40,4 +40,6 @@
 	MaxTaskLease time.Duration // that upstreams grant
 	Grace        time.Duration // from SIGTERM to SIGKILL
 	FenceSettle  time.Duration // in which two holders must not take turns
+	// RemoteFactor is how many times longer a task takes away from its data.
+	RemoteFactor float64
 }
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -51,6 +51,9 @@
 	Count    int
 	Demand   Demand
 	Estimate time.Duration // of one task, as the customer declares it
+	Rack     string        // where the data of the tasks is; "" is nowhere
+	// MostOnOne is how many of the tasks may be at work on one upstream; 0 is no bound.
+	MostOnOne int
 }
 
 // Job is what a customer submits.
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -24,7 +24,8 @@
 	Service  string
 	Address  string // host and port
 	Zone     string
-	Draining bool // it is leaving, for good
+	Rack     string // "" where the platform does not say
+	Draining bool   // it is leaving, for good
 	// Closed is set while nothing new may start there, for a reason that may
 	// pass: its availability zone is evacuated, or its entry cannot be read.
 	Closed bool
--- a/node/convert.go
+++ b/node/convert.go
@@ -98,7 +98,7 @@
 		EstimateMs: uint32(o.Estimate.Milliseconds()), Priority: uint32(o.Priority), MaxAttempts: uint32(o.MaxAttempts),
 		Tasks: fromInts(o.Tasks), Stretch: o.Stretch, SlackMs: uint32(o.Slack.Milliseconds()),
 		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Patience, 0).Milliseconds()), MayQueue: o.MayQueue, Begun: o.Begun, Whole: o.Whole,
-		Past: pastTo(o.Past), AliveMs: aliveMs,
+		Past: pastTo(o.Past), AliveMs: aliveMs, Rack: o.Rack, MostOnOne: uint32(o.MostOnOne),
 	}
 }
 
@@ -112,6 +112,6 @@
 		MaxAttempts: int(m.GetMaxAttempts()), Tasks: toInts(m.GetTasks()), Stretch: m.GetStretch(),
 		Slack: time.Duration(m.GetSlackMs()) * time.Millisecond, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		Patience: time.Duration(m.GetPatienceMs()) * time.Millisecond, MayQueue: m.GetMayQueue(), Begun: m.GetBegun(), Whole: m.GetWhole(),
-		Past: pastFrom(m.GetPast()),
+		Past: pastFrom(m.GetPast()), Rack: m.GetRack(), MostOnOne: int(m.GetMostOnOne()),
 	}
 }
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -159,7 +159,7 @@
 	var best *upstream
 	var suspects, least int
 	for _, u := range p.sorted {
-		if u.Service != j.Service || !p.usable(u, p.now) || !j.Demand.Within(u.Capacity.Minus(u.used)) {
+		if u.Service != j.Service || !p.usable(u, p.now) || !j.Demand.Within(u.Capacity.Minus(u.used)) || placesApart(j, u, 1) == 0 {
 			continue
 		}
 		n := p.suspectsOn(u)
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -60,7 +60,7 @@
 	if r.job == nil {
 		return now.Add(stopRetry) // it is being stopped
 	}
-	expect := r.job.expect
+	expect := r.expect()
 	end := r.ordered.Add(expect)
 	if r.percent > 0 && r.seen.After(r.ordered) {
 		age := r.seen.Sub(r.ordered)
@@ -77,7 +77,7 @@
 	if r.job == nil {
 		return 0
 	}
-	return r.job.expect
+	return r.longer(r.job.expect)
 }
 
 // add takes room that is free now.
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -135,17 +135,17 @@
 		return
 	}
 	t := j.tasks[r.id.Task.Index]
-	age := r.seen.Sub(r.ordered)
-	if t.moves >= maxMoves || r.seen == r.moved && r.percent == 0 || age < lookAge(j.expect) {
+	age, expect := r.seen.Sub(r.ordered), r.expect()
+	if t.moves >= maxMoves || r.seen == r.moved && r.percent == 0 || age < lookAge(expect) {
 		return
 	}
 	remaining := p.remaining(r, age)
 	p.judge(r, age, remaining)
 	stalled := p.stalls(r)
-	if !stalled && age+remaining < slowFactor*j.expect {
+	if !stalled && age+remaining < slowFactor*expect {
 		return
 	}
-	if remaining < j.expect*3/2+max(moveCost, moveAnswers*p.answerTime) {
+	if remaining < expect*3/2+max(moveCost, moveAnswers*p.answerTime) {
 		return
 	}
 	if !stalled && p.chooseBut(j, r.up.ID) == nil {
@@ -199,9 +199,9 @@
 			continue
 		}
 		age := p.now.Sub(r.ordered)
-		due := lookAge(r.job.expect) - age
+		due := lookAge(r.expect()) - age
 		if due <= 0 {
-			due = r.job.expect / 2
+			due = r.expect() / 2
 		}
 		wait = min(wait, due)
 	}
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -281,10 +281,10 @@
 	took := p.now.Sub(r.ordered)
 	p.learnSpeed(r, p.now.Sub(r.began()))
 	if p.cfg.Policy.LearnTimes {
-		p.timesOf(j.Route).learn(took)
+		p.timesOf(j.Route).learn(r.near(took))
 	}
 	if p.cfg.Policy.LearnJob {
-		j.learn(took)
+		j.learn(r.near(took))
 	}
 	p.trust(r.up)
 	if j.left == 0 {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		fits := p.fits(j, u, most)
-		slowness := p.slowness(u)
+		slowness := p.slownessFor(j, u)
 		if slowness > 1 && !p.inTime(j, slowness) {
 			slow += fits
 			continue
@@ -197,9 +197,9 @@
 		n++
 	}
 	if u.health.doubted && p.cfg.Policy.SingleTrial {
-		return min(n, 1)
+		n = min(n, 1)
 	}
-	return n
+	return placesApart(j, u, n)
 }
 
 // hasOther reports whether any upstream but one could run a task of j.
@@ -231,10 +231,10 @@
 		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == but {
 			continue
 		}
-		slowness := p.slowness(u)
+		slowness := p.slownessFor(j, u)
 		fast = fast || slowness == 1 && j.Demand.Within(u.Capacity)
 		left := u.Capacity.Minus(u.used)
-		if !j.Demand.Within(left) {
+		if !j.Demand.Within(left) || placesApart(j, u, 1) == 0 {
 			continue
 		}
 		rest := left.MilliCPU - j.Demand.MilliCPU
@@ -279,8 +279,9 @@
 	leaves := p.now.Add(carried)
 	r := &run{
 		id: fleet.Run{Task: p.ref(j, t), Number: t.number}, job: j, up: u, demand: j.Demand,
-		state: starting, ordered: leaves, moved: leaves, seen: leaves, expected: j.expect,
+		state: starting, ordered: leaves, moved: leaves, seen: leaves, remote: p.remoteness(j, u),
 	}
+	r.expected = r.longer(j.expect)
 	p.add(r)
 	p.out.Starts = append(p.out.Starts, Start{
 		Upstream: u.Upstream,
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -26,7 +26,9 @@
 // output what the pool decided. testdata/README tells the commands.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata/scenarios", func(t *testing.T, path string) {
-		s := &scenario{pool: NewPool(DefaultConfig, 7), now: epochZero, seq: map[string]uint64{}}
+		cfg := DefaultConfig
+		cfg.RemoteFactor = 2
+		s := &scenario{pool: NewPool(cfg, 7), now: epochZero, seq: map[string]uint64{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return s.run(t, d)
 		})
@@ -131,7 +133,7 @@
 		list = append(list, fleet.Upstream{
 			ID: fields[0], Service: "s", Capacity: fleet.Demand{MilliCPU: int64(number(t, fields[1]))}, Largest: s.largest(fields[0], int64(number(t, fields[1]))),
 			Draining: slices.Contains(fields[2:], "draining"), Closed: slices.Contains(fields[2:], "closed"),
-			Born: bornOf(t, fields[2:]),
+			Born: int64(number(t, fieldOf(fields[2:], "born", "0"))), Rack: fieldOf(fields[2:], "rack", ""),
 		})
 	}
 	return list
@@ -146,14 +148,14 @@
 	return now
 }
 
-// bornOf reads born=N.
-func bornOf(t *testing.T, fields []string) int64 {
+// fieldOf reads key=value among fields.
+func fieldOf(fields []string, key, fallback string) string {
 	for _, f := range fields {
-		if born, is := strings.CutPrefix(f, "born="); is {
-			return int64(number(t, born))
+		if value, is := strings.CutPrefix(f, key+"="); is {
+			return value
 		}
 	}
-	return 0
+	return fallback
 }
 
 func (s *scenario) offer(t *testing.T, id string, arg func(string, string) string) Offer {
@@ -161,7 +163,7 @@
 		Key: JobKey{arg("from", "home"), id, 0}, Service: "s", Route: "r" + arg("est", "100ms"), Demand: fleet.Demand{MilliCPU: int64(number(t, arg("cpu", "8000")))},
 		Estimate: duration(t, arg("est", "100ms")), Priority: number(t, arg("priority", "0")), MaxAttempts: number(t, arg("attempts", "2")),
 		Stretch: 1.6, Slack: duration(t, arg("slack", "60ms")), Patience: duration(t, arg("patience", "5s")), MayQueue: arg("queue", "") != "", Begun: arg("begun", "") != "",
-		Whole: arg("whole", "") != "", Past: map[int]Past{},
+		Whole: arg("whole", "") != "", Past: map[int]Past{}, Rack: arg("rack", ""), MostOnOne: number(t, arg("most", "0")),
 	}
 	if ago := arg("alive", ""); ago != "" {
 		o.Alive = s.now.Add(-duration(t, ago))
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -23,6 +23,8 @@
 	// LinkRate is how many bytes a second the owner's network link carries; 0 is
 	// unbounded.
 	LinkRate float64
+	// RemoteFactor is how many times longer a task takes away from its data; below 1 is 1.
+	RemoteFactor float64
 	// AliveToStart is how lately a coordinator must have been alive for its tasks to
 	// start, and for the leases of upstreams that run them to be renewed; AliveToKeep is
 	// the same for its runs to go on.
@@ -117,6 +119,10 @@
 	MayQueue bool
 	// Whole starts all tasks at once or none.
 	Whole bool
+	// Rack is where the data of the tasks is, "" for nowhere, and MostOnOne how many of
+	// them may be at work on one upstream, 0 for any number.
+	Rack      string
+	MostOnOne int
 }
 
 // Past is what a task that goes from one pool to another takes along: run numbers
@@ -239,6 +245,7 @@
 	stopSent  time.Time
 	stopAcked time.Time
 	expected  time.Duration // when it was ordered
+	remote    float64       // how many times longer it takes there, away from its data
 	judged    bool          // its pace has told of the upstream's speed
 	looked    time.Time     // when a report was last asked for that must show it gone
 	shown     bool          // in a report
