--- a/cli/soak.go
+++ b/cli/soak.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "instances", Value: 3, Usage: "instances of each zone"},
 			&cli.IntFlag{Name: "upstreams", Value: 4, Usage: "upstreams of each zone"},
 			&cli.BoolFlag{Name: "evacuations", Value: true, Usage: "also evacuate availability zones"},
+			&cli.BoolFlag{Name: "lives", Value: true, Usage: "also let upstreams start again under their ids, and shrink and grow"},
 			&cli.IntFlag{Name: "customers", Value: 12, Usage: "customers that send one job after the other"},
 			&cli.StringFlag{Name: "keep", Usage: "a `DIRECTORY` where the logs of all instances stay"},
 		},
@@ -111,7 +112,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Daemon: daemon, Dir: dir, Seed: seed, Length: c.Duration("length"),
-		Zones: c.Int("zones"), Instances: c.Int("instances"), Upstreams: c.Int("upstreams"), Customers: c.Int("customers"), Evacuations: c.Bool("evacuations"),
+		Zones: c.Int("zones"), Instances: c.Int("instances"), Upstreams: c.Int("upstreams"), Customers: c.Int("customers"), Evacuations: c.Bool("evacuations"), Lives: c.Bool("lives"),
 	})
 	if err != nil {
 		return failure.Field(failure.InvalidInput, "daemon", "the soak does not start: %v", err)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -30,6 +30,9 @@
 	// Evacuations adds evacuations of availability zones to the faults. Seeds that
 	// were kept before do without: they would play other faults.
 	Evacuations bool
+	// Lives adds upstreams that crash and start again under their ids, and whose room
+	// shrinks and grows; as Evacuations.
+	Lives bool
 }
 
 const (
@@ -37,6 +40,8 @@
 	// thousandths of a core.
 	taskCPU     = 6000
 	upstreamCPU = 20000
+	// upstreamMemory is what an upstream has, megabytes.
+	upstreamMemory = 1000
 	// customersPort and the next ones are the same for all instances: each has
 	// an address of loopback of its own.
 	customersPort = 18161
@@ -172,6 +177,7 @@
 	proxy   *Proxy
 	zone    string
 	drained time.Time
+	claimed bool // a fault is at it that another must not undo
 }
 
 func newInstallation(cfg Config) (*installation, error) {
@@ -245,9 +251,9 @@
 	in.born++
 	u, err := standin.NewUpstream(standin.UpstreamConfig{
 		ID: fmt.Sprintf("u%d", in.born), Service: "desk", Zone: zone, Address: "127.0.0.1:0",
-		Capacity: fleet.Demand{MilliCPU: upstreamCPU, MemoryMB: 1000}, Hidden: true,
+		Capacity: fleet.Demand{MilliCPU: upstreamCPU, MemoryMB: upstreamMemory}, Hidden: true,
 		Takes:  standin.TakesOf,
-		Demand: func(string) fleet.Demand { return fleet.Demand{MilliCPU: taskCPU} },
+		Demand: func(string) fleet.Demand { return fleet.Demand{MilliCPU: taskCPU} }, TellsBirth: in.cfg.Lives,
 	}, in.store, in.ledger)
 	if err != nil {
 		return err
--- a/soak/run.go
+++ b/soak/run.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
 )
 
@@ -134,11 +135,12 @@
 	p := in.processes[in.rng.IntN(len(in.processes))]
 	u := in.pickUpstream()
 	mode := Mode(1 + in.rng.IntN(modes-1))
-	kinds := faultKinds
-	if in.cfg.Evacuations {
-		kinds++
+	more := in.moreFaults(u, t)
+	kind := in.rng.IntN(faultKinds + len(more))
+	if kind >= faultKinds {
+		return more[kind-faultKinds]
 	}
-	switch in.rng.IntN(kinds) {
+	switch kind {
 	case 0:
 		return func(d time.Duration) { p.end(syscall.SIGKILL); time.Sleep(d / 3); in.restart(p, t) }
 	case 1:
@@ -179,16 +181,76 @@
 		return func(time.Duration) { p.store.SilenceOpen() }
 	case 13:
 		return func(time.Duration) { u.proxy.SilenceOpen() }
-	case faultKinds:
-		return func(d time.Duration) { in.evacuate(u.zone, d, t) }
 	default:
 		return func(d time.Duration) { in.replaceUpstream(u, d, t) }
 	}
 }
 
-// faultKinds is how many kinds of faults there are beside evacuations.
+// faultKinds is how many kinds of faults there are that each run has.
 const faultKinds = 15
 
+// moreFaults returns the faults that a run may have beside.
+func (in *installation) moreFaults(u *upstream, t *tally) []func(time.Duration) {
+	var more []func(time.Duration)
+	if in.cfg.Evacuations {
+		more = append(more, func(d time.Duration) { in.evacuate(u.zone, d, t) })
+	}
+	if in.cfg.Lives {
+		more = append(more, func(d time.Duration) { in.startAgain(u, d) }, func(d time.Duration) { in.resize(u, d) })
+	}
+	return more
+}
+
+const (
+	// leastDown is how long an upstream is down at least before it starts again.
+	leastDown = time.Second
+	// roomBound is how long after its room has shrunk an upstream may still be filled over
+	// it: what the platform gives, and the longest time in which faults keep the news from
+	// an owner.
+	roomBound = 5500*time.Millisecond + 2*longestFault
+	// shrunkCPU is the room of an upstream that has shrunk, thousandths of a core.
+	shrunkCPU = taskCPU + taskCPU/2
+)
+
+// startAgain lets an upstream crash and start again under its id, unless another fault does.
+func (in *installation) startAgain(u *upstream, d time.Duration) {
+	if !in.claimUpstream(u) {
+		return
+	}
+	u.Crash()
+	time.Sleep(leastDown + d/3)
+	u.Revive()
+	in.releaseUpstream(u)
+}
+
+// resize lets the room of an upstream shrink and grow again, unless another fault is at it.
+func (in *installation) resize(u *upstream, d time.Duration) {
+	if !in.claimUpstream(u) {
+		return
+	}
+	u.Resize(fleet.Demand{MilliCPU: shrunkCPU, MemoryMB: upstreamMemory}, roomBound)
+	time.Sleep(roomBound + d)
+	u.Resize(fleet.Demand{MilliCPU: upstreamCPU, MemoryMB: upstreamMemory}, 0)
+	in.releaseUpstream(u)
+}
+
+// claimUpstream reports whether a fault may change an upstream that is not leaving.
+func (in *installation) claimUpstream(u *upstream) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if u.claimed || !u.drained.IsZero() {
+		return false
+	}
+	u.claimed = true
+	return true
+}
+
+func (in *installation) releaseUpstream(u *upstream) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	u.claimed = false
+}
+
 // evacuate evacuates a zone, unless it is, and takes that back once it is clear
 // whether its upstreams get tasks later than they may.
 func (in *installation) evacuate(zone string, d time.Duration, t *tally) {
@@ -233,7 +295,7 @@
 // replaceUpstream drains one upstream, ends it, and starts another.
 func (in *installation) replaceUpstream(u *upstream, d time.Duration, t *tally) {
 	in.mu.Lock()
-	if !u.drained.IsZero() {
+	if u.claimed || !u.drained.IsZero() {
 		in.mu.Unlock()
 		return
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,6 +19,9 @@
 // evacuatingSeed draws evacuations early.
 const evacuatingSeed = 3
 
+// livesSeed draws both early.
+const livesSeed = 5
+
 func buildDaemon(t *testing.T) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "sedgehatchd")
@@ -69,6 +72,24 @@
 	}
 }
 
+// TestLives is a short run of a seed in which upstreams start again under their ids and
+// change their room, among other faults.
+func TestLives(t *testing.T) {
+	report, err := Run(t.Context(), Config{
+		Daemon: buildDaemon(t), Dir: t.TempDir(), Seed: livesSeed, Length: 4 * time.Second, Zones: 2, Instances: 2, Upstreams: 3, Customers: 6,
+		Lives: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Answers["completed"] == 0 {
+		t.Errorf("%+v", report)
+	}
+	for _, b := range report.Broken {
+		t.Error(b)
+	}
+}
+
 // TestEndTwice ends one program from two sides, as overlapping faults do: it is
 // gone before another is started.
 func TestEndTwice(t *testing.T) {
