An instance that the store does not answer learns the upstreams from a peer

A new instance knows no upstream until the store answers, and may own no group: two groups of one zone had no owner from 35 to 37.99 s, and 728 jobs were answered 503 "no owner can be reached" in seconds 36 to 38. Change: while the store does not answer, an instance that may own groups and has read nothing asks a peer of its zone, owners first, another each time. What a peer tells goes through the same comparison of lives and sequences as entries.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -142,6 +142,15 @@
 	return true
 }
 
+// TakeList takes what a peer has read of upstreams, as far as it is newer than what is known
+// here. They count as listed then. It returns those that are newly known to drain.
+func (d *Directory) TakeList(now time.Time, list []fleet.Upstream) (draining []fleet.Life) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed = true
+	return d.take(now, lo.Map(list, func(u fleet.Upstream, _ int) Entry { return Entry{ID: u.ID, Upstream: u} }))
+}
+
 // Drains notes what a peer says: that upstreams are leaving. It returns those of
 // which that is news. They stay so for the rest of their lives.
 func (d *Directory) Drains(now time.Time, lives []fleet.Life) []fleet.Life {
@@ -207,6 +216,22 @@
 	return d.marked(u), known
 }
 
+// Known returns the upstreams that a caller chooses as the list told them, but for those
+// whose entry cannot be read, by id. Draining tells what is known from all sides.
+func (d *Directory) Known(chosen func(fleet.Upstream) bool) []fleet.Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []fleet.Upstream
+	for _, u := range d.upstreams {
+		if _, draining := d.drainedAt[u.Life()]; !u.Closed && chosen(u) {
+			u.Draining = u.Draining || draining
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
 // Select returns the upstreams of the configured services that a caller chooses, by
 // id. Draining and Closed tell what is known from all sides.
 func (d *Directory) Select(chosen func(fleet.Upstream) bool) []fleet.Upstream {
--- a/event/event.go
+++ b/event/event.go
@@ -53,6 +53,8 @@
 	PeerUnsent      = add(606, "peer_unsent", slog.LevelWarn, "A message to a peer was not sent: no connection is open.")
 	Resumed         = add(607, "resumed", slog.LevelWarn, "The machine of this instance was suspended for a while; what it believed before has aged by that.")
 	ClockBlind      = add(608, "clock_blind", slog.LevelError, "The system does not tell suspended time: leases are too long by as much as the machine is suspended.")
+	UpstreamsTold   = add(609, "upstreams_told", slog.LevelInfo, "A peer told the upstreams of the availability zone, which the store does not.")
+	UpstreamsUntold = add(610, "upstreams_untold", slog.LevelWarn, "A peer was asked for the upstreams of the availability zone, and did not tell them; another is asked.")
 	JobAnswered     = add(701, "job_answered", slog.LevelInfo, "A job is complete, and its customer was told.")
 	JobNotServed    = add(702, "job_not_served", slog.LevelWarn, "A job was refused, failed, or lost; verdict and reason tell why.")
 	TaskStarted     = add(703, "task_started", slog.LevelInfo, "A start was ordered: room is what the upstream has left, in thousandths of a core.")
--- a/inner/link.go
+++ b/inner/link.go
@@ -331,6 +331,8 @@
 		return "offer_withdrawn"
 	case *Frame_ConfigRequest, *Frame_ConfigReply:
 		return "config"
+	case *Frame_UpstreamsRequest, *Frame_UpstreamsReply:
+		return "upstreams"
 	case *Frame_Renewal:
 		return "renewal"
 	case *Frame_Learn, *Frame_Known:
--- a/node/convert.go
+++ b/node/convert.go
@@ -33,22 +33,44 @@
 	return lo.Map(lives, func(l fleet.Life, _ int) *inner.UpstreamLife { return &inner.UpstreamLife{Id: l.ID, Born: l.Born} })
 }
 
+func roomTo(r directory.Room) *inner.UpstreamRoom {
+	return &inner.UpstreamRoom{
+		Life: &inner.UpstreamLife{Id: r.Life.ID, Born: r.Life.Born}, Sequence: r.Sequence,
+		MilliCpu: r.Capacity.MilliCPU, MemoryMb: r.Capacity.MemoryMB, Gpus: r.Capacity.GPUs,
+	}
+}
+
+func roomFrom(r *inner.UpstreamRoom) directory.Room {
+	return directory.Room{
+		Life: fleet.Life{ID: r.GetLife().GetId(), Born: r.GetLife().GetBorn()}, Sequence: r.GetSequence(),
+		Capacity: fleet.Demand{MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), GPUs: r.GetGpus()},
+	}
+}
+
 func roomsTo(rooms []directory.Room) []*inner.UpstreamRoom {
-	return lo.Map(rooms, func(r directory.Room, _ int) *inner.UpstreamRoom {
-		return &inner.UpstreamRoom{
-			Life: &inner.UpstreamLife{Id: r.Life.ID, Born: r.Life.Born}, Sequence: r.Sequence,
-			MilliCpu: r.Capacity.MilliCPU, MemoryMb: r.Capacity.MemoryMB, Gpus: r.Capacity.GPUs,
-		}
-	})
+	return lo.Map(rooms, func(r directory.Room, _ int) *inner.UpstreamRoom { return roomTo(r) })
 }
 
 func roomsFrom(list []*inner.UpstreamRoom) []directory.Room {
-	return lo.Map(list, func(r *inner.UpstreamRoom, _ int) directory.Room {
-		return directory.Room{
-			Life: fleet.Life{ID: r.GetLife().GetId(), Born: r.GetLife().GetBorn()}, Sequence: r.GetSequence(),
-			Capacity: fleet.Demand{MilliCPU: r.GetMilliCpu(), MemoryMB: r.GetMemoryMb(), GPUs: r.GetGpus()},
-		}
-	})
+	return lo.Map(list, func(r *inner.UpstreamRoom, _ int) directory.Room { return roomFrom(r) })
+}
+
+// upstreamTo words what is known of an upstream.
+func upstreamTo(u fleet.Upstream) *inner.Upstream {
+	return &inner.Upstream{
+		Room:    roomTo(directory.Room{Life: u.Life(), Sequence: u.Sequence, Capacity: u.Capacity}),
+		Service: u.Service, Address: u.Address, Zone: u.Zone, Rack: u.Rack, Draining: u.Draining,
+		LargestMilliCpu: u.Largest.MilliCPU, LargestMemoryMb: u.Largest.MemoryMB, LargestGpus: u.Largest.GPUs,
+	}
+}
+
+func upstreamFrom(m *inner.Upstream) fleet.Upstream {
+	room := roomFrom(m.GetRoom())
+	return fleet.Upstream{
+		ID: room.Life.ID, Born: room.Life.Born, Sequence: room.Sequence, Capacity: room.Capacity,
+		Service: m.GetService(), Address: m.GetAddress(), Zone: m.GetZone(), Rack: m.GetRack(), Draining: m.GetDraining(),
+		Largest: fleet.Demand{MilliCPU: m.GetLargestMilliCpu(), MemoryMB: m.GetLargestMemoryMb(), GPUs: m.GetLargestGpus()},
+	}
 }
 
 func livesFrom(list []*inner.UpstreamLife) []fleet.Life {
--- a/node/follow.go
+++ b/node/follow.go
@@ -24,6 +24,9 @@
 	// replace takes all keys as they were at a revision, update those that changed.
 	replace func(items []platform.Item, revision uint64)
 	update  func(items []platform.Item)
+	// unread is called where the store does not answer before all keys have been read; it
+	// may be nil.
+	unread func()
 }
 
 // need is how closely keys of the store have to be followed.
@@ -79,6 +82,9 @@
 			lost = clock.Now()
 			event.StoreLost.Log(n.log, slog.String("prefix", f.prefix), slog.String("error", err.Error()))
 		}
+		if !known && f.unread != nil {
+			f.unread()
+		}
 		n.pause(pause.NextBackOff())
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -96,16 +96,18 @@
 	lastCount   int
 	lastCountAt time.Time
 	configAsk   configAsk
-	counting    bool      // the number of groups is being written
-	toldFar     time.Time // when far neighbours heard last
-	relayed     time.Time // when spokes heard last of owners in other zones
-	around      *membership.Neighbours
-	sought      *membership.Neighbours // as around, if nobody were lost
-	basis       neighbourBasis         // what both follow from
-	parted      map[string]bool        // instances that were told that neither needs the other
-	taken       time.Time              // when the last group was taken
-	suspended   time.Duration          // of this machine, as noticed last
-	leaps       uint                   // how often a token had to be raised beyond the time
+	// upstreamAsks counts the peers that were asked for upstreams.
+	upstreamAsks int
+	counting     bool      // the number of groups is being written
+	toldFar      time.Time // when far neighbours heard last
+	relayed      time.Time // when spokes heard last of owners in other zones
+	around       *membership.Neighbours
+	sought       *membership.Neighbours // as around, if nobody were lost
+	basis        neighbourBasis         // what both follow from
+	parted       map[string]bool        // instances that were told that neither needs the other
+	taken        time.Time              // when the last group was taken
+	suspended    time.Duration          // of this machine, as noticed last
+	leaps        uint                   // how often a token had to be raised beyond the time
 }
 
 // New makes an instance and its listeners. Run starts it.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -124,12 +124,26 @@
 // startSized starts an instance with a share of a processor.
 func (in *installation) startSized(name string, share float64) *Node {
 	in.t.Helper()
+	settings := in.settings(name)
+	settings.CPUShare = share
+	return in.startWith(settings)
+}
+
+// startKnowing starts an instance whose settings name where another listens.
+func (in *installation) startKnowing(name, other string) *Node {
+	in.t.Helper()
+	settings := in.settings(name)
+	settings.SeedPeers = []string{in.nodes[other].in.PeerAddress}
+	return in.startWith(settings)
+}
+
+func (in *installation) startWith(settings fleet.Instance) *Node {
+	in.t.Helper()
+	name := settings.Name
 	out := io.Discard
 	if os.Getenv("SEDGEHATCH_TEST_LOG") != "" {
 		out = os.Stderr
 	}
-	settings := in.settings(name)
-	settings.CPUShare = share
 	n, err := New(settings, slog.New(slog.NewJSONHandler(out, nil)).With(slog.String("instance", name)))
 	if err != nil {
 		in.t.Fatal(err)
--- a/node/peers.go
+++ b/node/peers.go
@@ -175,6 +175,8 @@
 		n.router.takeRenewal(link, from, body.Renewal)
 	case *inner.Frame_ConfigRequest:
 		n.sendConfig(link)
+	case *inner.Frame_UpstreamsRequest:
+		n.tellUpstreams(body.UpstreamsRequest.GetZone(), reply)
 	case *inner.Frame_ConfigReply:
 		n.takeConfig(body.ConfigReply.GetConfig(), from.Instance())
 	}
--- /dev/null
+++ b/node/upstreamask.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"cmp"
+	"log/slog"
+	"slices"
+
+	"github.com/sedgehatch/sedgehatch/clock"
+	"github.com/sedgehatch/sedgehatch/event"
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
+
+	"github.com/samber/lo"
+)
+
+// An instance that starts while the store does not answer knows no upstream, and can own
+// none. If all that could own a group are replaced in turn meanwhile, their availability zone
+// would stand still until the store is back: so each asks those that have read the list.
+
+// askUpstreams asks a peer for the upstreams of the own availability zone, unless they are
+// known: another one each time.
+func (n *Node) askUpstreams() {
+	if n.directory.Listed() {
+		return
+	}
+	peer, found := n.nextToAsk()
+	if !found {
+		return
+	}
+	n.metrics.Sent("upstreams_request")
+	request := &inner.Frame{Body: &inner.Frame_UpstreamsRequest{UpstreamsRequest: &inner.UpstreamsRequest{Zone: n.in.Zone}}}
+	_, err := n.mesh.Ask(peer, request, func(f *inner.Frame, err error) { n.takeUpstreams(peer, f, err) })
+	if err != nil {
+		event.PeerUnsent.Log(n.log, slog.String("what", "upstreams request"), slog.String("error", err.Error()))
+	}
+}
+
+// nextToAsk returns a peer of the own availability zone that may know the upstreams: those
+// that own groups first, then the other hubs, in turn.
+func (n *Node) nextToAsk() (fate.Incarnation, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	peers := n.table.Filter(func(p membership.Peer) bool {
+		lives := p.State == membership.Alive || p.State == membership.Leaving
+		return lives && p.Zone == n.in.Zone && n.around.Has(p.Instance) && !n.around.Spokes[p.Instance]
+	})
+	if len(peers) == 0 {
+		return "", false
+	}
+	slices.SortStableFunc(peers, func(a, b membership.Peer) int {
+		return cmp.Compare(len(n.heard[b.Instance].GetClaims()), len(n.heard[a.Instance].GetClaims()))
+	})
+	asked := n.upstreamAsks % len(peers)
+	n.upstreamAsks++
+	return peers[asked].Incarnation, true
+}
+
+// takeUpstreams takes the answer of a peer.
+func (n *Node) takeUpstreams(peer fate.Incarnation, f *inner.Frame, err error) {
+	if err != nil {
+		event.UpstreamsUntold.Log(n.log, slog.String("peer", string(peer)), slog.String("error", err.Error()))
+		return
+	}
+	list := lo.Map(f.GetUpstreamsReply().GetUpstreams(), func(u *inner.Upstream, _ int) fleet.Upstream { return upstreamFrom(u) })
+	event.UpstreamsTold.Log(n.log, slog.String("peer", string(peer)), slog.Int("upstreams", len(list)))
+	n.upstreamsChanged(n.directory.TakeList(clock.Now(), list))
+	n.tick() // groups may be taken now
+}
+
+// tellUpstreams answers a peer that asks for the upstreams of an availability zone.
+func (n *Node) tellUpstreams(zone string, reply func(*inner.Frame)) {
+	if !n.directory.Listed() {
+		reply(&inner.Frame{Body: &inner.Frame_Problem{Problem: inner.FromError(failure.NotFound.New("the upstreams are not known here"))}})
+		return
+	}
+	list := n.directory.Known(func(u fleet.Upstream) bool { return u.Zone == zone })
+	reply(&inner.Frame{Body: &inner.Frame_UpstreamsReply{UpstreamsReply: &inner.UpstreamsReply{
+		Upstreams: lo.Map(list, func(u fleet.Upstream, _ int) *inner.Upstream { return upstreamTo(u) }),
+	}}})
+}
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -20,7 +20,7 @@
 func (n *Node) followUpstreams() {
 	n.awaitList()
 	n.follow(follower{
-		prefix: platform.UpstreamPrefix, wait: always(upstreamWait), rest: n.upstreamRest, need: n.upstreamNeed,
+		prefix: platform.UpstreamPrefix, wait: always(upstreamWait), rest: n.upstreamRest, need: n.upstreamNeed, unread: n.askUpstreams,
 		replace: func(items []platform.Item, _ uint64) {
 			n.upstreamsChanged(n.directory.Replace(clock.Now(), n.entries(items)))
 		},
