--- a/ingress/plan.go
+++ b/ingress/plan.go
@@ -53,10 +53,8 @@
 
 // mostFull is how many owners may expect no room in time before a job is refused:
 // the first is that of the shortest queue, and the others' are longer. Each offer
-// carries the whole job over two links. With 12 groups at 1.6 times the room, refusals
-// come after .34 objectives at the median instead of .44 and .010 +- .012 more of the
-// worth is earned; with 2 to 4 groups it is the same (laboratory, 8 and 24 seeds). Two
-// were too few where four groups were crowded: .009 more of the jobs were refused.
+// carries the whole job over two links, and its customer waits meanwhile; what two
+// owners know of four groups is too little.
 const mostFull = 3
 
 // DefaultPolicy is the policy of the product.
--- a/ingress/returns.go
+++ b/ingress/returns.go
@@ -9,10 +9,6 @@
 // returnPlan tells refused customers when to come back. Each second of the near
 // future takes as many of them as can be served beside those who come for the
 // first time; who was refused first comes back first.
-//
-// Against coming back after one second always, it serves more of the refused at
-// last and does not make late or refuse others for them: see the laboratory's
-// figures in docs/design/decisions.md.
 type returnPlan struct {
 	mu sync.Mutex
 	// rate is how many jobs a second are completed here, by exponential decay.
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -51,11 +51,8 @@
 }
 
 // setNeighbours takes the neighbours that follow from the known instances and the
-// owners in use, if those have changed. Worked out in each beat, beside lists of
-// instances that were sorted anew for each question, it took half the processor time
-// of an instance among 144, 3.2 s of 6.3 for each ten instances in 20 s from their
-// start, and three quarters of what it allocates, 6.7 GB of 8.6 in all (instances and
-// stand-ins in one process). The lock is held.
+// owners in use, if those have changed: each beat asks, and they seldom do. The lock is
+// held.
 func (n *Node) setNeighbours(used map[string]bool) {
 	basis := n.neighbourBasis(used)
 	if basis.equal(n.basis) {
--- a/node/timing.go
+++ b/node/timing.go
@@ -28,9 +28,8 @@
 	// restart of all every moment is one without service.
 	settleTime = 200 * time.Millisecond
 	// busySettleTime is the same while a peer accepts connections and says
-	// nothing yet: it runs, and may own what this instance would take from it.
-	// At the start of all, an instance of 0.19 of a core was measured to stand
-	// still for 0.75 s.
+	// nothing yet: it runs, and may own what this instance would take from it. At
+	// the start of all, a small instance stands still for most of a second.
 	busySettleTime = 2 * time.Second
 	// seedAfter is when an instance without peers tries those of its settings.
 	seedAfter = 100 * time.Millisecond
@@ -89,8 +88,8 @@
 	ownerRest   = 400 * time.Millisecond
 	standbyRest = 1200 * time.Millisecond
 	// roughRest is how often an instance that only stands by for larger ones reads
-	// all upstreams, for the case that it must own them while the store is away.
-	// Among 1,100 upstreams that is 35 kB/s, reading each change was 331.
+	// all upstreams, for the case that it must own them while the store is away: an
+	// entry is some 400 bytes on the wire, and there are some thousand.
 	roughRest = 30 * time.Second
 	// listFirst is how long a new instance waits for the list of instances before it reads
 	// the upstreams: the store answers in milliseconds, and one that is slow must not
--- a/owner/roundtrip.go
+++ b/owner/roundtrip.go
@@ -36,9 +36,7 @@
 	// maxBackoff bounds how often the timeout doubles.
 	maxBackoff = 2
 	// peakHalfLife is how long a peak takes to count half. Behind a narrow link
-	// the answers of one burst come late together, and the next ones at once: of
-	// 12,200 starts on links of 2 Mbit/s half took 1 ms, a tenth over 12 ms and a
-	// hundredth over 69 ms, and 470 exceeded the mean and four deviations.
+	// the answers of one burst come late together, and the next ones at once.
 	peakHalfLife = 2 * time.Second
 	// peakMargin is how much longer than the peak a call may take.
 	peakMargin = 1.25
--- a/schedule/coordinator.go
+++ b/schedule/coordinator.go
@@ -17,11 +17,6 @@
 // clock: it repeats the time of the last heartbeat that it heard from here, having looked
 // after the customers of all its jobs first. However late that arrives, it was alive
 // after the heartbeat was sent, and what it has withdrawn till then has been read.
-//
-// Before there was this lease an owner went on for up to 1.2 s after its last word from
-// a coordinator, and began what it found in its connections whatever its age. A search
-// over orders of events found two runs of one task within some 8,000 draws
-// (ingress, TestTwoRunsSeeds).
 
 // coordinator is one that has jobs in a pool under a lease.
 type coordinator struct {
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -7,8 +7,7 @@
 
 // inTimeShare is the part of its objective within which a job must be expected to
 // end: forecasts err by some 30% of a task's time, and one that ends late took its
-// room from others. Measured at 1.6 times the room: .803 of the worth at 0.9, .791
-// at 1, .766 at 2 and 3; refusals after .29, .40, .71 and 1.12 objectives.
+// room from others.
 const inTimeShare = 0.9
 
 // forecast tells when room is expected to free, from what runs now: each end
@@ -136,10 +135,8 @@
 
 // rejectHopeless rejects the jobs of which nothing began and that are expected to
 // end late, in the order in which they would start: those behind them move up.
-// Their coordinators ask other groups, and their customers hear it after .3 of an
-// objective at the median and can go elsewhere. Without it customers wait for 2.8
-// objectives, and .69 of the worth is earned at 1.3 times the room instead of .90
-// (laboratory, 24 seeds).
+// Their coordinators ask other groups, and their customers hear of it early enough
+// to go elsewhere.
 func (p *Pool) rejectHopeless() {
 	if !p.cfg.Policy.RejectEarly || len(p.queue) == 0 {
 		return
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -41,8 +41,6 @@
 
 // blame takes a failed run: its upstream is doubted at once. Few jobs fail by
 // their own fault, and one that fails on a second upstream acquits the first.
-// Waiting for a second failure costs .004 to .006 of the worth while a quarter or
-// more of the upstreams fail all that they run (laboratory, 24 seeds).
 func (p *Pool) blame(r *run) {
 	j, u := r.job, r.up
 	if len(j.failed) == 0 {
--- a/schedule/link.go
+++ b/schedule/link.go
@@ -7,9 +7,7 @@
 // orders than its upstreams have room for. What was handed to a full link arrives
 // late, and so does all that comes after it: reports, stops, heartbeats. So orders
 // are counted against what the link carries, and a job that would be late for it is
-// refused before anything of it begins. An owner of 20 upstreams behind 2 Mbit/s
-// that is asked for 1.6 times what the link carries serves .53 of the jobs; without
-// this and without timeouts that follow the link, .06 (TestNarrowLinkRecovers).
+// refused before anything of it begins.
 type link struct {
 	rate float64   // bytes a second that starts may use; 0 is unbounded
 	free time.Time // when what was handed to it has been carried
@@ -21,8 +19,7 @@
 	// lease and headers, measured on the wire.
 	orderHead = 260
 	// linkShare is the part of the link that starts may use: reports, heartbeats
-	// and what is read from the store took 45 of 146 kB/s that an owner of 20
-	// upstreams sent.
+	// and what is read from the store take a third of it (docs/CAPACITY.md).
 	linkShare = 0.7
 	// sizeWeight is the weight of one order in the mean size.
 	sizeWeight = 0.05
--- a/schedule/misses.go
+++ b/schedule/misses.go
@@ -4,9 +4,7 @@
 
 // missRate is the share of reports of all upstreams of a pool that did not come
 // lately. What many upstreams show at once is not the fault of one of them: the
-// network or this instance may be slow, or drop messages. While a quarter of all
-// calls are lost, comparing takes 18 sound upstreams a day for silent instead of
-// 114, and is worth .004; .021 at a half (laboratory, 24 seeds).
+// network or this instance may be slow, or drop messages.
 type missRate struct{ share float64 }
 
 const (
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -85,12 +85,9 @@
 }
 
 // sortQueue puts first what has begun, so that its work is not lost for the rest
-// of it: at 1.6 times the room the worst kind earns .71 of its worth instead of .69
-// and the largest tenth of one .60 instead of .56. Then comes what must start soonest
-// to be in time: against the order of arrival that serves .05 more of the jobs in
-// time in a crowd. Priorities only break ties: urgent jobs have the shortest
-// objectives and go first by those; strictly by priority the worst kind falls from
-// .71 to .65, and .03 fewer jobs are in time (laboratory, 24 to 60 seeds).
+// of it. Then comes what must start soonest to be in time. Priorities only break
+// ties: urgent jobs have the shortest objectives and go first by those, and strict
+// priority would starve the kinds with the most work.
 func (p *Pool) sortQueue() {
 	y := p.cfg.Policy
 	slices.SortStableFunc(p.queue, func(a, b *job) int {
@@ -130,10 +127,8 @@
 
 // startsNow reports whether tasks of a job may start now: something of it began
 // already, or all of it is expected to start early enough. What it cannot use yet
-// is left to the jobs behind it. It keeps work from starting that comes to nothing;
-// since begun jobs go on until they are served, late if need be, that is within
-// .003 of no difference in the laboratory. Weighed counts the forecasts that were
-// made.
+// is left to the jobs behind it. It keeps work from starting that comes to nothing.
+// Weighed counts the forecasts that were made.
 func (p *Pool) startsNow(j *job, weighed *int) bool {
 	if j.hasBegun() {
 		return true
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -8,9 +8,6 @@
 // speed is what is believed of how long tasks take on one upstream, against what
 // was expected of them, as a logarithm: 0 is as expected. It fades with time,
 // since an upstream gets few tasks to show otherwise once it is believed slow.
-//
-// Knowing it is worth .011 of the worth with a quarter of the upstreams 3 to 7
-// times slower and .031 with 40% (laboratory, 24 seeds each).
 type speed struct {
 	log float64
 	at  time.Time
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -62,8 +62,7 @@
 
 // lookIfOverdue asks for a report at once where a run should have ended and
 // reports get lost: the next one may tell of the end only after its timeout, up to
-// 400 ms later. Worth .05 to .10 while a tenth to a half of all calls are lost
-// (laboratory, 24 seeds); on a sound network it asks for nothing.
+// 400 ms later. On a sound network it asks for nothing.
 func (p *Pool) lookIfOverdue(r *run) {
 	u := r.up
 	if !p.cfg.Policy.LookOverdue || p.reports.share < lossyShare || u.silent || p.now.Before(r.expectedEnd(p.now)) && !p.now.After(r.ordered.Add(r.expect())) {
