--- a/event/event.go
+++ b/event/event.go
@@ -64,6 +64,7 @@
 	OfferResult     = add(707, "offer_result", slog.LevelInfo, "The part of a job that a group had is over.")
 	OfferLost       = add(708, "offer_lost", slog.LevelWarn, "The connection to an owner broke with an offer open: what became of its tasks is not known.")
 	JobLate         = add(709, "job_late", slog.LevelInfo, "A job is complete, and later than its objective by the customer's estimate.")
+	TaskSuspected   = add(710, "task_suspected", slog.LevelInfo, "An upstream crashed, or seems to have, while it ran a task; reason tells how many did.")
 	UpstreamDoubted = add(801, "upstream_doubted", slog.LevelWarn, "An upstream fails or is slow, and gets nothing but a trial after a pause.")
 	UpstreamTrusted = add(802, "upstream_trusted", slog.LevelInfo, "A doubted upstream completed a trial.")
 	UpstreamSilent  = add(803, "upstream_silent", slog.LevelWarn, "An upstream does not answer; its leases are left to lapse.")
--- a/node/log.go
+++ b/node/log.go
@@ -14,17 +14,18 @@
 
 // eventOf is the log event of each kind of decision.
 var eventOf = map[schedule.DecisionKind]event.Event{
-	schedule.DecidedStart:  event.TaskStarted,
-	schedule.DecidedRetry:  event.TaskRetried,
-	schedule.DecidedStop:   event.TaskStopped,
-	schedule.DecidedReturn: event.TasksReturned,
-	schedule.DecidedResult: event.OfferResult,
-	schedule.DecidedDoubt:  event.UpstreamDoubted,
-	schedule.DecidedTrust:  event.UpstreamTrusted,
-	schedule.DecidedSilent: event.UpstreamSilent,
-	schedule.DecidedHeard:  event.UpstreamHeard,
-	schedule.DecidedGone:   event.UpstreamGone,
-	schedule.DecidedFenced: event.UpstreamFenced,
+	schedule.DecidedStart:   event.TaskStarted,
+	schedule.DecidedRetry:   event.TaskRetried,
+	schedule.DecidedStop:    event.TaskStopped,
+	schedule.DecidedReturn:  event.TasksReturned,
+	schedule.DecidedResult:  event.OfferResult,
+	schedule.DecidedDoubt:   event.UpstreamDoubted,
+	schedule.DecidedTrust:   event.UpstreamTrusted,
+	schedule.DecidedSilent:  event.UpstreamSilent,
+	schedule.DecidedHeard:   event.UpstreamHeard,
+	schedule.DecidedGone:    event.UpstreamGone,
+	schedule.DecidedFenced:  event.UpstreamFenced,
+	schedule.DecidedSuspect: event.TaskSuspected,
 }
 
 const (
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -128,7 +129,16 @@
 	for _, r := range runs {
 		tasks = append(tasks, r.id.Task)
 	}
-	return p.crashes.add(p.now, tasks)
+	suspects := p.crashes.add(p.now, tasks)
+	for _, ref := range suspects {
+		if len(p.byID[ref.Job]) > 0 {
+			p.decide(Decision{
+				Kind: DecidedSuspect, Job: ref.Job, Task: ref.Index, Upstream: u.ID,
+				Reason: "upstream " + strconv.Itoa(p.crashes.of(ref)) + " that crashes under it",
+			})
+		}
+	}
+	return suspects
 }
 
 // giveUpConvicted ends the jobs of tasks under which upstreams have crashed too often.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -220,6 +220,7 @@
 	DecidedHeard
 	DecidedGone
 	DecidedFenced
+	DecidedSuspect
 )
 
 type runState int
