--- a/node/lease_test.go
+++ b/node/lease_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/sedgehatch/sedgehatch/clock"
 )
 
 // TestLongJobsKeepTheirLease: jobs that run for longer than owners work for a coordinator
@@ -20,13 +22,13 @@
 // TestAliveAt: a time of a peer's clock is never later than the customer was there.
 func TestAliveAt(t *testing.T) {
 	heard := uint64(clockBegan.Milliseconds()) + 5000
-	if at := aliveAt(heard, time.Now()); at >= heard || at < heard-1000 {
+	if at := aliveAt(heard, clock.Now()); at >= heard || at < heard-1000 {
 		t.Errorf("there now, heard at %d: %d", heard, at)
 	}
-	if at := aliveAt(heard, time.Now().Add(-2*time.Second)); at >= heard-2000 {
+	if at := aliveAt(heard, clock.Now().Add(-2*time.Second)); at >= heard-2000 {
 		t.Errorf("there 2 s ago, heard at %d: %d", heard, at)
 	}
-	if at := aliveAt(0, time.Now()); at != 0 {
+	if at := aliveAt(0, clock.Now()); at != 0 {
 		t.Errorf("a clock that was never heard: %d", at)
 	}
 }
@@ -34,13 +36,13 @@
 // TestClock: the clock that peers are told gives back the time at which it was read, and a
 // time that is not known is long ago, however young the instance is.
 func TestClock(t *testing.T) {
-	n := &Node{began: time.Now()}
-	before := time.Now()
+	n := &Node{began: clock.Now()}
+	before := clock.Now()
 	read := n.atClock(n.clockMs())
-	if read.After(time.Now()) || read.Before(before.Add(-time.Millisecond)) {
-		t.Errorf("read %v after %v", read.Sub(before), time.Since(before))
+	if read.After(clock.Now()) || read.Before(before.Add(-time.Millisecond)) {
+		t.Errorf("read %v after %v", read.Sub(before), clock.Since(before))
 	}
-	if ago := time.Since(n.atClock(0)); ago < time.Minute {
+	if ago := clock.Since(n.atClock(0)); ago < time.Minute {
 		t.Errorf("a time that is not known is %v ago", ago)
 	}
 }
--- a/node/neighbours_test.go
+++ b/node/neighbours_test.go
@@ -6,8 +6,8 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/ingress"
 	"github.com/sedgehatch/sedgehatch/membership"
 
@@ -126,7 +126,7 @@
 // it was sent; one whose offers have ended is one for a while.
 func TestInUse(t *testing.T) {
 	r := newRouter(nil)
-	now := time.Now()
+	now := clock.Now()
 	r.sent[offerKey{group: "b/0"}] = &sentOffer{peer: "long"}
 	r.used["long"] = now.Add(-2 * useTime)
 	r.used["lately"] = now.Add(-useTime / 2)
@@ -189,8 +189,8 @@
 	change("nothing", func() {}, false)
 	change("a heartbeat", func() { n.table.Heard("a-3.1", membership.Load{}, 1) }, false)
 	change("an instance is lost", func() { n.table.Ended("a-3.1") }, true)
-	change("another does not run", func() { n.absent["a-5"] = time.Now() }, true)
+	change("another does not run", func() { n.absent["a-5"] = clock.Now() }, true)
 	change("the groups of a zone are counted", func() { n.groupCounts["a"] = 30 }, true)
-	change("an owner is in use", func() { n.router.used["b-2"] = time.Now() }, true)
-	change("it still is", func() { n.router.used["b-2"] = time.Now() }, false)
+	change("an owner is in use", func() { n.router.used["b-2"] = clock.Now() }, true)
+	change("it still is", func() { n.router.used["b-2"] = clock.Now() }, false)
 }
--- a/node/readers_test.go
+++ b/node/readers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/membership"
 )
 
@@ -42,6 +43,7 @@
 	for _, instances := range []int{100, 300, 1000} {
 		readers, rare := 0, 0
 		for _, n := range startingFleet(zones, instances) {
+			n.began = clock.Now()
 			if n.upstreamNeed() != needNothing {
 				readers++
 			}
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -85,11 +85,11 @@
 		n := &Node{
 			table: membership.NewTable(silence), around: &membership.Neighbours{Near: map[string]bool{"a-2": true}},
 			absent: map[string]time.Time{}, dials: map[string]dialOutcome{"there": c.dial},
-			began: time.Now().Add(-c.age), peersRead: !c.unread,
+			began: clock.Now().Add(-c.age), peersRead: !c.unread,
 		}
 		n.table.Met(membership.Listing{Instance: "a-2", Zone: "a", Address: "there"})
 		if c.absent {
-			n.absent["a-2"] = time.Now()
+			n.absent["a-2"] = clock.Now()
 		}
 		if got := n.settled(); got != c.want {
 			t.Errorf("%s: settled %v, want %v", name, got, c.want)
