The span of a start ends with its call, before the outcome is told

Cause: the span ended when the start's goroutine returned, after the task's outcome had been told; the caller was answered, and its trace read, before. Ruled out: the exporter (flushed), the upstreams (three starts recorded).

--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -35,9 +35,9 @@
 func (l *homeLog) start(o order) {
 	task := &o.job.Tasks[o.Lease.Task]
 	span := l.d.cfg.Tracer.Start(o.trace, "upstream", attribute.String("upstream", o.Upstream))
-	defer span.End()
 	began := time.Now()
 	reply, err := l.send(o, task, span.Parent())
+	span.End() // before the caller is answered, who may look at the trace
 	usage := placement.Usage{Upstream: o.Upstream, Needs: needsOf(task), Service: o.job.Service, Count: 1}
 	switch {
 	case failure.Is(err, failure.Unreachable):
