--- a/directory/directory.go
+++ b/directory/directory.go
@@ -221,15 +221,7 @@
 func (d *Directory) Known(chosen func(fleet.Upstream) bool) []fleet.Upstream {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var list []fleet.Upstream
-	for _, u := range d.upstreams {
-		if _, draining := d.drainedAt[u.Life()]; !u.Closed && chosen(u) {
-			u.Draining = u.Draining || draining
-			list = append(list, u)
-		}
-	}
-	slices.SortFunc(list, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
-	return list
+	return d.pick(func(u fleet.Upstream) bool { return !u.Closed && chosen(u) }, d.drained)
 }
 
 // Select returns the upstreams of the configured services that a caller chooses, by
@@ -237,20 +229,32 @@
 func (d *Directory) Select(chosen func(fleet.Upstream) bool) []fleet.Upstream {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.pick(func(u fleet.Upstream) bool { return (d.services == nil || d.services[u.Service]) && chosen(u) }, d.marked)
+}
+
+// pick returns the upstreams that are chosen, by id, each as it is shown. The lock is held.
+func (d *Directory) pick(chosen func(fleet.Upstream) bool, shown func(fleet.Upstream) fleet.Upstream) []fleet.Upstream {
 	var list []fleet.Upstream
 	for _, u := range d.upstreams {
-		if (d.services == nil || d.services[u.Service]) && chosen(u) {
-			list = append(list, d.marked(u))
+		if chosen(u) {
+			list = append(list, shown(u))
 		}
 	}
 	slices.SortFunc(list, func(a, b fleet.Upstream) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
-// marked returns an upstream with what is known of it from all sides. The lock is held.
-func (d *Directory) marked(u fleet.Upstream) fleet.Upstream {
+// drained returns an upstream with what is known of its drain from all sides. The lock is
+// held.
+func (d *Directory) drained(u fleet.Upstream) fleet.Upstream {
 	_, draining := d.drainedAt[u.Life()]
 	u.Draining = u.Draining || draining
+	return u
+}
+
+// marked returns an upstream with what is known of it from all sides. The lock is held.
+func (d *Directory) marked(u fleet.Upstream) fleet.Upstream {
+	u = d.drained(u)
 	u.Closed = u.Closed || d.zones.rows[u.Zone].evacuated
 	return u
 }
