An instance that cannot ask whether a customer has left serves nobody, and says so

What callers would see: two runs of one task at once, without a line in any log, where a customer's connection is wrapped (by TLS, by a library) so that it has no socket to ask about.

Cause, found by reading: the look at the customer's connection before each offer failed open. hasEnded said "not ended" where the connection had no descriptor or the system refused the question, hasLeft where the connection was not watched at all. No deployment has such connections today; nothing would have told of one that does.

Change: at the start of serving the system is asked about the listener's socket; without one the listener ends with an Internal error (serve_failed, ERROR) and the instance is not ready. A connection without a socket ends serving the same way, what the system does not tell about counts as ended.

--- a/connset/connset.go
+++ b/connset/connset.go
@@ -44,13 +44,17 @@
 	return n, err
 }
 
-// SyscallConn implements syscall.Conn. The error is Internal where the connection is
-// none of the operating system.
-func (c *conn) SyscallConn() (syscall.RawConn, error) {
-	if raw, is := c.Conn.(syscall.Conn); is {
-		return raw.SyscallConn()
+// SyscallConn implements syscall.Conn. The error is that of Socket.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return Socket(c.Conn) }
+
+// Socket returns the socket of a connection or listener as the operating system knows it.
+// The error is Internal where it has none, such as behind a wrapper of another library.
+func Socket(of any) (syscall.RawConn, error) {
+	sys, is := of.(syscall.Conn)
+	if !is {
+		return nil, failure.Internal.New("%T has no socket of the system", of)
 	}
-	return nil, failure.Internal.New("a connection without a descriptor")
+	return sys.SyscallConn()
 }
 
 // Close closes the connection and forgets it.
@@ -97,6 +101,9 @@
 	set *Set
 }
 
+// SyscallConn implements syscall.Conn. The error is that of Socket.
+func (l *listener) SyscallConn() (syscall.RawConn, error) { return Socket(l.Listener) }
+
 // Accept returns the next connection, in the set.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -76,8 +76,16 @@
 	return s
 }
 
-// Serve takes customers from l until it is closed.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&watchedListener{l}) }
+// Serve takes customers from l until it is closed. The error is Internal, and nothing is
+// served, where the end of its connections could not be noticed: a job would then be run
+// for a customer that has sent it again elsewhere.
+func (s *Server) Serve(l net.Listener) error {
+	watched, err := newWatchedListener(l)
+	if err != nil {
+		return err
+	}
+	return s.http.Serve(watched)
+}
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if _, stopping := s.stopping(); stopping {
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -7,6 +7,9 @@
 	"syscall"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/connset"
+	"github.com/sedgehatch/sedgehatch/failure"
+
 	"golang.org/x/sys/unix"
 )
 
@@ -14,19 +17,42 @@
 // them is being answered.
 type watchedListener struct{ net.Listener }
 
-// Accept returns the next connection.
+// newWatchedListener returns l with its connections watched. The error is Internal where
+// the operating system does not tell how a socket of l stands: a wrapper without a
+// descriptor is in between, or the system refuses the question.
+func newWatchedListener(l net.Listener) (*watchedListener, error) {
+	raw, err := connset.Socket(l)
+	if err != nil {
+		return nil, err
+	}
+	var refused error
+	err = raw.Control(func(fd uintptr) { _, refused = peerEnded(int32(fd)) })
+	if err := errors.Join(err, refused); err != nil {
+		return nil, failure.Internal.Wrap(err, "the system does not tell how a socket stands")
+	}
+	return &watchedListener{l}, nil
+}
+
+// Accept returns the next connection. The error is Internal where the system cannot be
+// asked about it.
 func (l *watchedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: c}, nil
+	raw, err := connset.Socket(c)
+	if err != nil {
+		_ = c.Close() // nothing was read of it, and err tells why
+		return nil, err
+	}
+	return &watchedConn{Conn: c, raw: raw}, nil
 }
 
 // watchedConn reads one byte ahead while it is watched, and gives that byte to
 // the next read.
 type watchedConn struct {
 	net.Conn
+	raw   syscall.RawConn
 	mu    sync.Mutex
 	ahead []byte
 	err   error
@@ -50,38 +76,35 @@
 // hasEnded reports whether the other side has closed the connection or reset it, as
 // far as the operating system knows now: the goroutine that waits for the end may not
 // have been scheduled yet, or waits no more because the next request has come. It reads
-// nothing.
+// nothing. A connection that the system does not tell about counts as ended: a task that
+// is not started can be sent again, one that runs twice cannot be taken back.
 func (c *watchedConn) hasEnded() bool {
-	sys, is := c.Conn.(syscall.Conn)
-	if !is {
-		return false
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false // it is closed here, or is none of the system; the watch tells
-	}
-	ended := false
-	err = raw.Control(func(fd uintptr) { ended = peerEnded(int32(fd)) })
-	return ended && err == nil
+	ended := true
+	err := c.raw.Control(func(fd uintptr) {
+		gone, refused := peerEnded(int32(fd))
+		ended = gone || refused != nil
+	})
+	return ended || err != nil // an error tells that it is closed here
 }
 
 // peerEnded asks the system whether the other end of a socket is gone.
-func peerEnded(fd int32) bool {
+func peerEnded(fd int32) (bool, error) {
 	asked := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
 	for {
 		_, err := unix.Poll(asked, 0)
 		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		return err == nil && asked[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		return asked[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0, err
 	}
 }
 
-// hasLeft returns what tells at once whether the customer on a connection has left.
+// hasLeft returns what tells at once whether the customer on a connection has left. On a
+// connection that is not watched it has.
 func hasLeft(conn net.Conn) func() bool {
 	c, watched := conn.(*watchedConn)
 	if !watched {
-		return func() bool { return false }
+		return func() bool { return true }
 	}
 	return c.hasEnded
 }
--- a/ingress/watch_test.go
+++ b/ingress/watch_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -44,15 +45,18 @@
 	return &stoodStill{t: t, owners: &owners{loads: twoZones(), offer: offered}, listener: listener, answers: make(records, 1)}
 }
 
-// goOn lets the instance read what has come. It ends with the test.
-func (s *stoodStill) goOn() {
+// goOn lets the instance read what has come, and returns what serving ends with. It ends
+// with the test.
+func (s *stoodStill) goOn() <-chan error {
 	config := &fleet.Config{Version: 1, Routes: []fleet.Route{{Name: "r", Host: "desk.example", PathPrefix: "/checks/", Stretch: 1.6, MaxAttempts: 2}}}
 	config.Index()
 	notStopping := func() (time.Duration, bool) { return 0, false }
 	server := NewServer(NewCoordinator("a", s.owners), func() *fleet.Config { return config }, notStopping, s.answers)
 	conns := &connset.Set{}
 	s.t.Cleanup(conns.Close)
-	go func() { _ = server.Serve(conns.Listener(s.listener)) }() // it ends with the listener
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(conns.Listener(s.listener)) }()
+	return ended
 }
 
 // send sends a job of one task, and returns the customer's connection.
@@ -130,3 +134,77 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// plainListener hides the sockets of its connections, as a TLS or a library's wrapper does.
+type plainListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l plainListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return plainConn{c}, err
+}
+
+type plainConn struct{ net.Conn }
+
+// socketListener has a socket itself, and hides those of its connections.
+type socketListener struct{ plainListener }
+
+// SyscallConn implements syscall.Conn.
+func (l socketListener) SyscallConn() (syscall.RawConn, error) { return connset.Socket(l.Listener) }
+
+// TestServesOnlySockets: where the system cannot be asked whether a connection has ended,
+// a request that was read late would be taken for one whose customer waits. Nothing is
+// served there, and the error says so.
+func TestServesOnlySockets(t *testing.T) {
+	for name, hide := range map[string]func(net.Listener) net.Listener{
+		"listener":   func(l net.Listener) net.Listener { return plainListener{l} },
+		"connection": func(l net.Listener) net.Listener { return socketListener{plainListener{l}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			instance := newStoodStill(t)
+			customer := instance.send()
+			if err := customer.Close(); err != nil {
+				t.Fatal(err)
+			}
+			instance.listener = hide(instance.listener)
+			if err := <-instance.goOn(); !failure.Is(err, failure.Internal) {
+				t.Errorf("serving ended with %v", err)
+			}
+			select {
+			case a := <-instance.answers:
+				t.Errorf("a request was served: %+v", a)
+			default:
+			}
+		})
+	}
+}
+
+// TestUnaskableHasEnded: a connection that the system does not tell about, here because it
+// is closed on this side, or because nothing watches it, counts as one that has ended.
+func TestUnaskableHasEnded(t *testing.T) {
+	instance := newStoodStill(t)
+	customer := instance.send()
+	l, err := newWatchedListener(instance.listener)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if left := hasLeft(c); left() {
+		t.Error("an open connection counts as ended")
+	}
+	if left := hasLeft(plainConn{c}); !left() {
+		t.Error("a connection that is not watched counts as open")
+	}
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if left := hasLeft(c); !left() {
+		t.Error("a connection that is closed here counts as open")
+	}
+	if err := customer.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,7 @@
 	server    *ingress.Server
 	config    atomic.Pointer[fleet.Config]
 	leaving   atomic.Bool
+	unserved  atomic.Bool               // customers cannot be served: their listener ended with an error
 	ends      atomic.Pointer[time.Time] // of jobs in a planned stop; nil without one
 	began     time.Time
 	stop      context.Context
@@ -210,13 +211,20 @@
 	n.running.Go(n.followPeers)
 	n.running.Go(n.register)
 	n.running.Go(n.beat)
-	n.serve("customers", func() error { return n.server.Serve(n.conns.Listener(n.public)) })
+	n.serve("customers", n.serveCustomers)
 	n.serve("metrics", func() error { return fasthttp.Serve(n.conns.Listener(n.figures), n.tellMetrics) })
 	n.serve("readiness", func() error { return fasthttp.Serve(n.conns.Listener(n.ready), n.readiness) })
 	event.NodeStarted.Log(n.log, slog.String("incarnation", string(n.self)), slog.String("zone", n.in.Zone),
 		slog.String("customers", n.in.CustomerAddress), slog.Bool("first_start", n.in.FirstStart))
 }
 
+// serveCustomers serves until the instance ends. An instance that cannot is not ready.
+func (n *Node) serveCustomers() error {
+	err := n.server.Serve(n.conns.Listener(n.public))
+	n.unserved.Store(err != nil)
+	return err
+}
+
 func (n *Node) serve(what string, serve func() error) {
 	n.running.Go(func() {
 		if err := serve(); err != nil && !errors.Is(err, net.ErrClosed) && n.stop.Err() == nil {
@@ -289,7 +297,7 @@
 }
 
 func (n *Node) isReady() bool {
-	return !n.leaving.Load() && n.config.Load() != nil && len(n.router.Loads()) > 0
+	return !n.leaving.Load() && !n.unserved.Load() && n.config.Load() != nil && len(n.router.Loads()) > 0
 }
 
 // stopping implements ingress.Stopping.
