Only a request that was read behind the end of its connection is told as such

What operators saw: the count of requests "left before its request was read" held every customer that left before the first offer of its job, also those whose job waited for an owner that could be reached. The count is what tells how often the trap of two runs at once was met.

Cause: the reason followed from the number of offers, not from whether the connection had been asked before. Now the first look at each connection decides.

TestReasonsOfLeaving fails without ("left while waiting": told as unread) and passes with.

--- a/ingress/customer.go
+++ b/ingress/customer.go
@@ -12,7 +12,10 @@
 type customer struct {
 	hasLeft func() bool // as in Request
 	until   time.Time   // it stops waiting
-	gone    bool        // guarded by the lock of its job
+
+	// What follows is guarded by the lock of its job.
+	asked bool // whether it has left, at least once
+	gone  bool
 }
 
 const (
@@ -81,15 +84,23 @@
 // dropLeft drops the connections that have ended, as far as the system knows now.
 func (p *pending) dropLeft() {
 	p.mu.Lock()
-	reason := reasonLeft
-	if p.offers == 0 {
-		reason = reasonLeftUnread
-	}
 	waiting := lo.Filter(p.customers, func(c *customer, _ int) bool { return !c.gone && c.hasLeft != nil })
+	reasons := lo.Map(waiting, func(c *customer, _ int) string { return c.ask() })
 	p.mu.Unlock()
-	for _, c := range waiting {
+	for i, c := range waiting {
 		if c.hasLeft() {
-			p.drop(c, Left, reason)
+			p.drop(c, Left, reasons[i])
 		}
 	}
 }
+
+// ask notes that a connection is asked whether it has ended, and returns the reason to
+// give where it has. The lock of its job is held.
+func (c *customer) ask() string {
+	first := !c.asked
+	c.asked = true
+	if first {
+		return reasonLeftUnread
+	}
+	return reasonLeft
+}
--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -132,3 +132,25 @@
 	<-f.goOn
 	f.owners.Withdraw(group, key, reason)
 }
+
+// TestReasonsOfLeaving: only a request that was read behind the end of its connection is
+// told as such; operators count these to see how often customers are served elsewhere by
+// then. One whose customer leaves while its job waits for an owner is none of them.
+func TestReasonsOfLeaving(t *testing.T) {
+	for name, c := range map[string]struct {
+		looksBefore int
+		want        string
+	}{
+		"read behind the end": {0, reasonLeftUnread},
+		"left while waiting":  {1, reasonLeft},
+	} {
+		looks := 0
+		r := request(1)
+		r.Patience = 5 * time.Second
+		r.HasLeft = func() bool { looks++; return looks > c.looksBefore }
+		nobody := &owners{} // of upstreams: the job waits for one
+		if a := NewCoordinator("a", nobody).Run(r, nil); a.Verdict != Left || a.Reason != c.want || a.Offers != 0 {
+			t.Errorf("%s: %+v", name, a)
+		}
+	}
+}
