Soak: a program counts as paused once it stands still

What the soak saw: two runs of one task at once in 4 of some 14 plays of a new test beside 12 busy loops, none at rest. Its trace: the test sent SIGSTOP at 11:02:08.723845, a job at .724380 and reset its connection at .724426; the paused instance logs at .724552 that it had read and offered the job .143 ms before. It was still running: the signal takes until its threads are scheduled. Its connection had been accepted, so that its customer must wait 1.3 s; the test, and the soak's customers, sent it again at once.

Change: sending SIGSTOP waits until the system tells that the program has stopped. The check stays as it is: what is left out is a resend that customers do not make.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,6 +16,8 @@
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/platform"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
+
+	"golang.org/x/sys/unix"
 )
 
 // Config describes a run.
@@ -123,10 +126,24 @@
 		p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
 		p.pauses++
 		_ = p.cmd.Process.Signal(s) // one that has just ended needs none
+		if s == syscall.SIGSTOP {
+			awaitStop(p.cmd.Process.Pid)
+		}
 	}
 	return p.cmd, p.ended
 }
 
+// awaitStop waits until a child stands still, or has ended. Its threads run on for a while
+// after the signal was sent, for milliseconds on a busy machine.
+func awaitStop(pid int) {
+	for {
+		err := unix.Waitid(unix.P_PID, pid, nil, unix.WSTOPPED|unix.WEXITED|unix.WNOWAIT, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return // any other error tells that it has ended and was waited for
+		}
+	}
+}
+
 // stillness tells whether a process stands still, and which time it is: one that is the
 // same later has not run meanwhile.
 func (p *process) stillness() (number int, paused bool) {
