The model's check of room measures by what it had told the pool

The check took the room of an order from the entry that the simulation holds, at the moment of the order, and counted only what ran there by then: an order that was on its way hid behind the larger room that it had been made for. Real room and entry also changed in one step, so that no draw had an upstream with less room than its pool had been told.

Now the model keeps what each pool was told, entries come up to .8 s after the change, and an order counts from when it is made until its upstream would refuse it (Core.Refuses, the rule that Start follows). The check at the beginning of a run still allows the room told by the time of its order: where the pool could not know yet, the upstream is over its room by what was on its way, as the rule allows.

--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -150,6 +150,7 @@
 		w.crashers[ref] = 0 // another owner begins to count anew
 	}
 	w.pool = NewPool(DefaultConfig, uint64(w.epoch))
+	clear(w.told)
 	for _, key := range w.openKeys() {
 		w.lost = append(w.lost, lostJob{key.ID, w.Now()})
 		delete(w.open, key)
@@ -193,12 +194,18 @@
 	w.AfterFunc(down+w.Millis(0, 1500), w.listUpstreams)
 }
 
-// resize changes the room of an upstream, which its entry tells at once.
+// resize changes the room of an upstream. Its entry tells that some time later.
 func (w *world) resize(u *standin.SimulatedUpstream) {
-	u.Core.Capacity = fleet.Demand{MilliCPU: int64(1000 * (1 + w.Rand.IntN(8)))}
-	u.Upstream.Capacity = u.Core.Capacity
-	u.Upstream.Largest = u.Upstream.Largest.Max(u.Core.Capacity)
-	w.listUpstreams()
+	room := fleet.Demand{MilliCPU: int64(1000 * (1 + w.Rand.IntN(8)))}
+	u.Core.Capacity = room
+	w.AfterFunc(w.Millis(0, 800), func() {
+		if u.Core.Capacity != room {
+			return // another change has been told since, or is about to be
+		}
+		u.Upstream.Capacity = room
+		u.Upstream.Largest = u.Upstream.Largest.Max(room)
+		w.listUpstreams()
+	})
 }
 
 // listUpstreams tells the pool of the upstreams as they are listed now.
@@ -206,6 +213,7 @@
 	var list []fleet.Upstream
 	for _, u := range w.upstreams {
 		list = append(list, u.Upstream)
+		w.told[u.ID] = u.Upstream.Capacity
 	}
 	added, effects := w.pool.SetUpstreams(w.Now(), list)
 	w.apply(effects)
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
+
+	"github.com/samber/lo"
 )
 
 // failer ends a test that has failed.
@@ -24,11 +26,13 @@
 	pool      *Pool
 	epoch     int // of the pool; answers to one that is gone are dropped
 	open      map[JobKey]*simJob
-	sending   map[fleet.TaskRef]int      // how often a task was offered
-	ordered   map[fleet.Run]int          // the sending that a run was ordered for last
-	room      map[fleet.Run]fleet.Demand // of the upstream when a run was ordered
-	begun     map[fleet.TaskRef]bool     // of its last sending
-	returned  map[fleet.TaskRef]bool     // as never begun, and not offered since
+	sending   map[fleet.TaskRef]int                // how often a task was offered
+	ordered   map[fleet.Run]int                    // the sending that a run was ordered for last
+	told      map[string]fleet.Demand              // the room of each upstream as the pool was told last
+	room      map[fleet.Run]fleet.Demand           // told by the time that a run was ordered
+	flying    map[*standin.Core][]fleet.StartOrder // that may not have come, by the life they were made to
+	begun     map[fleet.TaskRef]bool               // of its last sending
+	returned  map[fleet.TaskRef]bool               // as never begun, and not offered since
 	lost      []lostJob
 	results   int
 	noted     map[fleet.TaskRef]bool // an end as done was taken note of, and not offered since
@@ -63,29 +67,38 @@
 }
 
 func (w *world) start(s Start) {
-	epoch := w.epoch
-	w.ordered[s.Order.Run] = w.sending[s.Order.Run.Task]
-	w.checkRoom(s)
-	w.find(s.Upstream.ID).CallStart(s.Order, simStartTimeout, func(refusal fleet.Refusal, err error) {
+	epoch, run := w.epoch, s.Order.Run
+	w.ordered[run] = w.sending[run.Task]
+	u := w.find(s.Upstream.ID)
+	w.checkRoom(u, run)
+	w.flying[u.Core] = append(w.flying[u.Core], s.Order)
+	u.CallStart(s.Order, simStartTimeout, func(refusal fleet.Refusal, err error) {
 		w.ifCurrent(epoch, func(p *Pool, now time.Time) Effects {
-			return p.Started(now, s.Upstream.Life(), s.Order.Run, refusal, err)
+			return p.Started(now, s.Upstream.Life(), run, refusal, err)
 		})
 	})
 }
 
-// checkRoom checks that a start fits the room that its upstream has told, beside all that
-// the pool has ordered there and what runs there.
-func (w *world) checkRoom(s Start) {
-	u := w.find(s.Upstream.ID)
-	w.room[s.Order.Run] = u.Upstream.Capacity
-	used := w.jobOf(s.Order.Run.Task).offer.Demand
-	for _, r := range u.Running() {
-		if r != s.Order.Run {
+// checkRoom checks that a run that is ordered fits the room that the pool was told, beside
+// what runs there and what the pool has ordered there that may yet begin.
+func (w *world) checkRoom(u *standin.SimulatedUpstream, ordered fleet.Run) {
+	room := w.told[u.ID]
+	w.room[ordered] = room
+	used := w.jobOf(ordered.Task).offer.Demand
+	runs := u.Running()
+	w.flying[u.Core] = slices.DeleteFunc(w.flying[u.Core], func(o fleet.StartOrder) bool {
+		return slices.Contains(runs, o.Run) || u.Refuses(w.Now(), o) != fleet.RefusedNot
+	})
+	for _, o := range w.flying[u.Core] {
+		runs = append(runs, o.Run)
+	}
+	for _, r := range lo.Uniq(runs) {
+		if r != ordered {
 			used = used.Plus(w.jobOf(r.Task).offer.Demand)
 		}
 	}
-	if !used.Within(u.Upstream.Capacity) {
-		w.t.Fatalf("%v is ordered on %s, which would run %v of %v", s.Order.Run, u.ID, used, u.Upstream.Capacity)
+	if !used.Within(room) {
+		w.t.Fatalf("%v is ordered on %s, which would run %v of the %v that the pool was told", ordered, u.ID, used, room)
 	}
 }
 
@@ -124,6 +137,7 @@
 		Simulation: standin.NewSimulation(epochZero, seed), t: t,
 		open: map[JobKey]*simJob{}, begun: map[fleet.TaskRef]bool{}, returned: map[fleet.TaskRef]bool{}, noted: map[fleet.TaskRef]bool{}, crashers: map[fleet.TaskRef]int{},
 		sending: map[fleet.TaskRef]int{}, ordered: map[fleet.Run]int{}, room: map[fleet.Run]fleet.Demand{},
+		told: map[string]fleet.Demand{}, flying: map[*standin.Core][]fleet.StartOrder{},
 	}
 	for i := range 4 {
 		w.upstreams = append(w.upstreams, w.newUpstream(fmt.Sprintf("u%d", i)))
