--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -8,13 +8,9 @@
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
-// TestLeavesWhileOffered: a customer leaves while its job is on its way to an owner.
-//
-// What the first owner gives back is offered to the next by the thread that took it
-// back; the customer's end is noticed by another. If that one withdraws all offers after
-// the offer was noted and before it is sent, there is nothing to withdraw yet: the offer
-// follows, its owner runs a job that nobody wants, and the customer has it run elsewhere
-// meanwhile. So an offer is withdrawn once it is sent, where its job has ended.
+// TestLeavesWhileOffered guards against a job that runs for nobody, beside its next sending:
+// its customer leaves after an offer was decided on and before it is sent, when there is
+// nothing to withdraw yet. It is withdrawn once it is sent.
 func TestLeavesWhileOffered(t *testing.T) {
 	left := make(chan struct{})
 	answered := make(chan Answered, 1)
--- a/ingress/watch_test.go
+++ b/ingress/watch_test.go
@@ -72,9 +72,8 @@
 	return customer.(*net.TCPConn)
 }
 
-// TestReadAfterCustomerLeft: an instance stands still while a customer sends a job and
-// leaves. Once it reads the request, it begins nothing: the customer may have sent the
-// job again elsewhere.
+// TestReadAfterCustomerLeft guards against two runs of one task at once: a request is read
+// after its customer has left, and may have sent it again elsewhere.
 func TestReadAfterCustomerLeft(t *testing.T) {
 	instance := newStoodStill(t)
 	customer := instance.send()
@@ -87,23 +86,9 @@
 	}
 }
 
-// TestReadAfterReset tells how one task came to have two runs at once.
-//
-// An instance had used up its processor time and did not come to accept a connection for
-// .28 s. Meanwhile the connections were reset. A customer whose connection was never
-// accepted knows that nobody has read its request, and sends it again at once, to another
-// instance, which ran it. Then the first instance came to read what lay in the socket, for
-// the system still hands out bytes that came before a reset, and offered the job to the
-// owners of another availability zone. It noted that the customer had left 10 ms later,
-// when the goroutine that waits for that had its turn.
-//
-// What showed it, in milliseconds from the first reading: read by hotel-ville-12 at 0, its
-// run from 5 to 294; read by hotel-ville-7, which the customer had asked first, at 223 with
-// the connection ended, its run from 224 to 323, "the customer has left" at 233. The
-// deadlines that the two requests brought along, 2,445 and 2,621 ms, tell which was sent
-// first. Four other plays show the same.
-//
-// So the system is asked before each offer whether the connection has ended.
+// TestReadAfterReset guards against two runs of one task at once: a request is read after its
+// connection was reset, which its customer has sent again elsewhere. The system still hands
+// out bytes that came before a reset.
 func TestReadAfterReset(t *testing.T) {
 	instance := newStoodStill(t)
 	customer := instance.send()
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -10,12 +10,8 @@
 	"testing"
 )
 
-// TestEndMeetsStart: one fault ends a program while another starts it again, in any order.
-//
-// A run hung on seed 8007, on a busy machine: a fault had sent its signal to a program that
-// had just ended, and then waited for the end of the one that another fault had started in
-// between, which nobody had told to end. The goroutines of the run showed it: end(SIGKILL)
-// waiting for six minutes, all programs alive.
+// TestEndMeetsStart guards against a run that hangs: one fault ends a program while another
+// starts it again, and waits for the end of the wrong one.
 func TestEndMeetsStart(t *testing.T) {
 	p := sleeper(t)
 	const rounds, faults = 3000, 4
