--- a/ingress/suspended_test.go
+++ b/ingress/suspended_test.go
@@ -59,9 +59,15 @@
 	}
 }
 
-// TestEndHeardAfterSuspension guards against two runs of one task by way of a machine that
-// is suspended with a request unread: its customer leaves meanwhile, and the system hears of
-// that only when it is told again, after the request has been read and offered.
+// TestEndHeardAfterSuspension guards against two runs of one task by way of a machine that is
+// suspended: a customer leaves meanwhile, and the system hears of that only when it is told
+// again. By then the machine has offered a request that lay unread, or goes on with a job.
 func TestEndHeardAfterSuspension(t *testing.T) {
-	twoRunsCase{seed: 0x1ec9, late: 0.05, faults: 25, kinds: allFaults, beat: nearBeat, suspends: true, hearsLate: true}.run(t)
+	for name, c := range map[string]twoRunsCase{
+		"unread": {seed: 0x1ec9, faults: 25, beat: nearBeat},
+		"open":   {seed: 0xd6, faults: 6, beat: farBeat},
+	} {
+		c.late, c.kinds, c.suspends, c.hearsLate = 0.05, allFaults, true, true
+		t.Run(name, func(t *testing.T) { c.run(t) })
+	}
 }
