--- a/ingress/server.go
+++ b/ingress/server.go
@@ -203,9 +203,9 @@
 	}
 }
 
-// endsBefore reports whether a planned stop ends before a job could be in time.
-// One that could is taken: it ends in time in some 9 of 10 cases, though declared
-// times are off by 40%, and its customer would have to go elsewhere otherwise.
+// endsBefore reports whether a planned stop ends before a job could be in time, by what
+// its customer estimates. One that could is taken: its customer would have to go elsewhere
+// otherwise.
 func (s *Server) endsBefore(job *fleet.Job, route *fleet.Route) bool {
 	left, stopping := s.stopping()
 	return stopping && left < objective(job, route)
