--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -194,11 +194,15 @@
 	w.AfterFunc(down+w.Millis(0, 1500), w.listUpstreams)
 }
 
+// latestEntry is how long after a change of room the entry of an upstream tells it at most,
+// milliseconds: long enough for orders that go by the former room.
+const latestEntry = 800
+
 // resize changes the room of an upstream. Its entry tells that some time later.
 func (w *world) resize(u *standin.SimulatedUpstream) {
 	room := fleet.Demand{MilliCPU: int64(1000 * (1 + w.Rand.IntN(8)))}
 	u.Core.Capacity = room
-	w.AfterFunc(w.Millis(0, 800), func() {
+	w.AfterFunc(w.Millis(0, latestEntry), func() {
 		if u.Core.Capacity != room {
 			return // another change has been told since, or is about to be
 		}
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -30,7 +30,7 @@
 	ordered   map[fleet.Run]int                    // the sending that a run was ordered for last
 	told      map[string]fleet.Demand              // the room of each upstream as the pool was told last
 	room      map[fleet.Run]fleet.Demand           // told by the time that a run was ordered
-	flying    map[*standin.Core][]fleet.StartOrder // that may not have come, by the life they were made to
+	inFlight  map[*standin.Core][]fleet.StartOrder // that may yet be carried out, by the life they were made to
 	begun     map[fleet.TaskRef]bool               // of its last sending
 	returned  map[fleet.TaskRef]bool               // as never begun, and not offered since
 	lost      []lostJob
@@ -71,7 +71,7 @@
 	w.ordered[run] = w.sending[run.Task]
 	u := w.find(s.Upstream.ID)
 	w.checkRoom(u, run)
-	w.flying[u.Core] = append(w.flying[u.Core], s.Order)
+	w.inFlight[u.Core] = append(w.inFlight[u.Core], s.Order)
 	u.CallStart(s.Order, simStartTimeout, func(refusal fleet.Refusal, err error) {
 		w.ifCurrent(epoch, func(p *Pool, now time.Time) Effects {
 			return p.Started(now, s.Upstream.Life(), run, refusal, err)
@@ -86,10 +86,10 @@
 	w.room[ordered] = room
 	used := w.jobOf(ordered.Task).offer.Demand
 	runs := u.Running()
-	w.flying[u.Core] = slices.DeleteFunc(w.flying[u.Core], func(o fleet.StartOrder) bool {
+	w.inFlight[u.Core] = slices.DeleteFunc(w.inFlight[u.Core], func(o fleet.StartOrder) bool {
 		return slices.Contains(runs, o.Run) || u.Refuses(w.Now(), o) != fleet.RefusedNot
 	})
-	for _, o := range w.flying[u.Core] {
+	for _, o := range w.inFlight[u.Core] {
 		runs = append(runs, o.Run)
 	}
 	for _, r := range lo.Uniq(runs) {
@@ -137,7 +137,7 @@
 		Simulation: standin.NewSimulation(epochZero, seed), t: t,
 		open: map[JobKey]*simJob{}, begun: map[fleet.TaskRef]bool{}, returned: map[fleet.TaskRef]bool{}, noted: map[fleet.TaskRef]bool{}, crashers: map[fleet.TaskRef]int{},
 		sending: map[fleet.TaskRef]int{}, ordered: map[fleet.Run]int{}, room: map[fleet.Run]fleet.Demand{},
-		told: map[string]fleet.Demand{}, flying: map[*standin.Core][]fleet.StartOrder{},
+		told: map[string]fleet.Demand{}, inFlight: map[*standin.Core][]fleet.StartOrder{},
 	}
 	for i := range 4 {
 		w.upstreams = append(w.upstreams, w.newUpstream(fmt.Sprintf("u%d", i)))
