--- a/soak/run.go
+++ b/soak/run.go
@@ -55,10 +55,8 @@
 		return Report{}, err
 	}
 	defer in.close()
-	for _, p := range in.processes {
-		if err := p.start(); err != nil {
-			return Report{}, err
-		}
+	if err := in.start(); err != nil {
+		return Report{}, err
 	}
 	t := newTally()
 	if !in.waitReady() {
@@ -90,6 +88,16 @@
 	return Report{Seed: in.cfg.Seed, Faults: faults, Starts: in.ledger.Starts(), Evacuations: in.evacuations, Answers: t.answers, Broken: broken}
 }
 
+// start starts every instance.
+func (in *installation) start() error {
+	for _, p := range in.processes {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // waitReady waits until every instance takes customers.
 func (in *installation) waitReady() bool {
 	deadline := time.Now().Add(readyLimit)
--- a/soak/unread_test.go
+++ b/soak/unread_test.go
@@ -37,10 +37,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(in.close)
-	for _, p := range in.processes {
-		if err := p.start(); err != nil {
-			t.Fatal(err)
-		}
+	if err := in.start(); err != nil {
+		t.Fatal(err)
 	}
 	if !in.waitReady() {
 		t.Fatalf("the installation is not ready after %v", readyLimit)
