Count customers' connections from before a suspension of the machine as closed

What callers saw: two runs of one task at once. A customer leaves while the machine of its coordinator is suspended and sends its job to another instance; the coordinator resumes, takes the customer for connected and offers its unread request, or goes on with its open job.

Cause: the check of a connection shows what the operating system has heard. What is sent to a suspended machine is lost; a close is retransmitted, up to as late after the resume as the customer was gone before it, a reset never. Evidence: TestEndHeardAfterSuspension on, both plays, every time; in "unread" the request is read at 6.370 s, the customer left at 4.946 s and the system hears of it at 7.946 s. Ruled out: stopped clocks and leases (TestSuspended finds nothing where closes are heard at once).

Change: each connection keeps how long the machine had been suspended when it was accepted (the accept queue counts as older until it has been empty once), each check compares that with the boot-time clock, read at each check. An older connection counts as closed: unread requests are rejected as not run, with the connection; open jobs are not offered again and are ended before a lease is renewed. For 0.2 s after a resume no lease is renewed, so that results that have been sent arrive.

Why this works: an offer or renewal carries a time from before the check; no check after a resume counts for a customer from before it; so runs end within 1.28 s of a time at which the customer was connected.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -87,11 +87,14 @@
 	c.suspended = max(c.suspended, bootTime-c.firstBootTime-monotonic)
 }
 
-// Suspended returns how long the machine has been suspended in all since c was created.
+// Suspended returns how long the machine has been suspended in all since c was created. It reads
+// the boot-time clock at each call, and so misses no suspension, however short. After one, the
+// result may still grow a little, by the time that passed between the readings of two clocks.
 func (c *Clock) Suspended() time.Duration {
-	c.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lastCheck = c.readClocks()
+	c.measureSuspension()
 	return c.suspended
 }
 
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -54,6 +54,22 @@
 	}
 }
 
+// TestSuspendedMissesNothing checks that Suspended counts each suspension at once, also one that is
+// too short for Now to notice, or that a step of the wall clock hides.
+func TestSuspendedMissesNothing(t *testing.T) {
+	m := &machine{}
+	clock := newClock(m)
+	m.suspend(time.Millisecond)
+	if got := clock.Suspended(); got != time.Millisecond {
+		t.Errorf("%v after a suspension of 1ms", got)
+	}
+	m.suspend(time.Second)
+	m.stepWall(-time.Second)
+	if got := clock.Suspended(); got != time.Second+time.Millisecond {
+		t.Errorf("%v after another suspension of 1s, which a step of the wall clock hides; want 1.001s", got)
+	}
+}
+
 // newClock returns a Clock that reads the clocks of m.
 func newClock(m *machine) *Clock {
 	return New(time.Unix(1000, 0), func() Reading { return Reading{m.monotonic, m.wall} }, func() (time.Duration, error) { return m.boot, m.bootErr })
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -65,6 +65,9 @@
 	// after a pause may read a request that its customer has meanwhile sent to another
 	// instance; an offer would run the job a second time.
 	Disconnected func() bool
+	// SuspendedBefore is how long the machine had been suspended in all when the customer
+	// connected. If it has been suspended since, nothing is known of the connection.
+	SuspendedBefore time.Duration
 }
 
 // shardCount is the number of locks over which the open jobs are spread.
@@ -75,6 +78,8 @@
 type Clock interface {
 	Now() time.Time
 	AfterFunc(d time.Duration, f func())
+	// Suspended returns how long the machine has been suspended in all.
+	Suspended() time.Duration
 }
 
 // systemClock implements Clock with the clock and the timers of the process.
@@ -84,6 +89,8 @@
 
 func (systemClock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
 
+func (systemClock) Suspended() time.Duration { return clock.Suspended() }
+
 // Coordinator coordinates the jobs that this instance accepts: it offers the tasks of each
 // job to owners of upstream groups until the job has a verdict.
 type Coordinator struct {
@@ -96,6 +103,7 @@
 	// sendsInFlight counts the goroutines that have decided to make or withdraw an offer, but
 	// may not have sent the message to the owner yet.
 	sendsInFlight atomic.Int32
+	lastResume    resumeTracker
 	shards        [shardCount]jobShard
 }
 
@@ -220,14 +228,21 @@
 }
 
 // EndDisconnected ends each job whose customer has no open connection left, as far as the
-// operating system knows now, and withdraws the job's offers. It must be called before the
-// renewal of a lease, which tells the owner that the customers of all jobs not withdrawn
-// still wait. The result is true if every offer and withdrawal decided so far has been sent.
-// If it is false, the lease must not be renewed: the renewal could overtake a
-// withdrawal, and the owner would start tasks for a customer that has disconnected.
-func (c *Coordinator) EndDisconnected() (sent bool) {
+// operating system knows now, and withdraws the job's offers. A connection from before the last
+// suspension of the machine counts as closed. EndDisconnected must be called before the renewal
+// of a lease, which tells the owner that the customers of all jobs not withdrawn still wait.
+//
+// The result is true if every offer and withdrawal decided so far has been sent. If it is false,
+// the lease must not be renewed: the renewal could overtake a withdrawal, and the owner would
+// start tasks for a customer that has disconnected. The result is also false, and no job ended,
+// until resultGrace after a resume.
+func (c *Coordinator) EndDisconnected() (mayRenew bool) {
+	suspendedTotal := c.clock.Suspended()
+	if c.lastResume.isRecent(c.clock.Now(), suspendedTotal) {
+		return false
+	}
 	for _, j := range c.sortedJobs() {
-		j.detachDisconnected()
+		j.detachDisconnected(suspendedTotal)
 	}
 	return c.sendsInFlight.Load() == 0
 }
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -105,7 +105,7 @@
 func (j *openJob) offerUnassigned() {
 	for {
 		aliveAt := j.coordinator.clock.Now()
-		j.detachDisconnected()
+		j.detachDisconnected(j.coordinator.clock.Suspended())
 		j.mu.Lock()
 		if j.settled || len(j.unassigned) == 0 {
 			j.mu.Unlock()
--- a/ingress/retryplan_test.go
+++ b/ingress/retryplan_test.go
@@ -62,6 +62,8 @@
 
 func (stoppedClock) AfterFunc(time.Duration, func()) {}
 
+func (stoppedClock) Suspended() time.Duration { return 0 }
+
 // TestRetryAfter checks that retries are spread over time only after rejections for lack of
 // capacity, and that only rejected customers are told to retry.
 func TestRetryAfter(t *testing.T) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -71,7 +71,7 @@
 func NewServer(coordinator *Coordinator, config ConfigSource, shutdownStatus ShutdownStatus, recorder Recorder) *Server {
 	s := &Server{coordinator: coordinator, config: config, recorder: recorder, shutdownStatus: shutdownStatus}
 	s.http = &fasthttp.Server{
-		Handler: s.handle, MaxRequestBodySize: maxBodyBytes, ReadBufferSize: readBufferBytes, IdleTimeout: idleTimeout,
+		Handler: s.handleAndClose, MaxRequestBodySize: maxBodyBytes, ReadBufferSize: readBufferBytes, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisablePreParseMultipartForm: true, CloseOnShutdown: true,
 	}
@@ -83,17 +83,25 @@
 // serves nothing. Otherwise a job could run here for a customer that has disconnected and
 // sent the job to another instance.
 func (s *Server) Serve(l net.Listener) error {
-	watched, err := newWatchedListener(l)
+	watched, err := newWatchedListener(l, s.coordinator.clock.Suspended)
 	if err != nil {
 		return err
 	}
 	return s.http.Serve(watched)
 }
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	if _, stopping := s.shutdownStatus(); stopping {
+// handleAndClose handles a request. It closes the connection afterwards if the instance is shutting
+// down, or if the machine has been suspended since the customer connected: then each further job
+// on it would be rejected.
+func (s *Server) handleAndClose(ctx *fasthttp.RequestCtx) {
+	s.handle(ctx)
+	_, stopping := s.shutdownStatus()
+	if stopping || suspendedSince(suspendedBefore(ctx.Conn()), s.coordinator.clock.Suspended()) {
 		ctx.SetConnectionClose()
 	}
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	config := s.config()
 	if config == nil {
 		writeUnavailable(ctx, "no configuration yet", minRetryAfter)
@@ -177,7 +185,7 @@
 		timeout = defaultTimeout
 	}
 	disconnected, stopWatching := watchDisconnect(ctx.Conn())
-	request := Request{Job: job, Route: route, Timeout: timeout - responseMargin, Disconnected: disconnectCheck(ctx.Conn())}
+	request := Request{Job: job, Route: route, Timeout: timeout - responseMargin, Disconnected: disconnectCheck(ctx.Conn()), SuspendedBefore: suspendedBefore(ctx.Conn())}
 	record.Objective, record.Timeout = request.Objective(), timeout
 	record.Response = s.coordinator.Run(request, disconnected)
 	stopWatching()
--- a/ingress/simfleet_test.go
+++ b/ingress/simfleet_test.go
@@ -72,13 +72,22 @@
 // retransmission.
 const simRetransmission = 200 * time.Millisecond
 
+// simNever is longer than any simulation.
+const simNever = time.Hour
+
 // whenNoticed returns when the process's machine notices that a customer has closed a
 // connection at closedAt. The machine notices it at once, except if it is suspended and
 // simFleet.retransmitsCloses is set: then it notices the first retransmission after the
 // suspension.
-func (p *simProcess) whenNoticed(closedAt time.Time) time.Time {
-	if !p.fleet.retransmitsCloses {
+//
+// If the customer has reset the connection and simFleet.losesResets is set, the machine notices
+// it only if it is not suspended at that time.
+func (p *simProcess) whenNoticed(closedAt time.Time, reset bool) time.Time {
+	switch {
+	case !p.fleet.retransmitsCloses:
 		return closedAt
+	case reset && p.fleet.losesResets && closedAt.Before(p.resumesAt):
+		return closedAt.Add(simNever)
 	}
 	for pause := simRetransmission; closedAt.Before(p.resumesAt); pause *= 2 {
 		closedAt = closedAt.Add(pause)
@@ -122,6 +131,14 @@
 	return p.fleet.Now()
 }
 
+// Suspended implements Clock.
+func (p *simProcess) Suspended() time.Duration {
+	if p.fleet.suspensionStopsClocks {
+		return 0
+	}
+	return p.suspendedFor
+}
+
 // AfterFunc implements Clock.
 func (p *simProcess) AfterFunc(d time.Duration, f func()) {
 	suspendedBefore := p.suspendedFor
@@ -306,8 +323,11 @@
 	// connection only when the customer's machine retransmits this after the suspension. If
 	// it is set, only half of the pauses suspend the machine.
 	retransmitsCloses bool
-	trace             []traceEvent
-	verdicts          map[Verdict]int // number of responses by verdict
+	// losesResets makes a suspended machine never notice that a customer has reset a
+	// connection, because a reset is not retransmitted.
+	losesResets bool
+	trace       []traceEvent
+	verdicts    map[Verdict]int // number of responses by verdict
 }
 
 // failer is the part of testing.TB that a simulation uses to report two simultaneous runs of one
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -57,8 +57,11 @@
 	read           bool // the coordinator has read the request
 	closed         bool
 	closeNoticedAt time.Time // when the coordinator's machine notices that the connection is closed
-	job            *openJob  // nil until the request is read
-	waiter         *waiter   // waits in job on this connection
+	// suspendedBefore is how long the coordinator's machine had been suspended when the
+	// customer connected.
+	suspendedBefore time.Duration
+	job             *openJob // nil until the request is read
+	waiter          *waiter  // waits in job on this connection
 }
 
 // newSimFleet returns a fleet of two zones. Each zone has two upstreams, a coordinator, an owner,
@@ -145,11 +148,12 @@
 	j.sendCount++
 	c := f.coordinators[to%len(f.coordinators)]
 	f.record(j.id, "sent to %s, attempt %d", c.name, j.sendCount)
+	reset := false // whether the customer disconnects by a reset
 	disconnectAndResend := func(delay func() time.Duration) {
 		if conn.closed {
 			return
 		}
-		conn.closed, conn.closeNoticedAt = true, c.whenNoticed(f.Now())
+		conn.closed, conn.closeNoticedAt = true, c.whenNoticed(f.Now(), reset)
 		f.record(j.id, "the customer disconnects from %s, which notices it %v later", c.name, conn.closeNoticedAt.Sub(f.Now()))
 		f.noticeClose(c, conn)
 		if j.sendCount < maxSends && !j.done {
@@ -169,6 +173,7 @@
 	}
 	f.AfterFunc(simCustomerNetworkDelay, func() {
 		suspended := f.retransmitsCloses && f.Now().Before(c.resumesAt)
+		conn.suspendedBefore = c.Suspended()
 		c.run(func() {
 			if suspended && conn.closed {
 				return // a suspended machine accepts no connections
@@ -179,6 +184,7 @@
 	f.AfterFunc(simCustomerTimeout, giveUp)
 	if f.Rand.IntN(5) < 2 {
 		f.AfterFunc(f.RandMillis(0, 700), func() { // the connection is reset
+			reset = true
 			if conn.read || f.faultKinds == basicFaultKinds {
 				giveUp()
 			} else {
@@ -211,7 +217,7 @@
 	route := &fleet.Route{Name: "r", Service: "s", Stretch: 1.6, Slack: 300 * time.Millisecond, MaxAttempts: 4}
 	conn.read = true
 	f.record(j.id, "read by %s", c.name)
-	open, w, created := c.coordinator.attachOrCreate(Request{Job: job, Route: route, Timeout: simRequestTimeout, Disconnected: func() bool { return conn.closed && !f.Now().Before(conn.closeNoticedAt) }})
+	open, w, created := c.coordinator.attachOrCreate(Request{Job: job, Route: route, Timeout: simRequestTimeout, SuspendedBefore: conn.suspendedBefore, Disconnected: func() bool { return conn.closed && !f.Now().Before(conn.closeNoticedAt) }})
 	conn.job, conn.waiter = open, w
 	c.AfterFunc(simRequestTimeout, func() { open.timeOut(w) })
 	if !created {
@@ -298,7 +304,7 @@
 	linkHeartbeat        time.Duration
 
 	// See the fields of the same names in simFleet.
-	suspendsMachines, suspensionStopsClocks, retransmitsCloses bool
+	suspendsMachines, suspensionStopsClocks, retransmitsCloses, losesResets bool
 }
 
 // Numbers of kinds of faults. A recorded seed reproduces its simulation only with the number of
@@ -320,7 +326,8 @@
 func (c simCase) run(t failer) *simFleet {
 	f := newSimFleet(t, c.seed)
 	f.faultKinds, f.linkHeartbeat = c.faultKinds, c.linkHeartbeat
-	f.suspendsMachines, f.suspensionStopsClocks, f.retransmitsCloses = c.suspendsMachines, c.suspensionStopsClocks, c.retransmitsCloses
+	f.suspendsMachines, f.suspensionStopsClocks = c.suspendsMachines, c.suspensionStopsClocks
+	f.retransmitsCloses, f.losesResets = c.retransmitsCloses, c.losesResets
 	f.Run(f.Now().Add(400 * time.Millisecond))
 	for _, u := range f.upstreams {
 		u.LossShare, u.LateShare = c.lossShare, c.lateShare
--- a/ingress/waiter.go
+++ b/ingress/waiter.go
@@ -11,8 +11,9 @@
 // on until the last waiter is detached: as long as a connection is open, the customer does
 // not send the job to another instance.
 type waiter struct {
-	disconnected func() bool // Request.Disconnected
-	deadline     time.Time   // when the customer stops waiting
+	disconnected    func() bool   // Request.Disconnected
+	suspendedBefore time.Duration // Request.SuspendedBefore
+	deadline        time.Time     // when the customer stops waiting
 
 	// The fields below are guarded by the job's lock.
 	checked  bool // disconnected has been called at least once
@@ -26,6 +27,7 @@
 	// instance since.
 	reasonDisconnectedUnread = "the customer left before its request was read"
 	reasonTimedOut           = "the customer's deadline has passed"
+	reasonSuspended          = "the machine was suspended while the customer was connected"
 )
 
 // addWaiter adds a connection that waits for the response. It returns nil if the job
@@ -36,7 +38,7 @@
 	if j.settled {
 		return nil
 	}
-	w := &waiter{disconnected: r.Disconnected, deadline: j.coordinator.clock.Now().Add(r.Timeout)}
+	w := &waiter{disconnected: r.Disconnected, suspendedBefore: r.SuspendedBefore, deadline: j.coordinator.clock.Now().Add(r.Timeout)}
 	j.waiters = append(j.waiters, w)
 	j.deadline = lo.Latest(j.deadline, w.deadline)
 	return w
@@ -86,15 +88,19 @@
 }
 
 // detachDisconnected detaches the waiters whose connections the customer has closed, as far as
-// the operating system knows now.
-func (j *openJob) detachDisconnected() {
+// the operating system knows now, and those that were connected before the machine was last
+// suspended. SuspendedTotal is a result of Clock.Suspended from before the call.
+func (j *openJob) detachDisconnected(suspendedTotal time.Duration) {
 	j.mu.Lock()
 	attached := lo.Filter(j.waiters, func(w *waiter, _ int) bool { return !w.detached && w.disconnected != nil })
 	reasons := lo.Map(attached, func(w *waiter, _ int) string { return w.markChecked() })
 	j.mu.Unlock()
 	for i, w := range attached {
-		if w.disconnected() {
+		switch {
+		case w.disconnected():
 			j.detach(w, CustomerLeft, reasons[i])
+		case suspendedSince(w.suspendedBefore, suspendedTotal):
+			j.detach(w, Unknown, reasonSuspended)
 		}
 	}
 }
--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -14,13 +14,20 @@
 )
 
 // watchedListener accepts connections whose end can be detected while a request on them is
-// being handled.
-type watchedListener struct{ net.Listener }
+// being handled. Accept must not be called concurrently.
+type watchedListener struct {
+	net.Listener
+	raw       syscall.RawConn
+	suspended func() time.Duration // as Clock.Suspended
+	// suspendedBefore is a result of suspended from before every connection in the accept
+	// queue was established.
+	suspendedBefore time.Duration
+}
 
-// newWatchedListener returns a listener that wraps the connections of l. It returns an
-// Internal error if the state of its socket cannot be queried, either because l is a wrapper
-// that hides the file descriptor or because poll fails.
-func newWatchedListener(l net.Listener) (*watchedListener, error) {
+// newWatchedListener returns a listener that wraps the connections of l. Suspended is as
+// Clock.Suspended. It returns an Internal error if the state of its socket cannot be queried,
+// either because l is a wrapper that hides the file descriptor or because poll fails.
+func newWatchedListener(l net.Listener, suspended func() time.Duration) (*watchedListener, error) {
 	raw, err := connset.Socket(l)
 	if err != nil {
 		return nil, err
@@ -30,7 +37,7 @@
 	if err := errors.Join(err, pollErr); err != nil {
 		return nil, failure.Internal.Wrap(err, "cannot query the state of the listening socket")
 	}
-	return &watchedListener{l}, nil
+	return &watchedListener{Listener: l, raw: raw, suspended: suspended}, nil
 }
 
 // Accept implements net.Listener. It returns an Internal error if the connection hides its
@@ -45,7 +52,30 @@
 		_ = c.Close() // an error does not matter: nothing was read from the connection
 		return nil, err
 	}
-	return &watchedConn{Conn: c, raw: raw}, nil
+	return &watchedConn{Conn: c, raw: raw, suspendedBefore: l.nextSuspendedBefore()}, nil
+}
+
+// nextSuspendedBefore returns suspendedBefore for the connection that has just been accepted. The
+// connection may have been in the accept queue since before a suspension of the machine, and so
+// may all others until the queue has been empty once after it.
+func (l *watchedListener) nextSuspendedBefore() time.Duration {
+	before := l.suspendedBefore
+	total := l.suspended()
+	if suspendedSince(before, total) && !l.hasPending() {
+		l.suspendedBefore = total
+	}
+	return before
+}
+
+// hasPending reports whether there are connections in the accept queue, as far as the operating
+// system can tell.
+func (l *watchedListener) hasPending() bool {
+	pending := true
+	err := l.raw.Control(func(fd uintptr) {
+		events, pollErr := pollSocket(int32(fd), unix.POLLIN)
+		pending = pollErr != nil || events != 0
+	})
+	return pending || err != nil // err is set if the listener is closed
 }
 
 // watchedConn is a connection that can be watched for its end while a request is being
@@ -53,10 +83,12 @@
 // arrives, it belongs to the next request, and the next Read returns it.
 type watchedConn struct {
 	net.Conn
-	raw      syscall.RawConn
-	mu       sync.Mutex
-	buffered []byte // the byte read ahead, if any
-	readErr  error  // with which reading ahead ended
+	raw             syscall.RawConn
+	suspendedBefore time.Duration // Request.SuspendedBefore
+
+	mu       sync.Mutex // guards the fields below
+	buffered []byte     // the byte read ahead, if any
+	readErr  error      // with which reading ahead ended
 }
 
 // Read implements net.Conn.
@@ -92,13 +124,20 @@
 // pollPeerClosed reports, without waiting, whether the peer of a socket has closed or reset
 // the connection.
 func pollPeerClosed(fd int32) (bool, error) {
-	fds := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
+	events, err := pollSocket(fd, unix.POLLRDHUP)
+	return events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0, err
+}
+
+// pollSocket returns, without waiting, which of the given events and of those that poll always
+// reports have occurred on a socket.
+func pollSocket(fd int32, events int16) (int16, error) {
+	fds := []unix.PollFd{{Fd: fd, Events: events}}
 	for {
 		_, err := unix.Poll(fds, 0)
 		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		return fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR|unix.POLLNVAL) != 0, err
+		return fds[0].Revents, err
 	}
 }
 
@@ -113,6 +152,15 @@
 	return c.isPeerClosed
 }
 
+// suspendedBefore returns how long the machine had been suspended in all when the peer of conn
+// connected. It returns 0 if conn is not a watchedConn, for which disconnectCheck suffices.
+func suspendedBefore(conn net.Conn) time.Duration {
+	if c, watched := conn.(*watchedConn); watched {
+		return c.suspendedBefore
+	}
+	return 0
+}
+
 // watchDisconnect watches conn and returns a channel that is closed once the peer has closed
 // conn. The caller must call stop before it reads from conn again. If conn is not a
 // watchedConn, the channel is never closed.
--- a/ingress/watch_test.go
+++ b/ingress/watch_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/connset"
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -29,6 +30,7 @@
 	owners   *fakeOwners
 	listener net.Listener
 	records  recordChan
+	clock    Clock
 }
 
 // newPausedInstance returns a pausedInstance that fails the test if it makes an offer.
@@ -42,7 +44,7 @@
 		t.Error("the job was offered to an owner")
 		return nil
 	}
-	return &pausedInstance{t: t, owners: &fakeOwners{loads: twoZoneLoads(), offer: offered}, listener: listener, records: make(recordChan, 1)}
+	return &pausedInstance{t: t, owners: &fakeOwners{loads: twoZoneLoads(), offer: offered}, listener: listener, records: make(recordChan, 1), clock: systemClock{}}
 }
 
 // resume makes the instance serve requests until the test ends. It returns a channel that
@@ -51,7 +53,7 @@
 	config := &fleet.Config{Version: 1, Routes: []fleet.Route{{Name: "r", Host: "desk.example", PathPrefix: "/checks/", Stretch: 1.6, MaxAttempts: 2}}}
 	config.Index()
 	notStopping := func() (time.Duration, bool) { return 0, false }
-	server := NewServer(NewCoordinator("a", s.owners), func() *fleet.Config { return config }, notStopping, s.records)
+	server := NewServer(NewSimulatedCoordinator("a", s.owners, s.clock, DefaultPolicy), func() *fleet.Config { return config }, notStopping, s.records)
 	conns := &connset.Set{}
 	s.t.Cleanup(conns.Close)
 	ended := make(chan error, 1)
@@ -66,11 +68,16 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.sendJobOn(customer)
+	return customer.(*net.TCPConn)
+}
+
+// sendJobOn sends the job on an open connection.
+func (s *pausedInstance) sendJobOn(customer net.Conn) {
 	body := standin.Job{Tasks: 1, MilliCPU: 100, TaskDuration: 50 * time.Millisecond}.Body()
 	if _, err := fmt.Fprintf(customer, "POST /checks/0000000000000001 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
 		s.t.Fatal(err)
 	}
-	return customer.(*net.TCPConn)
 }
 
 // TestReadAfterCustomerLeft guards against two simultaneous runs of one task. They occur if an
@@ -173,7 +180,7 @@
 func TestUnqueryableCountsAsClosed(t *testing.T) {
 	instance := newPausedInstance(t)
 	customer := instance.sendJob()
-	l, err := newWatchedListener(instance.listener)
+	l, err := newWatchedListener(instance.listener, clock.Suspended)
 	if err != nil {
 		t.Fatal(err)
 	}
