Send Retry-After and Connection: close with rejections

What callers saw: every 503 of the platform's interface without Retry-After, so that they could not know when to come back, and rejections of an instance that shuts down without Connection: close.

Cause: fasthttp's ctx.Error resets the response with the headers that were set before it. Found on reading; the log shows the delay that was meant, so nothing pointed to it.

Change: status, content type and body are set one by one.

The product's own interface (fiber) sets its header on a response that is not reset.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -251,7 +251,7 @@
 // will run, and with the time after which the customer should send the job again.
 func writeUnavailable(ctx *fasthttp.RequestCtx, reason string, retryAfter time.Duration) {
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
-	ctx.Error(reason, fasthttp.StatusServiceUnavailable)
+	writeText(ctx, fasthttp.StatusServiceUnavailable, reason)
 }
 
 // writeError responds to an invalid request, with status 413 for a TooLarge error and 400 for
@@ -261,7 +261,14 @@
 	if failure.Is(err, failure.TooLarge) {
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
-	ctx.Error(failure.FieldOf(err)+": "+failure.Text(err), status)
+	writeText(ctx, status, failure.FieldOf(err)+": "+failure.Text(err))
+}
+
+// writeText writes a response in plain text. Unlike ctx.Error, it keeps the headers already set.
+func writeText(ctx *fasthttp.RequestCtx, status int, text string) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain; charset=utf-8")
+	ctx.SetBodyString(text)
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, status int, body []byte) {
