A draining witness waits until its homes have released it

What callers saw: "unknown, witness_lost" or "not run" for jobs that were accepted, because another instance was stopped as planned.

Cause: an instance that drains counted the undecided jobs in the logs that it is the witness of. A home may have accepted jobs that it has sent no record of, since a record goes out with the first permit: such a log counted as unused, and the witness ended. Besides, a log could open after the drain had begun, because the check came before the lock, and a home whose view changed while it opened a log kept it.

Ruled out as the cause: the witness was not slow, its process had ended.

Change: a home tells the witness of a log that accepts no jobs and has none open (ReleaseLog, again every 200 ms until answered); a draining instance closes its own logs, so that it releases as well; it ends once each log that it witnesses is released or sealed, within its drain's time.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -252,9 +252,17 @@
 // instance is the broker of.
 func (d *Dispatcher) Load() (free, queued int) { return d.brokers.load() }
 
-// Drain makes the instance refuse new sessions and jobs. Accepted jobs continue;
-// ActiveJobs returns zero when all of them have ended.
-func (d *Dispatcher) Drain() { d.draining.Store(true) }
+// Drain makes the instance refuse new sessions and jobs, and new logs as their witness.
+// Accepted jobs continue; ActiveJobs returns zero when all of them have ended, WitnessedLogs
+// when no other instance needs this one as a witness.
+func (d *Dispatcher) Drain() {
+	d.draining.Store(true)
+	for _, l := range d.homeLogs.all() {
+		if l.id.Witness != "" {
+			l.close()
+		}
+	}
+}
 
 func millis(t time.Time) int64 { return t.UnixMilli() }
 
--- a/dispatch/frames.go
+++ b/dispatch/frames.go
@@ -18,6 +18,9 @@
 		d.handleAppend(f, body.Append, reply)
 	case *inner.Frame_OpenLog:
 		replyDone(reply, d.witnessLogs.open(inner.ToLogID(body.OpenLog.GetLog())))
+	case *inner.Frame_ReleaseLog:
+		d.witnessLogs.release(inner.ToLogID(body.ReleaseLog.GetLog()))
+		replyDone(reply, nil)
 	case *inner.Frame_Submit:
 		go d.serveSubmit(body.Submit, reply)
 	case *inner.Frame_Cancel:
--- a/dispatch/homelog.go
+++ b/dispatch/homelog.go
@@ -25,6 +25,10 @@
 	mu          sync.Mutex
 	home        *fate.Home
 	submissions map[fate.Key]*submission
+	// releaseDueAt is when to release the witness, or to try again to; witnessReleased is
+	// true once that has succeeded, or the witness has ended.
+	releaseDueAt    time.Time
+	witnessReleased bool
 }
 
 // submission holds what a homeLog keeps about a submission besides the state in
@@ -76,6 +80,7 @@
 // RotateLogsAfter; the rest is a margin for those that are late.
 func (l *homeLog) tick(now time.Time) {
 	l.appender.tick(now)
+	l.releaseWitness(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.home.SetRetention(l.d.tuning.Load().Retention)
@@ -85,6 +90,42 @@
 	}
 }
 
+// releaseRetryInterval is the time between two attempts to release a witness.
+const releaseRetryInterval = 200 * time.Millisecond
+
+// releaseWitness tells the witness that it is not needed any more, once the log accepts no jobs
+// and has no open ones. A witness that is shutting down waits for that.
+func (l *homeLog) releaseWitness(now time.Time) {
+	if l.id.Witness == "" {
+		return
+	}
+	l.mu.Lock()
+	needed := !l.home.Closed() || l.home.ActiveJobs() > 0
+	due := !needed && !l.witnessReleased && !now.Before(l.releaseDueAt)
+	if due {
+		l.releaseDueAt = now.Add(releaseRetryInterval)
+	}
+	l.mu.Unlock()
+	if !due {
+		return
+	}
+	f := &inner.Frame{Body: &inner.Frame_ReleaseLog{ReleaseLog: &inner.ReleaseLog{Log: inner.FromLogID(l.id)}}}
+	if err := l.d.peers.CallAsync(l.id.Witness, f, l.handleReleaseReply); err != nil {
+		l.handleReleaseReply(nil, err)
+	}
+}
+
+// handleReleaseReply handles the witness's reply to a release, or the error of the call. After
+// an error other than Gone, tick tries again.
+func (l *homeLog) handleReleaseReply(_ *inner.Frame, err error) {
+	if err != nil && !failure.Is(err, failure.Gone) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.witnessReleased = true
+}
+
 // expired reports whether the log can be removed: it has no open jobs, and at least
 // the maximum age of answers has passed since it stopped accepting jobs, which was at
 // 2*RotateLogsAfter.
--- a/dispatch/homelogs.go
+++ b/dispatch/homelogs.go
@@ -76,6 +76,8 @@
 	h.logs[l.id] = l
 	h.currentLogs[shard] = l
 	h.mu.Unlock()
+	// A view that was set while the log was being opened has not closed it.
+	h.closeWithoutWitness(l, h.d.view.Load())
 	return l
 }
 
--- a/dispatch/witnesses.go
+++ b/dispatch/witnesses.go
@@ -24,6 +24,7 @@
 	mu           sync.Mutex
 	witness      *fate.Witness
 	lastAppendAt time.Time // when the last append of the home was received
+	released     bool      // the home has released this witness
 }
 
 func (w *witnessLogs) init(d *Dispatcher) {
@@ -42,11 +43,13 @@
 	if id.Witness != w.d.cfg.Self {
 		return failure.Refused.New("%s is not the witness of log %s", w.d.cfg.Self, id)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// Checked under the lock: once the instance is draining and WitnessedLogs has returned,
+	// no further log is opened.
 	if w.d.draining.Load() {
 		return failure.Stopping.New("instance %s is shutting down", w.d.cfg.Self.Instance())
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	if w.logs[id] == nil {
 		l := &witnessLog{witness: fate.NewWitness(id, w.d.tuning.Load().Retention), lastAppendAt: time.Now()}
 		l.witness.Tick(nowMs())
@@ -55,6 +58,15 @@
 	return nil
 }
 
+// release records that the home of a log needs this witness no more.
+func (w *witnessLogs) release(id fate.LogID) {
+	if l := w.get(id); l != nil {
+		l.mu.Lock()
+		l.released = true
+		l.mu.Unlock()
+	}
+}
+
 // append stores one append, a message that extends the copy of a log, and returns
 // the reply to it.
 func (w *witnessLogs) append(m *inner.Append) *inner.AppendReply {
@@ -211,15 +223,18 @@
 	return fate.Answer{}, false
 }
 
-// WitnessedJobs returns the number of submissions of other homes that still need
-// this instance as their witness.
-func (d *Dispatcher) WitnessedJobs() int {
+// WitnessedLogs returns the number of logs whose homes still need this instance as their
+// witness. That a log has no undecided job does not show that it is not needed: the home may
+// have accepted jobs whose first record it has not sent yet.
+func (d *Dispatcher) WitnessedLogs() int {
 	d.witnessLogs.mu.RLock()
 	defer d.witnessLogs.mu.RUnlock()
 	n := 0
 	for _, l := range d.witnessLogs.logs {
 		l.mu.Lock()
-		n += l.witness.PendingJobs()
+		if !l.released && !l.witness.Sealed() {
+			n++
+		}
 		l.mu.Unlock()
 	}
 	return n
@@ -229,11 +244,15 @@
 // alive, so that new sessions and jobs go to logs with another witness.
 func (h *homeLogs) closeLogsWithoutWitness(v *View) {
 	for _, l := range h.all() {
-		if l.id.Witness == "" {
-			continue
-		}
-		if m, found := v.member(l.id.Witness.Instance()); !found || m.Incarnation != l.id.Witness {
-			l.close()
-		}
+		h.closeWithoutWitness(l, v)
+	}
+}
+
+func (h *homeLogs) closeWithoutWitness(l *homeLog, v *View) {
+	if l.id.Witness == "" {
+		return
+	}
+	if m, found := v.member(l.id.Witness.Instance()); !found || m.Incarnation != l.id.Witness {
+		l.close()
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -242,10 +242,10 @@
 }
 
 // isIdle reports whether no job depends on this instance any more: it has no calls in flight
-// and no active jobs, and no other instance has active jobs in a permit log (the record of
-// task starts) of which this instance keeps the copy as the witness.
+// and no active jobs, and no other instance needs it as the witness of a permit log (the record
+// of task starts), of which the witness keeps a copy.
 func (n *Node) isIdle() bool {
-	return n.inFlight.Load() == 0 && n.dispatch.ActiveJobs() == 0 && n.dispatch.WitnessedJobs() == 0
+	return n.inFlight.Load() == 0 && n.dispatch.ActiveJobs() == 0 && n.dispatch.WitnessedLogs() == 0
 }
 
 // Kill ends the instance at once, like a crash.
--- a/experiment/stop_test.go
+++ b/experiment/stop_test.go
@@ -8,7 +8,9 @@
 	"testing"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/client"
 	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/metrics"
 )
 
 func TestUpstreamConnectionDies(t *testing.T) {
@@ -82,6 +84,52 @@
 	checkNoDuplicateStarts(t, c)
 }
 
+// A planned stop of an instance that is the witness of a log whose home has accepted a job, but
+// has not sent a record of it yet, because the job waits for a slot. The instance must not end
+// before the job has.
+func TestWitnessStopsWhileJobWaits(t *testing.T) {
+	c := newTestCluster(t, func(s *ClusterSpec) {
+		detectFailuresFast(s)
+		s.Zones = []ZoneSpec{{"a", 4, 1}}
+		s.Slots = 1
+	})
+	waits := prepare(t, newClient(t, c), sleepJob(1, time.Millisecond))
+	home, witness := homeAndWitness(t, waits)
+	blocks := prepareElsewhere(t, c, witness)
+	blocksHome, _ := homeAndWitness(t, blocks)
+	blocked := submitInBackground(blocks, c.Node(blocksHome).CallerAddress())
+	waitFor(t, "the only slot to be taken", func() bool { return c.startCount(blocks.Key()) == 1 })
+	accepted := func() int64 { return metrics.Values(c.Node(home).Metrics().Counts)["jobs"] }
+	before := accepted()
+	done := submitInBackground(waits, c.Node(home).CallerAddress())
+	waitFor(t, "the job to be accepted", func() bool { return accepted() > before })
+	if !c.StopEntry(context.Background(), witness) {
+		t.Error("the witness did not drain")
+	}
+	if c.startCount(waits.Key()) != 1 {
+		t.Error("the witness ended while the job was waiting")
+	}
+	for _, result := range []chan callResult{done, blocked} {
+		got := <-result
+		requireComplete(t, got.answer, got.err, 1)
+	}
+	checkNoDuplicateStarts(t, c)
+}
+
+// prepareElsewhere prepares a job of one long task, in a log that has nothing to do with an
+// instance.
+func prepareElsewhere(t *testing.T, c *Cluster, instance string) *client.Submission {
+	t.Helper()
+	for range 100 {
+		s := prepare(t, newClient(t, c), sleepJob(1, time.Second))
+		if home, witness := homeAndWitness(t, s); home != instance && witness != instance {
+			return s
+		}
+	}
+	t.Fatalf("%s is in every log", instance)
+	return nil
+}
+
 func TestPlatformOutage(t *testing.T) {
 	c := newTestCluster(t, detectFailuresFast)
 	cl := newClient(t, c)
--- a/fate/witness.go
+++ b/fate/witness.go
@@ -151,15 +151,6 @@
 	return keys
 }
 
-// PendingJobs returns the number of undecided submissions for which the home still
-// needs this witness. It is zero once the log is sealed.
-func (w *Witness) PendingJobs() int {
-	if w.sealed {
-		return 0
-	}
-	return len(w.OpenJobs())
-}
-
 // Lookup returns the fate of key, or, if the log is sealed and the fate is undecided,
 // the state from which the job can be taken over. As long as the log is not sealed,
 // the home may know more than the witness: if no fate is recorded, both results are
--- a/inner/connection.go
+++ b/inner/connection.go
@@ -308,6 +308,8 @@
 		return "heartbeat"
 	case *Frame_OpenLog:
 		return "open_log"
+	case *Frame_ReleaseLog:
+		return "release_log"
 	case *Frame_Append:
 		return "append"
 	case *Frame_AppendReply:
