A draining witness waits for homes that it took for lost

What callers saw: "unknown, witness_lost" after a planned stop of the witness, where the witness had not heard of their home for a while.

Cause: a witness that takes a home for lost seals its logs, and a sealed log counted as not needed. A home that was only silent is told so with its next record and has to ask the witness for the fates of its jobs; the witness had ended by then.

Change: a log needs its witness until the home has released it, has certainly ended, or has sent no heartbeat for four times the witness timeout (6 s by default; membership.MayBeRunning). An instance that has drained releases its witnesses before it ends, so that a witness that stops next does not have to wait for that.

How long a stop takes: as before where homes answer; up to 6 s longer where a home has vanished without its process being known to have ended.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -235,6 +235,9 @@
 	d.witnessLogs.tick(now)
 }
 
+// WitnessTimeout returns the value of Config.WitnessTimeout that is in force.
+func (d *Dispatcher) WitnessTimeout() time.Duration { return d.cfg.WitnessTimeout }
+
 // Close stops the dispatcher without waiting for open jobs. The witnesses of their
 // logs take these jobs over.
 func (d *Dispatcher) Close() {
@@ -253,8 +256,7 @@
 func (d *Dispatcher) Load() (free, queued int) { return d.brokers.load() }
 
 // Drain makes the instance refuse new sessions and jobs, and new logs as their witness.
-// Accepted jobs continue; ActiveJobs returns zero when all of them have ended, WitnessedLogs
-// when no other instance needs this one as a witness.
+// Accepted jobs continue; ActiveJobs returns zero when all of them have ended.
 func (d *Dispatcher) Drain() {
 	d.draining.Store(true)
 	for _, l := range d.homeLogs.all() {
@@ -264,6 +266,24 @@
 	}
 }
 
+// ReleaseWitnesses releases the witnesses that are not needed any more, and waits for their
+// replies, but at most WitnessTimeout. It is called when the instance has drained, so that a
+// witness that is shutting down as well does not have to find out that this instance has ended.
+func (d *Dispatcher) ReleaseWitnesses() {
+	ctx, cancel := context.WithTimeout(d.ctx, d.cfg.WitnessTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, l := range d.homeLogs.all() {
+		l.mu.Lock()
+		due := l.canReleaseWitness()
+		l.mu.Unlock()
+		if due {
+			calls.Go(func() { l.handleReleaseReply(d.peers.Call(ctx, l.id.Witness, l.releaseFrame())) })
+		}
+	}
+	calls.Wait()
+}
+
 func millis(t time.Time) int64 { return t.UnixMilli() }
 
 func nowMs() int64 { return millis(time.Now()) }
--- a/dispatch/homelog.go
+++ b/dispatch/homelog.go
@@ -96,12 +96,8 @@
 // releaseWitness tells the witness that it is not needed any more, once the log accepts no jobs
 // and has no open ones. A witness that is shutting down waits for that.
 func (l *homeLog) releaseWitness(now time.Time) {
-	if l.id.Witness == "" {
-		return
-	}
 	l.mu.Lock()
-	needed := !l.home.Closed() || l.home.ActiveJobs() > 0
-	due := !needed && !l.witnessReleased && !now.Before(l.releaseDueAt)
+	due := l.canReleaseWitness() && !now.Before(l.releaseDueAt)
 	if due {
 		l.releaseDueAt = now.Add(releaseRetryInterval)
 	}
@@ -109,12 +105,21 @@
 	if !due {
 		return
 	}
-	f := &inner.Frame{Body: &inner.Frame_ReleaseLog{ReleaseLog: &inner.ReleaseLog{Log: inner.FromLogID(l.id)}}}
-	if err := l.d.peers.CallAsync(l.id.Witness, f, l.handleReleaseReply); err != nil {
+	if err := l.d.peers.CallAsync(l.id.Witness, l.releaseFrame(), l.handleReleaseReply); err != nil {
 		l.handleReleaseReply(nil, err)
 	}
 }
 
+// canReleaseWitness reports whether the witness is not needed any more and does not know that
+// yet. The lock must be held.
+func (l *homeLog) canReleaseWitness() bool {
+	return l.id.Witness != "" && !l.witnessReleased && l.home.Closed() && l.home.ActiveJobs() == 0
+}
+
+func (l *homeLog) releaseFrame() *inner.Frame {
+	return &inner.Frame{Body: &inner.Frame_ReleaseLog{ReleaseLog: &inner.ReleaseLog{Log: inner.FromLogID(l.id)}}}
+}
+
 // handleReleaseReply handles the witness's reply to a release, or the error of the call. After
 // an error other than Gone, tick tries again.
 func (l *homeLog) handleReleaseReply(_ *inner.Frame, err error) {
--- a/dispatch/witnesses.go
+++ b/dispatch/witnesses.go
@@ -9,6 +9,8 @@
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
+
+	"github.com/samber/lo"
 )
 
 // witnessLogs holds the permit logs that this instance is the witness of.
@@ -45,7 +47,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	// Checked under the lock: once the instance is draining and WitnessedLogs has returned,
+	// Checked under the lock: once the instance is draining and WitnessedHomes has returned,
 	// no further log is opened.
 	if w.d.draining.Load() {
 		return failure.Stopping.New("instance %s is shutting down", w.d.cfg.Self.Instance())
@@ -223,21 +225,22 @@
 	return fate.Answer{}, false
 }
 
-// WitnessedLogs returns the number of logs whose homes still need this instance as their
-// witness. That a log has no undecided job does not show that it is not needed: the home may
-// have accepted jobs whose first record it has not sent yet.
-func (d *Dispatcher) WitnessedLogs() int {
+// WitnessedHomes returns the homes that have not released this instance as the witness of a log.
+// That a log has no undecided job does not show that it is not needed: the home may have
+// accepted jobs whose first record it has not sent yet, or may have to ask for the fates of
+// jobs because the log has been sealed.
+func (d *Dispatcher) WitnessedHomes() []fate.Incarnation {
 	d.witnessLogs.mu.RLock()
 	defer d.witnessLogs.mu.RUnlock()
-	n := 0
-	for _, l := range d.witnessLogs.logs {
+	var homes []fate.Incarnation
+	for id, l := range d.witnessLogs.logs {
 		l.mu.Lock()
-		if !l.released && !l.witness.Sealed() {
-			n++
+		if !l.released {
+			homes = append(homes, id.Home)
 		}
 		l.mu.Unlock()
 	}
-	return n
+	return lo.Uniq(homes)
 }
 
 // closeLogsWithoutWitness closes the logs whose witness is draining or no longer
--- a/entry/node.go
+++ b/entry/node.go
@@ -13,6 +13,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -224,6 +225,7 @@
 		}
 	}
 	if drained {
+		n.dispatch.ReleaseWitnesses()
 		event.Drained.Log(n.log)
 	} else {
 		event.DrainTimeout.Log(n.log, slog.Int("jobs", n.dispatch.ActiveJobs()))
@@ -245,7 +247,22 @@
 // and no active jobs, and no other instance needs it as the witness of a permit log (the record
 // of task starts), of which the witness keeps a copy.
 func (n *Node) isIdle() bool {
-	return n.inFlight.Load() == 0 && n.dispatch.ActiveJobs() == 0 && n.dispatch.WitnessedLogs() == 0
+	return n.inFlight.Load() == 0 && n.dispatch.ActiveJobs() == 0 && !n.isNeededAsWitness()
+}
+
+// silentHomeTimeout is the time, in multiples of the witness timeout, after which a home that
+// sends no heartbeats needs its witness no more. A home that was only slow is heard before that.
+const silentHomeTimeout = 4
+
+// isNeededAsWitness reports whether an instance that may still be running has not released this
+// one as the witness of a log.
+func (n *Node) isNeededAsWitness() bool {
+	homes := n.dispatch.WitnessedHomes()
+	silenceMs := silentHomeTimeout * n.dispatch.WitnessTimeout().Milliseconds()
+	now := time.Now().UnixMilli()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.ContainsFunc(homes, func(home fate.Incarnation) bool { return n.table.MayBeRunning(home, now, silenceMs) })
 }
 
 // Kill ends the instance at once, like a crash.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -301,6 +301,9 @@
 	return lo.Contains(n.dispatch.LeavingUpstreams(), upstream)
 }
 
+// ActiveJobs returns the number of submissions that this instance runs.
+func (n *Node) ActiveJobs() int { return n.dispatch.ActiveJobs() }
+
 // HeldSlots returns the number of slots of upstreams in use by the jobs of this instance.
 func (n *Node) HeldSlots() int { return n.dispatch.HeldSlots() }
 
--- a/experiment/stop_test.go
+++ b/experiment/stop_test.go
@@ -116,12 +116,60 @@
 	checkNoDuplicateStarts(t, c)
 }
 
-// prepareElsewhere prepares a job of one long task, in a log that has nothing to do with an
-// instance.
+// A planned stop of a witness that has taken the jobs of a log over because it did not hear of
+// the home for a while. The home is alive and has to ask for the fates of its jobs, so the
+// witness must not end before the home has no job left.
+func TestWitnessOfSilentHomeStops(t *testing.T) {
+	network := NewNetwork(func(_, _ string) time.Duration { return 0 })
+	c := newTestCluster(t, func(s *ClusterSpec) {
+		detectFailuresFast(s)
+		s.Zones = []ZoneSpec{{"a", 2, 1}, {"b", 2, 0}}
+		s.Network = network
+		s.Settings = "[fleet]\nwitness = region\n"
+		s.Slots = 1
+	})
+	var waits *client.Submission
+	var home, witness string
+	for home == "" || c.zoneOf[home] != "a" {
+		waits = prepare(t, newClient(t, c), sleepJob(1, time.Millisecond))
+		home, witness = homeAndWitness(t, waits)
+	}
+	blocks := prepareElsewhere(t, c, witness)
+	blocksHome, _ := homeAndWitness(t, blocks)
+	submitInBackground(blocks, c.Node(blocksHome).CallerAddress())
+	waitFor(t, "the only slot to be taken", func() bool { return c.startCount(blocks.Key()) == 1 })
+	counter := func(instance, name string) func() bool {
+		counts := c.Node(instance).Metrics().Counts
+		before := metrics.Values(counts)[name]
+		return func() bool { return metrics.Values(counts)[name] > before }
+	}
+	accepted, takenOver := counter(home, "jobs"), counter(witness, "takeovers")
+	done := submitInBackground(waits, c.Node(home).CallerAddress())
+	waitFor(t, "the job to be accepted", accepted)
+	network.Partition("a", "b")
+	waitFor(t, "the witness to take over", takenOver)
+	network.Heal()
+	if err := c.AwaitMembers(len(c.Names()), 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if !c.StopEntry(context.Background(), witness) {
+		t.Error("the witness did not drain")
+	}
+	if jobs := c.Node(home).ActiveJobs(); jobs != 0 {
+		t.Errorf("the witness ended while %d jobs of the home were open", jobs)
+	}
+	if got := <-done; got.err != nil || got.answer.Fate == fate.Unknown {
+		t.Errorf("answer %s %s, error %v; want a fate that is known", got.answer.Fate, got.answer.Reason, got.err)
+	}
+	checkNoDuplicateStarts(t, c)
+}
+
+// prepareElsewhere prepares a job of one task that takes 3 s, in a log that has nothing to do with
+// an instance.
 func prepareElsewhere(t *testing.T, c *Cluster, instance string) *client.Submission {
 	t.Helper()
 	for range 100 {
-		s := prepare(t, newClient(t, c), sleepJob(1, time.Second))
+		s := prepare(t, newClient(t, c), sleepJob(1, 3*time.Second))
 		if home, witness := homeAndWitness(t, s); home != instance && witness != instance {
 			return s
 		}
--- a/membership/table.go
+++ b/membership/table.go
@@ -80,6 +80,7 @@
 	State           State
 	Heartbeat       Heartbeat
 	lastHeartbeatMs int64
+	ended           bool // the incarnation has certainly ended
 	selfReported    bool // Listing comes from the peer itself, which takes precedence over the platform's list
 }
 
@@ -201,6 +202,7 @@
 	p.Incarnation = incarnation
 	p.Heartbeat = heartbeat
 	p.lastHeartbeatMs = now
+	p.ended = false
 	state := Alive
 	if heartbeat.Leaving {
 		state = Leaving
@@ -214,9 +216,25 @@
 	if p == nil || p.Incarnation != incarnation {
 		return nil
 	}
+	p.ended = true
 	return p.transition(Dead)
 }
 
+// MayBeRunning reports whether an incarnation may still be running at time now, in milliseconds.
+// A Dead peer may be silent only: it counts as running until it has sent no heartbeat for
+// silenceMs, or has certainly ended.
+func (t *Table) MayBeRunning(incarnation fate.Incarnation, now, silenceMs int64) bool {
+	p := t.peers[incarnation.Instance()]
+	switch {
+	case p == nil || p.ended:
+		return false
+	case p.Incarnation == "":
+		return true // it has not sent its first heartbeat yet
+	default:
+		return p.Incarnation == incarnation && now-p.lastHeartbeatMs <= silenceMs
+	}
+}
+
 // Tick updates the states of all peers to time now, in milliseconds on the same clock as in
 // calls of RecordHeartbeat.
 func (t *Table) Tick(now int64) []Change {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -62,3 +62,29 @@
 	}
 	return b.String()
 }
+
+// TestMayBeRunning checks for how long an incarnation may be running although it is silent.
+func TestMayBeRunning(t *testing.T) {
+	const silenceMs = 1000
+	table := NewTable(Config{SuspectMs: 100, DeadMs: 300})
+	table.SetListed([]Listing{{Instance: "a"}})
+	check := func(what string, incarnation fate.Incarnation, now int64, want bool) {
+		t.Helper()
+		if got := table.MayBeRunning(incarnation, now, silenceMs); got != want {
+			t.Errorf("%s: may be running %v, want %v", what, got, want)
+		}
+	}
+	check("listed, not heard yet", "a.1", 0, true)
+	check("unknown", "b.1", 0, false)
+	table.RecordHeartbeat("a.1", Heartbeat{}, 0)
+	table.Tick(400)
+	check("dead, but silent only", "a.1", 400, true)
+	check("silent for too long", "a.1", silenceMs+1, false)
+	table.RecordHeartbeat("a.1", Heartbeat{}, 1500)
+	check("heard again", "a.1", 1500, true)
+	table.MarkEnded("a.1")
+	check("ended", "a.1", 1500, false)
+	table.RecordHeartbeat("a.2", Heartbeat{Leaving: true}, 1600)
+	check("replaced", "a.1", 1600, false)
+	check("leaving", "a.2", 1600, true)
+}
