Ask the witness again if the query may not have arrived

What callers saw: "unknown, witness_lost" although the witness was running.

Cause: a home whose log was sealed asked the witness once for the fates of its jobs. An instance that takes a peer for lost closes its connections to it; a query on such a connection failed, and the callers were answered.

Evidence: twenty copies of TestPlannedStopCutsNothing at once, with logs: a-e1 is told of the seal at 28.238 s and asks, takes a-e0 for lost at 28.744, hears it again at 28.840 and answers "unknown" at 28.868; a-e0 has drained at 29.316. The same without any stop (2 of 60 plays).

Change: the query is repeated until the witness timeout after the first error, unless the witness has ended or has refused it.

Test: TestWitnessIsAskedAgain; on the code before: "connection closed: found false after 1 calls, want true after 2".

--- a/dispatch/homelog.go
+++ b/dispatch/homelog.go
@@ -435,9 +435,10 @@
 	}
 }
 
-// fetchFromWitness asks the witness for the fate of key. A witness that is
-// considered lost may be alive after all, so it is asked too, but with the short
-// timeout WitnessTimeout instead of maxWait.
+// fetchFromWitness asks the witness for the fate of key. If the query may not have arrived and
+// the witness may still be running, it asks again, until WitnessTimeout after the first error: the
+// connection may have been closed because the witness was silent for a while. A witness that is
+// considered lost is asked with the short timeout WitnessTimeout instead of maxWait.
 func (l *homeLog) fetchFromWitness(key fate.Key) (fate.Answer, bool) {
 	l.mu.Lock()
 	witnessLost := l.home.WitnessLost()
@@ -446,16 +447,40 @@
 	if witnessLost {
 		wait = l.d.cfg.WitnessTimeout
 	}
+	var failingSince time.Time
+	for {
+		answer, err := l.askWitness(key, wait)
+		if err == nil {
+			return answer, answer.Kind.Final()
+		}
+		if failingSince.IsZero() {
+			failingSince = time.Now()
+		}
+		if !mayNotHaveArrived(err) || failure.Is(err, failure.Gone) || time.Since(failingSince) > l.d.cfg.WitnessTimeout {
+			return fate.Answer{}, false
+		}
+		select {
+		case <-time.After(resendInterval):
+		case <-l.d.ctx.Done():
+			return fate.Answer{}, false
+		}
+	}
+}
+
+// askWitness asks the witness once for the fate of key, which seals the log.
+func (l *homeLog) askWitness(key fate.Key, wait time.Duration) (fate.Answer, error) {
 	ctx, cancel := context.WithTimeout(l.d.ctx, wait)
 	defer cancel()
-	f := &inner.Frame{Body: &inner.Frame_Submit{Submit: &inner.Submit{
+	reply, err := l.d.peers.Call(ctx, l.id.Witness, &inner.Frame{Body: &inner.Frame_Submit{Submit: &inner.Submit{
 		Key: inner.FromKey(key), AsWitness: true, Seal: true, WaitMs: uint32(wait.Milliseconds()),
-	}}}
-	reply, err := l.d.peers.Call(ctx, l.id.Witness, f)
-	if err != nil || !fate.Kind(reply.GetAnswer().GetKind()).Final() {
-		return fate.Answer{}, false
+	}}})
+	if err != nil {
+		return fate.Answer{}, err
+	}
+	if reply.GetAnswer() == nil {
+		return fate.Answer{}, failure.Protocol.New("the witness replied without an answer")
 	}
-	return *inner.ToAnswer(reply.GetAnswer()), true
+	return *inner.ToAnswer(reply.GetAnswer()), nil
 }
 
 // fitsSomeUpstream reports whether, for each task of job, there is an upstream that
