Bar a lease without stopping the task that has begun meanwhile

What callers saw: "failed, task_failed" for jobs none of whose tasks had failed; a task ended as "stopped".

Cause: who resolves a start whose outcome it does not know (a witness that took a job over, a home that lost an answer) looks the lease up and, if the upstream has never seen it, bars it with a stop. A start that arrives between the two begins, and the stop ends it: its own job fails.

Ruled out: upstreams that fail tasks, and lapsed leases.

Change: the request to stop takes only_unseen=1, which bars leases never seen and leaves others alone; the lookup then goes on until the task ends. An upstream that does not know it behaves as before.

--- a/api/upstream.go
+++ b/api/upstream.go
@@ -7,13 +7,17 @@
 	PathTasks      = "/v1/tasks"            // POST: start a task and wait for its end
 	PathLease      = "/v1/lease"            // GET ?id=&wait_ms=: look up a lease
 	PathRenew      = "/v1/lease/renew"      // POST ?id=&lease_ms=
-	PathStop       = "/v1/lease/stop"       // POST ?id=&id=: stop the tasks of leases; bar leases never seen (LeaseBarred)
+	PathStop       = "/v1/lease/stop"       // POST ?id=&id=&only_unseen=: stop the tasks of leases; bar leases never seen (LeaseBarred)
 	PathCheckpoint = "/v1/lease/checkpoint" // POST ?id=
 	PathThrottle   = "/v1/lease/throttle"   // POST ?id=&share=
 	PathUsage      = "/v1/usage"            // GET
 	PathInfo       = "/v1/info"             // GET
 )
 
+// QueryOnlyUnseen, set to 1 in a request to PathStop, bars the leases that the upstream has never
+// seen and leaves the others alone: their tasks go on. An upstream that does not know it stops them.
+const QueryOnlyUnseen = "only_unseen"
+
 // The headers of a request to start a task and of the answer to it. The body of the request is
 // the payload of the task, and the body of the answer is the result of the task, both unchanged.
 const (
--- a/dispatch/starter.go
+++ b/dispatch/starter.go
@@ -264,11 +264,7 @@
 	}
 	d.cfg.Metrics.CountSent("stop")
 	d.cfg.Metrics.CountWasted("stop")
-	infos, err := client.Stop(lease)
-	if err != nil {
-		return api.LeaseInfo{}, err
-	}
-	return infos[0], nil
+	return client.Bar(lease)
 }
 
 func resolutionOf(info *api.LeaseInfo) (leaseResolution, bool) {
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -393,19 +393,23 @@
 }
 
 // serveStop stops the tasks of all leases that the request names, waits until the tasks
-// have ended, and answers with the states of the leases in the order of the request.
+// have ended, and answers with the states of the leases in the order of the request. With
+// api.QueryOnlyUnseen it stops no task and does not wait.
 func (u *Upstream) serveStop(ctx *fasthttp.RequestCtx) {
+	onlyUnseen := ctx.QueryArgs().GetBool(api.QueryOnlyUnseen)
 	var leases []*lease
 	for _, id := range ctx.QueryArgs().PeekMulti("id") {
-		leases = append(leases, u.stopLease(string(id)))
+		leases = append(leases, u.stopLease(string(id), onlyUnseen))
 	}
 	infos := make([]api.LeaseInfo, 0, len(leases))
 	for _, l := range leases {
-		select {
-		case <-l.taskEnded:
-		case <-u.done:
-			dropConnection(ctx)
-			return
+		if !onlyUnseen {
+			select {
+			case <-l.taskEnded:
+			case <-u.done:
+				dropConnection(ctx)
+				return
+			}
 		}
 		u.mu.Lock()
 		infos = append(infos, l.info)
@@ -414,9 +418,9 @@
 	writeJSON(ctx, infos)
 }
 
-// stopLease requests that the task of a lease stops, if it is running. If no start under
-// the lease has arrived yet, it bars the lease: a later start is refused.
-func (u *Upstream) stopLease(id string) *lease {
+// stopLease requests that the task of a lease stops, if it is running and onlyUnseen is not set.
+// If no start under the lease has arrived yet, it bars the lease: a later start is refused.
+func (u *Upstream) stopLease(id string, onlyUnseen bool) *lease {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	l := u.leases[id]
@@ -425,7 +429,7 @@
 		close(l.taskEnded)
 		u.leases[id] = l
 	}
-	if l.info.State == api.LeaseRunning && !l.stopped {
+	if l.info.State == api.LeaseRunning && !l.stopped && !onlyUnseen {
 		l.stopped = true
 		close(l.stopRequested)
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -229,6 +229,20 @@
 	return infos, err
 }
 
+// Bar bars a lease that the upstream has never seen, and returns the state of the lease. Unlike
+// Stop, it does not stop the task if the start has arrived meanwhile.
+func (c *Client) Bar(lease string) (api.LeaseInfo, error) {
+	var infos []api.LeaseInfo
+	err := c.callControl(fasthttp.MethodPost, api.PathStop, url.Values{"id": {lease}, api.QueryOnlyUnseen: {"1"}}, controlTimeout, &infos)
+	if err != nil {
+		return api.LeaseInfo{}, err
+	}
+	if len(infos) != 1 {
+		return api.LeaseInfo{}, failure.Protocol.New("upstream %s answered for %d of 1 leases", c.ID, len(infos))
+	}
+	return infos[0], nil
+}
+
 // Renew makes a lease last for another leaseMs milliseconds from now on.
 func (c *Client) Renew(lease string, leaseMs int64) (api.LeaseInfo, error) {
 	return c.changeLease(api.PathRenew, url.Values{"id": {lease}, "lease_ms": {strconv.FormatInt(leaseMs, 10)}})
