Do not count jobs that were answered unknown as active

What callers and operators saw: a planned stop that ended at its time limit, 30 s, without any job left: "the entry instance did not drain".

Cause: a home whose log was sealed and whose witness does not answer tells its callers "unknown", which it does not commit, as the witness may answer later. The job counted as active for good, so that the home could not drain, its log was never removed, and its witness was never released.

Change: such a job stops counting with the first answer.

Test: TestAnsweredUnknownIsNotActive; on the code before "1 active jobs after the answer unknown, want 0".

--- a/fate/home.go
+++ b/fate/home.go
@@ -36,7 +36,8 @@
 	verdict   *Answer
 	committed bool
 	// witnessDecides is true once this home has left the decision to the witness.
-	witnessDecides bool
+	// answeredUnknown is true once its callers were told that the witness gives none.
+	witnessDecides, answeredUnknown bool
 	// takenOver is true if this log has taken the job over from a lost home.
 	// lostHomeCannotHaveCompleted is true once it is proven that the lost home did
 	// not complete the job, because one of the tasks cannot have finished there.
@@ -57,7 +58,7 @@
 	sealed       bool   // no task starts and no append is sent any more
 	witnessLost  bool
 	closed       bool // no new submissions are accepted
-	active       int  // submissions whose fate is not committed
+	active       int  // submissions whose fate is not committed, without those answered with Unknown
 }
 
 // NewHome returns the home of a new log.
@@ -68,7 +69,8 @@
 // ID returns the log's id.
 func (h *Home) ID() LogID { return h.id }
 
-// ActiveJobs returns the number of submissions whose fate is not committed.
+// ActiveJobs returns the number of submissions whose fate is not committed. Submissions whose
+// callers were answered with Unknown do not count: their fate may never be known.
 func (h *Home) ActiveJobs() int { return h.active }
 
 // Close makes the log accept no new submissions. Its open submissions continue.
--- a/fate/home_test.go
+++ b/fate/home_test.go
@@ -219,3 +219,25 @@
 		t.Errorf("the append in flight has the records %+v, want the one removed at the home", a.Records)
 	}
 }
+
+// TestAnsweredUnknownIsNotActive guards against planned stops that wait in vain, of a home and of
+// its witness, for a job whose callers were answered "unknown".
+func TestAnsweredUnknownIsNotActive(t *testing.T) {
+	h := NewHome(homeLogID, testRetention)
+	mustSubmit(t, h, firstKey, jobOf(2), Accepted)
+	h.Place(firstKey, 0, "u")
+	h.Ack(h.NextAppend(false).Sequence)
+	if e := h.MarkWitnessLost(); len(e.WitnessQueries) != 1 || h.ActiveJobs() != 1 {
+		t.Fatalf("effects %+v, %d active jobs; want a query to the witness for the active job", e, h.ActiveJobs())
+	}
+	for range 2 { // the callers may ask again
+		onlyAnswer(t, h.ApplyWitnessAnswer(Answer{Key: firstKey, Kind: Unknown, Reason: ReasonWitnessLost}), Unknown)
+		if h.ActiveJobs() != 0 {
+			t.Errorf("%d active jobs after the answer unknown, want 0", h.ActiveJobs())
+		}
+	}
+	onlyAnswer(t, h.ApplyWitnessAnswer(Answer{Key: firstKey, Kind: Complete}), Complete)
+	if h.ActiveJobs() != 0 {
+		t.Errorf("%d active jobs after the witness has answered after all, want 0", h.ActiveJobs())
+	}
+}
--- a/fate/seal.go
+++ b/fate/seal.go
@@ -81,6 +81,10 @@
 		return e
 	}
 	if answer.Kind == Unknown {
+		if !j.answeredUnknown {
+			j.answeredUnknown = true
+			h.active--
+		}
 		e.Answers = append(e.Answers, answer)
 		return e
 	}
--- a/fate/verdict.go
+++ b/fate/verdict.go
@@ -111,7 +111,9 @@
 	}
 	j.committed = true
 	j.job = nil
-	h.active--
+	if !j.answeredUnknown {
+		h.active--
+	}
 	e.Answers = append(e.Answers, *j.verdict)
 	h.removeJobs(h.retained.add(j.key, answerSize(j.verdict.Tasks)))
 }
