A broker asks silent homes what they hold

What callers saw: "not run, deadline" for all jobs of a home: no task got a slot for 20 s, with all upstreams idle.

Cause: a broker counts the slots that it has granted until their home releases them or reports that it holds fewer. A home reports to the broker of its own view only, and not at all if it has neither slots nor tickets and its last grant came from another broker. If a grant or a withdrawal is lost and the home has turned to another broker meanwhile, nobody corrects the books: the slots are gone for as long as both run.

Evidence: state printed at the deadline, in one of 72 plays of TestPlannedStopCutsNothing, 36 copies at once: the broker b-e1 counts all 48 slots as held by a-e1, and has 40 of its tasks queued whose deadlines passed 2 s before; a-e1 is alive and has not reported for at least that long. Both had taken each other for lost 21 s before.

Change: a broker asks homes that use its pool, as far as it knows, and have not reported for 3 s (homes report every second); a home reports to whoever asks, without tickets where another instance is its broker.

--- a/dispatch/brokers.go
+++ b/dispatch/brokers.go
@@ -278,10 +278,21 @@
 
 func (b *brokers) tick(now time.Time) {
 	for _, p := range b.all() {
+		b.askSilentHomes(p, now)
 		b.apply(p, func(broker *placement.Broker) []placement.Grant { return broker.Tick(millis(now)) })
 	}
 }
 
+// askSilentHomes asks the homes that have not reported for long to report what they hold of p.
+func (b *brokers) askSilentHomes(p *brokerPool, now time.Time) {
+	p.mu.Lock()
+	homes := p.broker.HomesToAsk(millis(now))
+	p.mu.Unlock()
+	for _, home := range homes {
+		b.sendGrant(fate.Incarnation(home), &inner.SlotGrant{Pool: p.id, Report: true})
+	}
+}
+
 func (b *brokers) all() []*brokerPool {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
--- a/dispatch/homelog_test.go
+++ b/dispatch/homelog_test.go
@@ -14,10 +14,20 @@
 type fakePeers struct {
 	errors []error
 	calls  int
+	sent   []sentFrame
+}
+
+// sentFrame is a frame that was passed to TrySend.
+type sentFrame struct {
+	to    fate.Incarnation
+	frame *inner.Frame
 }
 
 // TrySend implements Peers.
-func (p *fakePeers) TrySend(fate.Incarnation, *inner.Frame) error { return nil }
+func (p *fakePeers) TrySend(to fate.Incarnation, f *inner.Frame) error {
+	p.sent = append(p.sent, sentFrame{to, f})
+	return nil
+}
 
 // CallAsync implements Peers.
 func (p *fakePeers) CallAsync(fate.Incarnation, *inner.Frame, func(*inner.Frame, error)) error {
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -103,20 +103,29 @@
 // sendToBroker sends a frame to the broker of a pool, which may be this instance. If
 // the frame gets lost, the next report of syncBroker makes up for it.
 func (s *slots) sendToBroker(p *poolView, f *inner.Frame) {
-	if p.broker == s.d.cfg.Self {
-		s.d.brokers.handleFrame(s.d.cfg.Self, f)
-		return
-	}
-	if err := s.d.peers.TrySend(p.broker, f); err != nil {
+	if err := s.send(p.broker, f); err != nil {
 		s.mu.Lock()
 		s.unsynced[p.ID] = true
 		s.mu.Unlock()
 	}
 }
 
+// send sends a frame to a broker, which may be this instance.
+func (s *slots) send(broker fate.Incarnation, f *inner.Frame) error {
+	if broker == s.d.cfg.Self {
+		s.d.brokers.handleFrame(s.d.cfg.Self, f)
+		return nil
+	}
+	return s.d.peers.TrySend(broker, f)
+}
+
 // handleGrant handles a message from a broker, which grants slots, refuses a ticket,
-// or only asks for free slots to be released without delay.
+// or only asks for free slots to be released without delay or for a report.
 func (s *slots) handleGrant(from fate.Incarnation, m *inner.SlotGrant) {
+	if m.GetReport() {
+		s.report(s.d.view.Load(), m.GetPool(), from)
+		return
+	}
 	s.mu.Lock()
 	t := s.tickets[m.GetTicket()]
 	if m.GetSequence() > 0 {
--- a/dispatch/sync.go
+++ b/dispatch/sync.go
@@ -69,21 +69,43 @@
 		return
 	}
 	s.flushReleases(pool)
+	m, lastGrantFrom := s.reportFor(v, pool, p.broker)
+	if lastGrantFrom == p.broker || len(m.Held) > 0 || len(m.Waiting) > 0 {
+		s.sendToBroker(p, &inner.Frame{Body: &inner.Frame_SlotSync{SlotSync: m}})
+	}
+}
+
+// report reports to an instance that has asked for it as the broker of a pool. It may not be the
+// broker in this instance's view; then no tickets wait there.
+func (s *slots) report(v *View, pool string, broker fate.Incarnation) {
+	p := v.pools[pool]
+	if p == nil {
+		return // it is asked again
+	}
+	m, _ := s.reportFor(v, pool, broker)
+	if p.broker != broker {
+		m.Waiting = nil
+	}
+	if err := s.send(broker, &inner.Frame{Body: &inner.Frame_SlotSync{SlotSync: m}}); err != nil {
+		s.d.cfg.Metrics.CountWasted("slot_sync") // it is asked again
+	}
+}
+
+// reportFor returns the report to a broker of a pool, and from whom the last grant came.
+func (s *slots) reportFor(v *View, pool string, broker fate.Incarnation) (m *inner.SlotSync, lastGrantFrom fate.Incarnation) {
 	s.mu.Lock()
-	m := &inner.SlotSync{Pool: pool, Held: s.heldAt(v, pool)}
+	defer s.mu.Unlock()
+	m = &inner.SlotSync{Pool: pool, Held: s.heldAt(v, pool)}
 	for _, t := range s.tickets {
 		if t.pool == pool && len(t.waitingTasks) > 0 {
 			m.Waiting = append(m.Waiting, s.requestOf(v, t))
 		}
 	}
 	last := s.lastGrants[pool]
-	if last.broker == p.broker {
+	if last.broker == broker {
 		m.Sequence = last.sequence
 	}
-	s.mu.Unlock()
-	if last.broker == p.broker || len(m.Held) > 0 || len(m.Waiting) > 0 {
-		s.sendToBroker(p, &inner.Frame{Body: &inner.Frame_SlotSync{SlotSync: m}})
-	}
+	return m, last.broker
 }
 
 // ticketsWithoutPool returns the tickets whose pool is no longer in the view.
--- a/placement/broker.go
+++ b/placement/broker.go
@@ -119,7 +119,8 @@
 	requests        map[ticketKey]*queuedRequest
 	queuedTasks     int
 	held            map[heldKey]*heldSlots
-	homeGrants      map[string]*homeGrants   // by home
+	homeGrants      map[string]*homeGrants // by home
+	reports         homeReports
 	services        map[string]*serviceState // by service
 	pendingReleases []pendingRelease
 	estimates       *estimates
@@ -136,7 +137,7 @@
 func NewBroker(cfg BrokerConfig, grantsFromMs int64) *Broker {
 	return &Broker{
 		cfg: cfg, upstreams: map[string]*upstreamState{}, requests: map[ticketKey]*queuedRequest{},
-		held: map[heldKey]*heldSlots{}, homeGrants: map[string]*homeGrants{}, services: map[string]*serviceState{}, grantsFromMs: grantsFromMs, estimates: newEstimates(), meanRunMs: defaultRunMs, slotOverhead: 1,
+		held: map[heldKey]*heldSlots{}, homeGrants: map[string]*homeGrants{}, reports: homeReports{lastMs: map[string]int64{}}, services: map[string]*serviceState{}, grantsFromMs: grantsFromMs, estimates: newEstimates(), meanRunMs: defaultRunMs, slotOverhead: 1,
 	}
 }
 
--- a/placement/broker_test.go
+++ b/placement/broker_test.go
@@ -52,6 +52,8 @@
 	case "shares":
 		s.b.SetShares(shares(t, d))
 		return formatGrants(s.b.Tick(s.now))
+	case "ask":
+		return fmt.Sprintln("homes to ask:", s.b.HomesToAsk(s.now))
 	case "tick":
 		return formatGrants(s.b.Tick(s.now))
 	case "state":
--- a/placement/held.go
+++ b/placement/held.go
@@ -91,5 +91,6 @@
 		}
 	}
 	delete(b.homeGrants, home)
+	delete(b.reports.lastMs, home)
 	return b.grantQueued(now)
 }
--- a/placement/sync.go
+++ b/placement/sync.go
@@ -31,6 +31,7 @@
 // of the last grant that the home has received. If the broker has sent a later grant less
 // than maxGrantDelayMs ago, that grant may be missing from the report, and Sync does nothing.
 func (b *Broker) Sync(home string, sequence uint64, held []UpstreamSlots, waiting []Request, now int64) []Grant {
+	b.reports.lastMs[home] = now
 	if g := b.homeGrants[home]; g != nil && g.sequence != sequence && now-g.lastMs < maxGrantDelayMs {
 		return nil
 	}
@@ -79,3 +80,45 @@
 	}
 	return refused
 }
+
+// silentHomeMs is how long a home that uses the pool may send no report before it is asked for
+// one. Homes report every second; one that has neither slots nor requests, as far as it knows,
+// does not.
+const silentHomeMs = 3000
+
+// homeReports holds when homes last reported.
+type homeReports struct {
+	lastMs    map[string]int64 // by home: when it last reported, or was asked to
+	checkedMs int64            // when HomesToAsk last looked for silent homes
+}
+
+// HomesToAsk returns the homes that have slots or requests, as far as the broker knows, but have
+// not reported for silentHomeMs. The home may know nothing of them: a grant or a withdrawal was
+// lost, and the home has since turned to another broker. Each home is returned at most once in
+// silentHomeMs. It has to be called regularly.
+func (b *Broker) HomesToAsk(now int64) []string {
+	if now-b.reports.checkedMs < silentHomeMs/3 {
+		return nil
+	}
+	b.reports.checkedMs = now
+	homes := map[string]bool{}
+	for key := range b.held {
+		homes[key.home] = true
+	}
+	for _, q := range b.queue {
+		homes[q.Home] = true
+	}
+	var silent []string
+	for home := range homes {
+		last, known := b.reports.lastMs[home]
+		if known && now-last < silentHomeMs {
+			continue
+		}
+		b.reports.lastMs[home] = now
+		if known {
+			silent = append(silent, home)
+		}
+	}
+	slices.Sort(silent)
+	return silent
+}
