Wait longer for a silent home before its witness ends

What callers saw: "unknown, witness_lost" for five jobs, after a planned stop of the witness on a machine on which all instances had stood still.

Cause: a draining witness gave up on a silent home after four times the witness timeout; it counts its own standing still as the silence of others.

Change: ten times, 15 s by default, half of the time that a stop may take. It costs a planned stop that time where a home has vanished without its process being known to have ended, and nothing else.

--- a/entry/node.go
+++ b/entry/node.go
@@ -251,8 +251,9 @@
 }
 
 // silentHomeTimeout is the time, in multiples of the witness timeout, after which a home that
-// sends no heartbeats needs its witness no more. A home that was only slow is heard before that.
-const silentHomeTimeout = 4
+// sends no heartbeats needs its witness no more. A home that stood still for a while, or that this
+// instance has not heard because it stood still itself, is heard before that.
+const silentHomeTimeout = 10
 
 // isNeededAsWitness reports whether an instance that may still be running has not released this
 // one as the witness of a log.
