--- a/dispatch/witnesses.go
+++ b/dispatch/witnesses.go
@@ -251,6 +251,7 @@
 	}
 }
 
+// closeWithoutWitness closes a log if its witness is draining or no longer alive.
 func (h *homeLogs) closeWithoutWitness(l *homeLog, v *View) {
 	if l.id.Witness == "" {
 		return
