--- /dev/null
+++ b/schedule/choose.go
@@ -0,0 +1,131 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// maxFreeMilliCPU returns the largest free CPU capacity of a single usable upstream, in
+// thousandths of a core.
+func (p *Pool) maxFreeMilliCPU() int64 {
+	most := int64(0)
+	for _, u := range p.sortedUpstreams {
+		if left := u.Capacity.MilliCPU - u.used.MilliCPU; left > most && p.usable(u, p.now) {
+			most = left
+		}
+	}
+	return most
+}
+
+// countFitting returns how many tasks of a job could start now, but at most limit. It counts
+// tasks on second choices (see choose) only if the job would still finish in time there or no
+// first choice is large enough.
+func (p *Pool) countFitting(j *job, limit int) int {
+	n, slow, fast := 0, 0, false
+	for _, u := range p.sortedUpstreams {
+		if u.Service != j.Service || !p.usable(u, p.now) {
+			continue
+		}
+		fitting := p.countFittingOn(j, u, limit)
+		factor := p.slowdownFactorFor(j, u)
+		if factor > 1 && !p.finishesInTime(j, factor) {
+			slow += fitting
+			continue
+		}
+		fast = fast || factor == 1 && j.Demand.Within(u.Capacity)
+		n += fitting
+	}
+	if !fast {
+		n += slow
+	}
+	return min(n, limit)
+}
+
+// countFittingOn returns how many tasks of a job could start on an upstream now, but at most
+// limit.
+func (p *Pool) countFittingOn(j *job, u *upstream, limit int) int {
+	left := u.Capacity.Minus(u.used)
+	n := 0
+	for n < limit && j.Demand.Within(left) {
+		left = left.Minus(j.Demand)
+		n++
+	}
+	if u.health.ejected && p.cfg.Policy.SingleTrial {
+		n = min(n, 1)
+	}
+	return remainingPerUpstream(j, u, n)
+}
+
+// hasAlternative reports whether any usable upstream other than except is large enough for a
+// task of j.
+func (p *Pool) hasAlternative(j *job, except string) bool {
+	return slices.ContainsFunc(p.sortedUpstreams, func(u *upstream) bool {
+		return u.ID != except && u.Service == j.Service && j.Demand.Within(u.Capacity) && p.usable(u, p.now)
+	})
+}
+
+// chooseFor returns the upstream on which a task is to start now, or nil if there is none.
+func (p *Pool) chooseFor(j *job, t *task) *upstream {
+	if p.isSuspectTask(p.taskRef(j, t)) {
+		return p.chooseForSuspect(j)
+	}
+	return p.choose(j)
+}
+
+// choose returns the upstream on which a task of j is to start, or nil if it may start on none.
+// An upstream is second choice if the task takes longer there, because the upstream is slow or
+// not in the rack of the data. All others are first choice.
+//   - Of the first choices with enough free capacity, choose returns the one on which the task
+//     would leave the least CPU capacity free.
+//   - If there is none, choose returns the fastest second choice with enough free capacity,
+//     but only if the job would still finish in time there or no first choice is large enough.
+func (p *Pool) choose(j *job) *upstream { return p.chooseExcept(j, "") }
+
+// chooseExcept is like choose, but does not choose the upstream except.
+func (p *Pool) chooseExcept(j *job, except string) *upstream {
+	var best, slow *upstream
+	var leastLeft int64
+	lowestFactor, fast := 0.0, false
+	for _, u := range p.sortedUpstreams {
+		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == except {
+			continue
+		}
+		factor := p.slowdownFactorFor(j, u)
+		fast = fast || factor == 1 && j.Demand.Within(u.Capacity)
+		left := u.Capacity.Minus(u.used)
+		if !j.Demand.Within(left) || remainingPerUpstream(j, u, 1) == 0 {
+			continue
+		}
+		leftAfter := left.MilliCPU - j.Demand.MilliCPU
+		switch {
+		case factor > 1 && (slow == nil || factor < lowestFactor):
+			slow, lowestFactor = u, factor
+		case factor > 1:
+		case best == nil || leftAfter < leastLeft:
+			best, leastLeft = u, leftAfter
+		}
+	}
+	if best == nil && slow != nil && (!fast || p.finishesInTime(j, lowestFactor)) {
+		return slow
+	}
+	return best
+}
+
+// finishesInTime reports whether a job would meet its objective if a task of it started now on
+// an upstream where tasks take factor times as long as expected.
+func (p *Pool) finishesInTime(j *job, factor float64) bool {
+	end := p.now.Add(time.Duration(factor * longestTaskFactor * float64(j.expectedTaskDuration)))
+	return end.Before(j.submittedAt().Add(j.objective()))
+}
+
+// usable reports whether a task may start on an upstream now, ignoring its free capacity.
+func (p *Pool) usable(u *upstream, now time.Time) bool {
+	switch {
+	case !u.accepted, u.silent, u.formerOwnerRuns > 0, !p.acceptsStarts(u), u.renewalBlocked, !p.hasRecentReport(u):
+		return false
+	case u.health.ejected:
+		return now.After(u.health.ejectedUntil) && (len(u.runs) == 0 || !p.cfg.Policy.SingleTrial)
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/schedule/runs.go
@@ -0,0 +1,122 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
+)
+
+// startTask orders an upstream to start a run of a task.
+func (p *Pool) startTask(j *job, t *task, u *upstream) {
+	t.lastRun++
+	p.setTaskState(j, t, placed)
+	j.begun = true
+	linkDelay := p.link.enqueue(p.now, orderBytes(j))
+	sentAt := p.now.Add(linkDelay)
+	r := &run{
+		id: fleet.Run{Task: p.taskRef(j, t), Number: t.lastRun}, job: j, upstream: u, demand: j.Demand,
+		state: starting, orderedAt: sentAt, percentRoseAt: sentAt, percentAt: sentAt, remoteFactor: p.remoteFactor(j, u),
+	}
+	r.expectedDuration = r.remoteDuration(j.expectedTaskDuration)
+	p.trackRun(r)
+	p.effects.Starts = append(p.effects.Starts, Start{
+		Upstream:  u.Upstream,
+		Order:     fleet.StartOrder{Run: r.id, Spec: j.Spec, LeaseUntilMs: p.grantLease(u), Token: p.token},
+		LinkDelay: linkDelay,
+		SendBy:    p.now.Add(p.cfg.Lease),
+	})
+	p.addDecision(Decision{
+		Kind: DecidedStart, Job: j.Key.ID, Coordinator: j.Key.Coordinator, Task: t.index, Run: t.lastRun, Upstream: u.ID,
+		FreeMilliCPU: u.Capacity.Minus(u.used).MilliCPU, Age: p.now.Sub(j.offeredAt),
+	})
+}
+
+// trackRun adds a run to those of its upstream. If a former owner ordered the run, its task is
+// blocked until that run is over.
+func (p *Pool) trackRun(r *run) {
+	r.upstream.runs[r.id] = r
+	p.runByTask[r.id.Task] = r
+	r.upstream.used = r.upstream.used.Plus(r.demand)
+	if r.fromFormerOwner {
+		r.upstream.formerOwnerRuns++
+		p.blockTasks(r.id.Task)
+	}
+}
+
+// untrackRun removes a run that is certainly not executing and cannot start any more. A task
+// that it blocked waits for an upstream again.
+func (p *Pool) untrackRun(r *run) {
+	if r.upstream.runs[r.id] != r {
+		return
+	}
+	delete(r.upstream.runs, r.id)
+	if p.runByTask[r.id.Task] == r {
+		delete(p.runByTask, r.id.Task)
+		p.unblockTasks(r.id.Task)
+	}
+	r.upstream.used = r.upstream.used.Minus(r.demand)
+	if r.fromFormerOwner {
+		r.upstream.formerOwnerRuns--
+	}
+}
+
+// clockMsAt returns the estimated reading of an upstream's clock at the time now.
+func (u *upstream) clockMsAt(now time.Time) int64 {
+	return u.clockMs + now.Sub(u.clockReadAt).Milliseconds()
+}
+
+// grantLease records that an upstream is granted a lease that starts now, and returns the end
+// of that lease on the upstream's clock.
+func (p *Pool) grantLease(u *upstream) int64 {
+	until := u.clockMsAt(p.now) + p.cfg.Lease.Milliseconds()
+	u.maxLeaseUntilMs = max(u.maxLeaseUntilMs, until)
+	return until
+}
+
+// leasesLapseAt returns the time at which all leases granted to an upstream have certainly
+// lapsed, even if its clock runs as slowly as minClockRate allows.
+func (u *upstream) leasesLapseAt() time.Time {
+	left := time.Duration(float64(u.maxLeaseUntilMs-u.clockMs)/minClockRate) * time.Millisecond
+	return u.clockReadAt.Add(max(left, 0) + leaseLapseMargin)
+}
+
+// requeue puts the task of a run back into the queue after the run ended without success or
+// turned out never to have started.
+func (p *Pool) requeue(r *run, reason string) {
+	j := r.job
+	if j == nil {
+		return
+	}
+	t := j.tasks[r.id.Task.Index]
+	if t.state != placed {
+		return
+	}
+	if p.runByTask[p.taskRef(j, t)] != nil {
+		p.setTaskState(j, t, blocked) // a run that a former owner ordered has been reported meanwhile
+	} else {
+		p.setTaskState(j, t, waiting)
+		p.enqueue(j)
+	}
+	p.addDecision(Decision{
+		Kind: DecidedRetry, Job: j.Key.ID, Task: t.index, Run: t.lastRun, Upstream: r.upstream.ID, Reason: reason,
+		Age: p.now.Sub(j.offeredAt),
+	})
+}
+
+// stopRun orders the upstream of a run to stop it, unless a stop was ordered before.
+func (p *Pool) stopRun(r *run, reason string) {
+	if r.state == stopping || r.state == stopped {
+		return
+	}
+	r.state = stopping
+	p.sendStop(r)
+	p.addDecision(Decision{
+		Kind: DecidedStop, Job: r.id.Task.Job, Task: r.id.Task.Index, Run: r.id.Number, Upstream: r.upstream.ID,
+		Reason: reason, Age: p.now.Sub(r.orderedAt),
+	})
+}
+
+func (p *Pool) sendStop(r *run) {
+	r.stopSentAt = p.now
+	p.effects.Stops = append(p.effects.Stops, Stop{Upstream: r.upstream.Upstream, Run: r.id})
+}
