Count the silence of peers from when this process could have heard them

A process that was not scheduled for longer than SuspectMs took all peers for lost at its first tick, before it had read what waited on its connections. In TestPlannedStopCutsNothing that sealed the logs of running homes and led to answers 'unknown'. The stall now counts as silence only for half of SuspectMs and is logged (event 405, counter stalls), in the product's own engine and on the platform path. A home asks its witness again after each connection that had been open, also if an earlier one broke long ago.

Without the first, scenario stalls fails; without the second, TestWitnessIsAskedAfterEachBreak.

--- a/dispatch/homelog_test.go
+++ b/dispatch/homelog_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
 	"github.com/sedgehatch/sedgehatch/fate"
@@ -13,6 +15,7 @@
 // answer Complete.
 type fakePeers struct {
 	errors []error
+	wait   time.Duration // how long a call takes before its error
 	calls  int
 	sent   []sentFrame
 }
@@ -38,6 +41,7 @@
 func (p *fakePeers) Call(_ context.Context, _ fate.Incarnation, f *inner.Frame) (*inner.Frame, error) {
 	p.calls++
 	if p.calls <= len(p.errors) {
+		time.Sleep(p.wait)
 		return nil, p.errors[p.calls-1]
 	}
 	answer := &fate.Answer{Key: inner.ToKey(f.GetSubmit().GetKey()), Kind: fate.Complete}
@@ -68,3 +72,26 @@
 		d.Close()
 	}
 }
+
+// TestWitnessIsAskedAfterEachBreak guards against callers that are told "unknown" because two
+// connections to a running witness broke far apart, as they do where processes stall.
+func TestWitnessIsAskedAfterEachBreak(t *testing.T) {
+	for name, c := range map[string]struct {
+		fail  error
+		found bool
+		calls int
+	}{
+		"connections that were open break": {failure.Lost.New("broke"), true, 4},
+		"no reply":                         {failure.Timeout.New("late"), false, 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			peers := &fakePeers{errors: []error{c.fail, c.fail, c.fail}, wait: 2 * DefaultWitnessTimeout}
+			d := New(Config{Self: "home.1"}, peers)
+			defer d.Close()
+			l := newHomeLog(d, fate.LogID{Home: "home.1", Witness: "witness.1", Number: 1})
+			if _, found := l.fetchFromWitness(fate.Key{Session: "s", Sequence: 1}); found != c.found || peers.calls != c.calls {
+				t.Errorf("%s: found %v after %d calls, want %v after %d", name, found, peers.calls, c.found, c.calls)
+			}
+		})
+	}
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -177,14 +177,24 @@
 			return
 		case <-ticker.C:
 			n.broadcastHeartbeat()
-			n.mu.Lock()
-			changes := n.table.Tick(time.Now().UnixMilli())
-			n.mu.Unlock()
-			n.handlePeerChanges(changes)
+			n.updatePeers(time.Now().UnixMilli())
 		}
 	}
 }
 
+// updatePeers detects the instances that have stopped sending heartbeats.
+func (n *Node) updatePeers(now int64) {
+	n.mu.Lock()
+	stalledMs := n.table.DetectStall(now)
+	changes := n.table.Tick(now)
+	n.mu.Unlock()
+	if stalledMs > 0 {
+		event.Stalled.Log(n.log, slog.Int64("stalled_ms", stalledMs))
+		n.metrics.Add("stalls", 1)
+	}
+	n.handlePeerChanges(changes)
+}
+
 // broadcastHeartbeat sends one heartbeat to each of the other instances. Each is sent in its
 // own goroutine, so that an instance that cannot be reached does not delay the rest.
 func (n *Node) broadcastHeartbeat() {
--- a/event/event.go
+++ b/event/event.go
@@ -42,6 +42,7 @@
 	PeerLost          = add(402, "peer_lost", slog.LevelWarn, "Another instance is considered lost.")
 	PeerLeaving       = add(403, "peer_leaving", slog.LevelInfo, "Another instance is leaving.")
 	NeighboursChanged = add(404, "neighbours_changed", slog.LevelInfo, "The hubs of the availability zone, with which this instance exchanges heartbeats, have changed.")
+	Stalled           = add(405, "stalled", slog.LevelWarn, "The process of this instance was not scheduled for longer than the time after which silent instances are suspected. The silence of the others in that time counts only in part, because this instance could not receive their heartbeats.")
 	PlatformLost      = add(501, "platform_lost", slog.LevelWarn, "The platform does not respond; the instance continues with the last known state.")
 	PlatformBack      = add(502, "platform_back", slog.LevelInfo, "The platform responds again.")
 	SettingsApplied   = add(503, "settings_applied", slog.LevelInfo, "A newer revision of the settings took effect on this instance.")
--- a/membership/table.go
+++ b/membership/table.go
@@ -98,6 +98,7 @@
 	// neighbours are the peers from which this instance needs heartbeats. If it is nil,
 	// all peers are near neighbours.
 	neighbours *Neighbours
+	lastTickMs int64 // time of the last Tick; 0 before the first
 }
 
 // NewTable returns an empty table.
@@ -238,6 +239,7 @@
 // Tick updates the states of all peers to time now, in milliseconds on the same clock as in
 // calls of RecordHeartbeat.
 func (t *Table) Tick(now int64) []Change {
+	t.lastTickMs = now
 	var changes []Change
 	for _, p := range t.sorted {
 		if p.State == Dead && t.notNeighbour(p) && now-p.lastHeartbeatMs >= relistDeadMs {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -17,6 +17,7 @@
 		table := NewTable(Config{SuspectMs: 100, DeadMs: 300})
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			var changes []Change
+			var b strings.Builder
 			now := int64(0)
 			if d.HasArg("at") {
 				d.ScanArgs(t, "at", &now)
@@ -43,10 +44,13 @@
 				changes = table.MarkEnded(fate.Incarnation(who))
 			case "tick":
 				changes = table.Tick(now)
+			case "stalled-tick":
+				stalled := table.DetectStall(now)
+				changes = table.Tick(now)
+				fmt.Fprintf(&b, "stalled for %d ms\n", stalled)
 			case "peers":
 				return describe(table)
 			}
-			var b strings.Builder
 			for _, c := range changes {
 				fmt.Fprintf(&b, "%s: %s -> %s\n", c.Peer.Incarnation, c.Previous, c.Peer.State)
 			}
--- a/node/peers.go
+++ b/node/peers.go
@@ -38,15 +38,26 @@
 func (n *Node) tick() {
 	n.detectSuspension()
 	n.renewOwnLeases()
-	n.mu.Lock()
-	changes := n.peers.Tick(n.uptimeMs())
-	n.mu.Unlock()
-	n.applyPeerChanges(changes)
+	n.applyPeerChanges(n.updatePeers())
 	n.updateNeighbours()
 	n.reconcileGroups()
 	n.sendHeartbeats()
 }
 
+// updatePeers returns the peers whose state changed because they have stopped sending heartbeats.
+func (n *Node) updatePeers() []membership.Change {
+	n.mu.Lock()
+	now := n.uptimeMs()
+	stalledMs := n.peers.DetectStall(now)
+	changes := n.peers.Tick(now)
+	n.mu.Unlock()
+	if stalledMs > 0 {
+		event.Stalled.Log(n.log, slog.Int64("stalled_ms", stalledMs))
+		n.metrics.Add("stalls", 1)
+	}
+	return changes
+}
+
 // uptimeMs returns the time since the instance started, in milliseconds, on a monotonic
 // clock.
 func (n *Node) uptimeMs() int64 { return clock.Since(n.startedAt).Milliseconds() }
