Look for room for waiting tasks only when an input may have made some

Cause: in a crowd the owner's processor binds. Change: acknowledged starts, stops and reports without an end, more than half of all inputs, cannot make room. They no longer go through the queue; ticks, ends, new tasks and changes of upstreams do.

--- a/schedule/cost_test.go
+++ b/schedule/cost_test.go
@@ -97,3 +97,44 @@
 		}
 	}
 }
+
+// TestInputsThatFreeNothingPlaceNothing checks that the queue is not gone through after an input
+// that cannot have made room for a waiting task, and that it is after one that has. Going
+// through the queue also sorts it, which shows here in the order of two exchanged jobs.
+func TestInputsThatFreeNothingPlaceNothing(t *testing.T) {
+	report := func(p *Pool, r fleet.Report) bool {
+		p.queue[0], p.queue[1] = p.queue[1], p.queue[0]
+		first := p.queue[0]
+		p.HandleHoldResponse(startTime.Add(time.Millisecond), fleet.UpstreamIncarnation{ID: "u000"}, startTime.Add(time.Millisecond), r, nil)
+		return p.queue[0] != first
+	}
+	newPool := func() (*Pool, fleet.Report) {
+		p := fullPool(2, 0)
+		for i, slack := range []time.Duration{time.Minute, 2 * time.Minute} {
+			o := largeOffer(fmt.Sprintf("%016x", 100+i))
+			o.Slack = slack
+			p.Offer(startTime, o)
+		}
+		var r fleet.Report
+		for id := range p.upstreams["u000"].runs {
+			r.Running = append(r.Running, fleet.RunningTask{Run: id})
+		}
+		return p, r
+	}
+	p, running := newPool()
+	if report(p, running) {
+		t.Error("a report with nothing new made the pool look for room")
+	}
+	p, running = newPool()
+	ended := fleet.Report{Running: running.Running[1:], Ended: []fleet.EndedRun{{Sequence: 1, Run: running.Running[0].Run, End: fleet.EndDone}}}
+	waitingBefore := p.Waiting()
+	report(p, ended)
+	if p.Waiting() != waitingBefore-1 {
+		t.Errorf("%d tasks wait after the end of a run, want one fewer than %d", p.Waiting(), waitingBefore)
+	}
+	p, running = newPool()
+	p.cfg.Policy.PlaceWhenDue = false
+	if !report(p, running) {
+		t.Error("without the rule, a report with nothing new did not make the pool look for room")
+	}
+}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -80,6 +80,7 @@
 // resetHealth clears the failures of an upstream and readmits it if it is ejected.
 func (p *Pool) resetHealth(u *upstream) {
 	if u.health.ejected {
+		p.placementDue = true
 		p.addDecision(Decision{Kind: DecidedReadmit, Upstream: u.ID})
 	}
 	u.health = health{}
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -191,6 +191,9 @@
 }
 
 func (p *Pool) handleReport(u *upstream, sent time.Time, report fleet.Report) {
+	if !p.usable(u, p.now) {
+		p.placementDue = true // the report may make the upstream usable
+	}
 	if u.silent {
 		p.addDecision(Decision{Kind: DecidedResponding, Upstream: u.ID, Age: p.now.Sub(u.clockReadAt)})
 		p.crashHistory.retract(u.suspectedTasks)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -14,6 +14,7 @@
 // placeWaiting starts waiting tasks while there is capacity. It goes through the queue once, or
 // not at all if no upstream has free CPU capacity.
 func (p *Pool) placeWaiting() {
+	p.placementDue = false
 	if p.draining || len(p.queue) == 0 {
 		return
 	}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -37,6 +37,7 @@
 	everAccepted      bool            // some upstream has accepted the fencing token
 	upstreamsListed   bool            // SetUpstreams has been called
 	draining          bool
+	placementDue      bool     // an input may have made room for a waiting task, or added one
 	effects           *Effects // of the input that is being handled
 	now               time.Time
 }
@@ -52,12 +53,15 @@
 
 func (p *Pool) Token() uint64 { return p.token }
 
-// handle applies one input, starts the waiting tasks that fit now, and returns the effects.
+// handle applies one input, starts the waiting tasks that fit now, and returns the effects. Most
+// inputs free no capacity, so that waiting tasks need not be looked at until the next tick.
 func (p *Pool) handle(now time.Time, input func()) Effects {
 	var effects Effects
 	p.effects, p.now = &effects, now
 	input()
-	p.placeWaiting()
+	if p.placementDue || !p.cfg.Policy.PlaceWhenDue {
+		p.placeWaiting()
+	}
 	p.effects = nil
 	return effects
 }
@@ -92,6 +96,7 @@
 // new. Once an incarnation is known to be draining, that stays so until it ends.
 func (p *Pool) upsert(entry fleet.Upstream) bool {
 	u := p.upstreams[entry.ID]
+	p.placementDue = true
 	switch {
 	case u == nil:
 		p.insertUpstream(entry)
@@ -225,6 +230,7 @@
 
 // enqueue adds a job with waiting tasks to the queue, unless it is there already.
 func (p *Pool) enqueue(j *job) {
+	p.placementDue = true
 	if !slices.Contains(p.queue, j) {
 		p.queue = append(p.queue, j)
 	}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -49,6 +49,7 @@
 	if r.upstream.runs[r.id] != r {
 		return
 	}
+	p.placementDue = true
 	delete(r.upstream.runs, r.id)
 	if p.runByTask[r.id.Task] == r {
 		delete(p.runByTask, r.id.Task)
