Move runs away from upstreams that leave before these runs can end

The entry of a draining upstream says how long it stays at least (RemainingMs). It is decoded and validated, kept as the earliest time at which the upstream may leave, passed between instances, and used by the pool: a run whose task is expected to end sooner elsewhere is stopped and started there. Rule schedule.Policy.MoveLeaving, counter runs_moved_leaving, reason 'leaving' of task_stopped. Two directory tests call MarkDraining with its new type.

--- a/cli/lab.go
+++ b/cli/lab.go
@@ -32,6 +32,7 @@
 			&cli.DurationFlag{Name: "views", Usage: "interval at which owners report their load to coordinators; 0 is that of the product"},
 			&cli.FloatFlag{Name: "shift", Usage: "share of the first zone's jobs that are sent to the second zone in the peak period"},
 			&cli.FloatFlag{Name: "added", Usage: "share of each zone's upstreams that are added only in the peak period"},
+			&cli.DurationFlag{Name: "notice", Usage: "how long leaving upstreams say that they stay; 0 is 1.8s"},
 			&cli.StringSliceFlag{Name: "without", Usage: "also run without these `RULES`, separated by +; may be repeated"},
 			&cli.BoolFlag{Name: "ablate", Usage: "also run without each single rule"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
@@ -48,7 +49,7 @@
 func runLab(_ context.Context, c *cli.Command) error {
 	setup := lab.Setup{
 		Load: c.Float("load"), Fault: lab.Fault(c.String("trouble")), FaultShare: c.Float("share"), MaxResubmissions: c.Int("returns"), Zones: c.Int("zones"), TaskSize: c.Float("size"),
-		CoordinatorsPerZone: c.Int("coordinators"), LoadReportInterval: c.Duration("views"), ShiftedShare: c.Float("shift"), AddedShare: c.Float("added"),
+		CoordinatorsPerZone: c.Int("coordinators"), LoadReportInterval: c.Duration("views"), ShiftedShare: c.Float("shift"), AddedShare: c.Float("added"), Notice: c.Duration("notice"),
 	}
 	switch {
 	case c.Int("seeds") < 1:
@@ -61,6 +62,8 @@
 		return failure.Field(failure.InvalidInput, "coordinators", "must lie between 1 and %d", lab.MaxCoordinators)
 	case setup.LoadReportInterval < 0:
 		return failure.Field(failure.InvalidInput, "views", "must not be negative")
+	case setup.Notice < 0:
+		return failure.Field(failure.InvalidInput, "notice", "must not be negative")
 	case setup.ShiftedShare < 0 || setup.ShiftedShare > 1:
 		return failure.Field(failure.InvalidInput, "shift", "must lie between 0 and 1")
 	case setup.AddedShare < 0 || setup.AddedShare >= 1:
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -36,17 +36,17 @@
 type Directory struct {
 	mu                sync.Mutex // guards the fields below
 	upstreams         map[string]fleet.Upstream
-	synced            bool                                    // result of Synced
-	drainingSince     map[fleet.UpstreamIncarnation]time.Time // when this instance first learned that an upstream is draining
-	capacityChangedAt map[fleet.UpstreamIncarnation]time.Time // when this instance last learned of a change of an upstream's capacity
-	hasStartTimes     bool                                    // any entry so far contained the start time of its upstream
-	services          map[string]bool                         // services named in the configuration; nil means any service
+	synced            bool                                     // result of Synced
+	drains            map[fleet.UpstreamIncarnation]drainState // of the upstreams that are draining
+	capacityChangedAt map[fleet.UpstreamIncarnation]time.Time  // when this instance last learned of a change of an upstream's capacity
+	hasStartTimes     bool                                     // any entry so far contained the start time of its upstream
+	services          map[string]bool                          // services named in the configuration; nil means any service
 	zones             zoneTable
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{upstreams: map[string]fleet.Upstream{}, drainingSince: map[fleet.UpstreamIncarnation]time.Time{}, capacityChangedAt: map[fleet.UpstreamIncarnation]time.Time{}, zones: zoneTable{byName: map[string]zoneEntry{}}}
+	return &Directory{upstreams: map[string]fleet.Upstream{}, drains: map[fleet.UpstreamIncarnation]drainState{}, capacityChangedAt: map[fleet.UpstreamIncarnation]time.Time{}, zones: zoneTable{byName: map[string]zoneEntry{}}}
 }
 
 // Replace applies a complete list of upstreams. It removes those that are not in the list, and
@@ -83,7 +83,10 @@
 		case e.Invalid:
 			d.markClosed(e.ID)
 		case d.upsert(now, e.Upstream):
-			if e.Upstream.Draining && d.noteDraining(now, e.Upstream.Incarnation()) {
+			if !e.Upstream.Draining {
+				continue
+			}
+			if added, _ := d.noteDrain(now, Drain{e.Upstream.Incarnation(), leavingTime(now, e.Upstream.RemainingTime)}); added {
 				draining = append(draining, e.Upstream.Incarnation())
 			}
 		}
@@ -110,14 +113,15 @@
 			d.capacityChangedAt[u.Incarnation()] = now
 		}
 	}
+	u.RemainingTime = 0 // it counts from the reading of the entry; from now on, drains has the time
 	d.upstreams[u.ID] = u
 	return true
 }
 
-// dropTimes deletes the entries of an incarnation in drainingSince and capacityChangedAt. The
+// dropTimes deletes the entries of an incarnation in drains and capacityChangedAt. The
 // caller must hold d.mu.
 func (d *Directory) dropTimes(incarnation fleet.UpstreamIncarnation) {
-	delete(d.drainingSince, incarnation)
+	delete(d.drains, incarnation)
 	delete(d.capacityChangedAt, incarnation)
 }
 
@@ -142,16 +146,6 @@
 	}
 }
 
-// noteDraining records that an upstream is draining, and returns whether this is new. The
-// caller must hold d.mu.
-func (d *Directory) noteDraining(now time.Time, incarnation fleet.UpstreamIncarnation) bool {
-	if _, found := d.drainingSince[incarnation]; found {
-		return false
-	}
-	d.drainingSince[incarnation] = now
-	return true
-}
-
 // Merge applies the upstreams that a peer has read from the platform's list, except those of
 // which a newer entry is stored already. Unlike Replace it removes none. The directory counts
 // as synced afterwards. Merge returns the upstreams that are draining and were not known to be
@@ -163,23 +157,6 @@
 	return d.apply(now, lo.Map(list, func(u fleet.Upstream, _ int) Entry { return Entry{ID: u.ID, Upstream: u} }))
 }
 
-// MarkDraining records upstreams that a peer reports as draining, and returns those that were
-// not known to be draining before. Once an incarnation is draining, it stays so until it ends.
-func (d *Directory) MarkDraining(now time.Time, incarnations []fleet.UpstreamIncarnation) []fleet.UpstreamIncarnation {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return lo.Filter(incarnations, func(incarnation fleet.UpstreamIncarnation, _ int) bool { return d.noteDraining(now, incarnation) })
-}
-
-// DrainingSince returns the draining upstreams of which this instance learned after the time
-// since that they are draining.
-func (d *Directory) DrainingSince(since time.Time) []fleet.UpstreamIncarnation {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	recent := maps.Keys(lo.PickBy(d.drainingSince, func(_ fleet.UpstreamIncarnation, at time.Time) bool { return at.After(since) }))
-	return slices.SortedFunc(recent, fleet.CompareIncarnations)
-}
-
 // MarkUnsynced records that this instance no longer watches the list of upstreams, so that the
 // directory may be outdated.
 func (d *Directory) MarkUnsynced() {
@@ -263,14 +240,6 @@
 	return list
 }
 
-// withDraining returns u, with Draining set if its entry or any peer reports it as draining.
-// The caller must hold d.mu.
-func (d *Directory) withDraining(u fleet.Upstream) fleet.Upstream {
-	_, draining := d.drainingSince[u.Incarnation()]
-	u.Draining = u.Draining || draining
-	return u
-}
-
 // withStatus returns u, with Draining set as by withDraining, and with Closed set if its entry
 // is invalid or its availability zone is evacuated. The caller must hold d.mu.
 func (d *Directory) withStatus(u fleet.Upstream) fleet.Upstream {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -42,7 +42,7 @@
 			d.Replace(now, []Entry{entry("u1", "a"), entry("u2", "b"), {ID: "u3", Invalid: true}})
 		}, []string{"u1", "u2"}},
 		{"the invalid entry is replaced by a valid one", func() { d.Update(now, []Entry{entry("u3", "b")}) }, []string{"u1", "u2", "u3"}},
-		{"a peer reports an upstream as draining", func() { d.MarkDraining(now, []fleet.UpstreamIncarnation{{ID: "u2"}}) }, []string{"u1", "u3"}},
+		{"a peer reports an upstream as draining", func() { d.MarkDraining(now, []Drain{{Incarnation: fleet.UpstreamIncarnation{ID: "u2"}}}) }, []string{"u1", "u3"}},
 		{"the list still shows it as not draining", func() { d.Update(now, []Entry{entry("u2", "b")}) }, []string{"u1", "u3"}},
 		{"a zone is evacuated", func() { d.UpdateZones([]ZoneState{{"b", true, 10}}) }, []string{"u1"}},
 		{"the service is not configured", func() { d.SetServices([]string{"other"}) }, []string{}},
--- a/directory/incarnations_test.go
+++ b/directory/incarnations_test.go
@@ -18,7 +18,7 @@
 		return []Entry{{ID: "u", Upstream: fleet.Upstream{ID: "u", Service: "s", Zone: "a", StartedUnixMs: started, Sequence: sequence, Draining: draining}}}
 	}
 	markDraining := func(started int64) {
-		d.MarkDraining(now, []fleet.UpstreamIncarnation{{ID: "u", StartedUnixMs: started}})
+		d.MarkDraining(now, []Drain{{Incarnation: fleet.UpstreamIncarnation{ID: "u", StartedUnixMs: started}}})
 	}
 	for _, step := range []struct {
 		name      string
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"strings"
+	"time"
 )
 
 // UpstreamIncarnation identifies one execution of an upstream process, from its start to
@@ -27,6 +28,12 @@
 	Zone          string
 	Rack          string // "" if the platform does not report it
 	Draining      bool   // it is shutting down for good and gets no new tasks
+	// RemainingTime is set in an entry that has just been read, and only if the upstream is
+	// draining: it stays at least that long from then on. LeavesAt is that time on package
+	// clock, as kept by package directory. When the upstream leaves, its runs end. Zero values
+	// mean that the time is not known.
+	RemainingTime time.Duration
+	LeavesAt      time.Time
 	// Closed is set while no new tasks may start on the upstream because its availability
 	// zone is evacuated or its entry is invalid. Unlike Draining it may be reset.
 	Closed bool
--- a/lab/deployment.go
+++ b/lab/deployment.go
@@ -33,11 +33,12 @@
 	StalledUpstreams     Fault = "stalled"    // tasks on some upstreams make no progress
 	UnansweredCalls      Fault = "unanswered" // a share of the calls to every upstream is executed late and gets no response
 	PartitionedUpstreams Fault = "cut"        // some upstreams are unreachable
+	LeavingUpstreams     Fault = "leaving"    // some upstreams drain and leave after Setup.Notice; MixedFaults does not select it
 	MixedFaults          Fault = "mixed"
 )
 
 // Faults lists all kinds of faults.
-var Faults = []Fault{NoFault, FailingUpstreams, SlowUpstreams, StalledUpstreams, UnansweredCalls, PartitionedUpstreams, MixedFaults}
+var Faults = []Fault{NoFault, FailingUpstreams, SlowUpstreams, StalledUpstreams, UnansweredCalls, PartitionedUpstreams, LeavingUpstreams, MixedFaults}
 
 // Setup holds the parameters with which deployments are generated.
 type Setup struct {
@@ -73,6 +74,9 @@
 	// AddedShare is the share of each zone's upstreams that are missing at first and added at
 	// faultStart.
 	AddedShare float64
+	// Notice is how long leaving upstreams say that they stay (LeavingUpstreams); 0 means
+	// defaultNotice.
+	Notice time.Duration
 }
 
 // The workload of all deployments starts with a base load, continues with a peak period, and
@@ -85,6 +89,7 @@
 	baseLoad       = 0.7 // share of the usable capacity, as Setup.Load
 	faultStart     = 4500 * time.Millisecond
 	faultEnd       = 10 * time.Second
+	defaultNotice  = 1800 * time.Millisecond
 	minLoad        = 0.5
 	maxLoad        = 2.0
 	taskSigma      = 0.15 // sigma of the lognormal distribution of the task durations within a job
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -119,6 +119,9 @@
 	}
 	sim.AfterFunc(time.Second+faultStart, func() { sim.setFault(true) })
 	sim.AfterFunc(time.Second+faultStart, sim.addUpstreams)
+	if d.fault == LeavingUpstreams {
+		sim.AfterFunc(time.Second+faultStart, sim.drainFaulty)
+	}
 	sim.AfterFunc(time.Second+faultEnd, func() { sim.setFault(false) })
 	sim.Run(start.Add(time.Second + workloadLength + customerTimeout + time.Duration(d.setup.MaxResubmissions)*maxResubmitDelay))
 	return sim
@@ -173,6 +176,26 @@
 	}
 }
 
+// drainFaulty drains the upstreams that the fault affects, and makes them leave for good when the
+// time has passed that they say they stay.
+func (sim *simulation) drainFaulty() {
+	notice := cmp.Or(sim.deployment.setup.Notice, defaultNotice)
+	for i := range sim.deployment.upstreams {
+		if !sim.deployment.isFaulty(i) {
+			continue
+		}
+		u := &sim.deployment.upstreams[i]
+		u.Draining, u.LeavesAt = true, sim.Now().Add(notice)
+		left := sim.upstreams[u.ID]
+		sim.AfterFunc(notice, func() {
+			left.Crash(2 * workloadLength)
+		})
+	}
+	for _, g := range sim.groups {
+		g.setUpstreams(true)
+	}
+}
+
 // isFaulty reports whether the fault affects the upstream with the given index. The affected
 // upstreams are spread evenly over the zones. UnansweredCalls affects some calls to every
 // upstream, so no single upstream counts as faulty.
--- a/node/convert.go
+++ b/node/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -30,9 +31,18 @@
 	return lo.Map(list, func(v int, _ int) uint32 { return uint32(v) })
 }
 
-func incarnationsToProto(incarnations []fleet.UpstreamIncarnation) []*inner.UpstreamLife {
-	return lo.Map(incarnations, func(l fleet.UpstreamIncarnation, _ int) *inner.UpstreamLife {
-		return &inner.UpstreamLife{Id: l.ID, Born: l.StartedUnixMs}
+// remainingToProto returns the time in milliseconds from now until an upstream leaves, rounded
+// down, or 0 if the time is not known. It returns 1 if the time has passed.
+func remainingToProto(now, leavesAt time.Time) uint32 {
+	if leavesAt.IsZero() {
+		return 0
+	}
+	return uint32(min(max(leavesAt.Sub(now).Milliseconds(), 1), math.MaxUint32))
+}
+
+func drainsToProto(now time.Time, drains []directory.Drain) []*inner.UpstreamLife {
+	return lo.Map(drains, func(d directory.Drain, _ int) *inner.UpstreamLife {
+		return &inner.UpstreamLife{Id: d.Incarnation.ID, Born: d.Incarnation.StartedUnixMs, RemainingMs: remainingToProto(now, d.LeavesAt)}
 	})
 }
 
@@ -58,10 +68,10 @@
 	return lo.Map(list, func(r *inner.UpstreamRoom, _ int) directory.CapacityReport { return capacityReportFromProto(r) })
 }
 
-func upstreamToProto(u fleet.Upstream) *inner.Upstream {
+func upstreamToProto(now time.Time, u fleet.Upstream) *inner.Upstream {
 	return &inner.Upstream{
 		Room:    capacityReportToProto(directory.CapacityReport{Incarnation: u.Incarnation(), Sequence: u.Sequence, Capacity: u.Capacity}),
-		Service: u.Service, Address: u.Address, Zone: u.Zone, Rack: u.Rack, Draining: u.Draining,
+		Service: u.Service, Address: u.Address, Zone: u.Zone, Rack: u.Rack, Draining: u.Draining, RemainingMs: remainingToProto(now, u.LeavesAt),
 		LargestMilliCpu: u.LargestCapacity.MilliCPU, LargestMemoryMb: u.LargestCapacity.MemoryMB, LargestGpus: u.LargestCapacity.GPUs,
 	}
 }
@@ -70,14 +80,18 @@
 	report := capacityReportFromProto(m.GetRoom())
 	return fleet.Upstream{
 		ID: report.Incarnation.ID, StartedUnixMs: report.Incarnation.StartedUnixMs, Sequence: report.Sequence, Capacity: report.Capacity,
-		Service: m.GetService(), Address: m.GetAddress(), Zone: m.GetZone(), Rack: m.GetRack(), Draining: m.GetDraining(),
+		Service: m.GetService(), Address: m.GetAddress(), Zone: m.GetZone(), Rack: m.GetRack(), Draining: m.GetDraining(), RemainingTime: time.Duration(m.GetRemainingMs()) * time.Millisecond,
 		LargestCapacity: fleet.Resources{MilliCPU: m.GetLargestMilliCpu(), MemoryMB: m.GetLargestMemoryMb(), GPUs: m.GetLargestGpus()},
 	}
 }
 
-func incarnationsFromProto(list []*inner.UpstreamLife) []fleet.UpstreamIncarnation {
-	return lo.Map(list, func(l *inner.UpstreamLife, _ int) fleet.UpstreamIncarnation {
-		return fleet.UpstreamIncarnation{ID: l.GetId(), StartedUnixMs: l.GetBorn()}
+func drainsFromProto(now time.Time, list []*inner.UpstreamLife) []directory.Drain {
+	return lo.Map(list, func(l *inner.UpstreamLife, _ int) directory.Drain {
+		d := directory.Drain{Incarnation: fleet.UpstreamIncarnation{ID: l.GetId(), StartedUnixMs: l.GetBorn()}}
+		if remaining := l.GetRemainingMs(); remaining > 0 {
+			d.LeavesAt = now.Add(time.Duration(remaining) * time.Millisecond)
+		}
+		return d
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -385,6 +385,9 @@
 // DecisionMade implements owner.Observer.
 func (n *Node) DecisionMade(group string, token uint64, d schedule.Decision) {
 	n.decisions.record(group, token, d)
+	if d.Kind == schedule.DecidedStop && d.Reason == schedule.ReasonLeaving {
+		n.metrics.Add("runs_moved_leaving", 1)
+	}
 }
 
 // CallEnded implements owner.Observer.
--- a/node/peers.go
+++ b/node/peers.go
@@ -72,7 +72,7 @@
 	}
 	n.mu.Unlock()
 	p.ClockMs = n.clockMs()
-	p.Draining = incarnationsToProto(n.directory.DrainingSince(clock.Now().Add(-recentChangePeriod)))
+	p.Draining = drainsToProto(clock.Now(), n.directory.DrainingSince(clock.Now().Add(-recentChangePeriod)))
 	p.Rooms = capacityReportsToProto(n.directory.CapacityReportsSince(clock.Now().Add(-recentChangePeriod)))
 	n.addZoneStates(p)
 	if c := n.config.Load(); c != nil {
@@ -255,7 +255,7 @@
 		}
 	}
 	n.mu.Unlock()
-	draining := n.directory.MarkDraining(clock.Now(), incarnationsFromProto(p.GetDraining()))
+	draining, leavesEarlier := n.directory.MarkDraining(clock.Now(), drainsFromProto(clock.Now(), p.GetDraining()))
 	n.logDrains(draining, from.Instance())
 	resized := n.directory.ApplyCapacityReports(clock.Now(), capacityReportsFromProto(p.GetRooms()))
 	n.applyPeerZones(from.Instance(), p)
@@ -268,7 +268,7 @@
 		// reply uses the open connection, because opening one to the peer may take long.
 		n.replyWithHeartbeat(conn, from.Instance())
 	}
-	if len(draining) > 0 || resized {
+	if len(draining) > 0 || leavesEarlier || resized {
 		n.updateGroups()
 	}
 	n.handleConfigVersion(conn, p.GetConfigVersion())
--- a/node/upstreamrequest.go
+++ b/node/upstreamrequest.go
@@ -79,6 +79,6 @@
 	}
 	list := n.directory.ListForPeer(func(u fleet.Upstream) bool { return u.Zone == zone })
 	reply(&inner.Frame{Body: &inner.Frame_UpstreamsReply{UpstreamsReply: &inner.UpstreamsReply{
-		Upstreams: lo.Map(list, func(u fleet.Upstream, _ int) *inner.Upstream { return upstreamToProto(u) }),
+		Upstreams: lo.Map(list, func(u fleet.Upstream, _ int) *inner.Upstream { return upstreamToProto(clock.Now(), u) }),
 	}}})
 }
--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -41,6 +41,7 @@
 	mayResize       bool                   // as in modelCase
 	mayCrash        bool                   // as in modelCase
 	crashesByTask   map[fleet.TaskRef]int  // has an entry for each task that crashes upstreams: how many it has crashed under the current pool
+	mayLeave        bool                   // as in modelCase
 	evacuated       bool                   // all upstreams are closed
 }
 
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -57,6 +57,9 @@
 		if w.evacuated {
 			w.t.Fatalf("start during an evacuation: %v starts on %s, which is closed", s.Order.Run, s.Upstream.ID)
 		}
+		if s.Upstream.Draining {
+			w.t.Fatalf("start on a draining upstream: %v starts on %s", s.Order.Run, s.Upstream.ID)
+		}
 		w.sendStart(s)
 	}
 	for _, s := range e.Stops {
@@ -200,6 +203,35 @@
 	w.AfterFunc(downtime+w.RandMillis(0, 1500), w.listUpstreams)
 }
 
+// Limits of the time that a draining upstream stays, in milliseconds. It leaves later than its
+// entry says by at most maxOverstayMillis.
+const (
+	minNoticeMillis   = 20
+	maxNoticeMillis   = 900
+	maxOverstayMillis = 300
+)
+
+// leave makes an upstream drain. Three in four say when they leave. Then the upstream leaves, and
+// starts again under the same ID after a while.
+func (w *testCluster) leave(u *standin.SimulatedUpstream) {
+	if u.Upstream.Draining {
+		return
+	}
+	notice := w.RandMillis(minNoticeMillis, maxNoticeMillis)
+	u.Upstream.Draining = true
+	if w.Rand.IntN(4) > 0 {
+		u.Upstream.LeavesAt = w.Now().Add(notice)
+	}
+	w.listUpstreams()
+	started := u.StartedUnixMs
+	w.AfterFunc(notice+w.RandMillis(0, maxOverstayMillis), func() {
+		if u.StartedUnixMs == started {
+			w.restart(u)
+		}
+		u.Upstream.Draining, u.Upstream.LeavesAt = false, time.Time{}
+	})
+}
+
 // maxEntryDelayMillis is the longest time from a change of an upstream's capacity to the update
 // of its entry, in milliseconds. It is long enough for the pool to order runs in the meantime,
 // which then rely on the former capacity.
@@ -286,6 +318,7 @@
 			lateShare: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late"),
 			steps:     rapid.IntRange(20, 80).Draw(t, "jobs"), mayEvacuate: rapid.Bool().Draw(t, "evacuates"),
 			mayRestart: rapid.Bool().Draw(t, "restarts"), mayResize: rapid.Bool().Draw(t, "resizes"), mayCrash: rapid.Bool().Draw(t, "crashes"),
+			mayLeave: rapid.Bool().Draw(t, "leaves"),
 		}.run(t)
 	})
 }
@@ -314,11 +347,12 @@
 	// mayResize lets the capacity of upstreams change. mayCrash makes some tasks crash every
 	// upstream that starts them.
 	mayResize, mayCrash bool
+	mayLeave            bool // upstreams drain, most of them saying how long they stay, and leave
 }
 
 func (c modelCase) run(t failer) {
 	w := newTestCluster(t, c.seed)
-	w.mayEvacuate, w.mayRestart, w.mayResize, w.mayCrash = c.mayEvacuate, c.mayRestart, c.mayResize, c.mayCrash
+	w.mayEvacuate, w.mayRestart, w.mayResize, w.mayCrash, w.mayLeave = c.mayEvacuate, c.mayRestart, c.mayResize, c.mayCrash, c.mayLeave
 	w.takeOver()
 	w.Run(startTime.Add(300 * time.Millisecond))
 	w.setFaults(c.lossShare, c.lateShare)
@@ -376,6 +410,12 @@
 			break
 		}
 		w.offerJob(i)
+	case 9:
+		if w.mayLeave {
+			w.leave(u)
+			break
+		}
+		w.offerJob(i)
 	case 4:
 		if key, found := w.drawOpenJob(); found {
 			delete(w.openJobs, key)
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -44,11 +44,14 @@
 	LookOverdue bool
 	// LearnSpeed avoids upstreams on which tasks take longer than on the others.
 	LearnSpeed bool
+	// MoveLeaving stops runs on upstreams that leave before these runs can end, and starts
+	// their tasks on other upstreams, if they are expected to end sooner there.
+	MoveLeaving bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
 var DefaultPolicy = Policy{
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
-	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true,
+	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, MoveLeaving: true,
 }
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -134,6 +134,7 @@
 			ID: fields[0], Service: "s", Capacity: fleet.Resources{MilliCPU: int64(parseInt(t, fields[1]))}, LargestCapacity: s.largestCapacity(fields[0], int64(parseInt(t, fields[1]))),
 			Draining: slices.Contains(fields[2:], "draining"), Closed: slices.Contains(fields[2:], "closed"),
 			StartedUnixMs: int64(parseInt(t, fieldValue(fields[2:], "born", "0"))), Rack: fieldValue(fields[2:], "rack", ""),
+			LeavesAt: s.leavingTime(t, fieldValue(fields[2:], "leaves", "")),
 		})
 	}
 	return list
@@ -149,6 +150,14 @@
 	return now
 }
 
+// leavingTime returns the time after the given duration from now, or the zero time without one.
+func (s *scenario) leavingTime(t *testing.T, after string) time.Time {
+	if after == "" {
+		return time.Time{}
+	}
+	return s.now.Add(parseDuration(t, after))
+}
+
 // fieldValue returns the value of the field key=value, or fallback if there is none.
 func fieldValue(fields []string, key, fallback string) string {
 	for _, f := range fields {
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -15,6 +15,7 @@
 		p.crashHistory.dropOld(now)
 		p.abandonExpiredCoordinators()
 		p.checkRenewals()
+		p.moveLeaving()
 		p.placeWaiting()
 		p.returnClosed()
 		p.returnUnblocked()
