--- a/node/log.go
+++ b/node/log.go
@@ -150,6 +150,14 @@
 	return append(attrs, slog.Int("one_of", sample), slog.Bool(logging.RoutineKey, true))
 }
 
+// DecisionMade implements owner.Observer.
+func (n *Node) DecisionMade(group string, token uint64, d schedule.Decision) {
+	n.decisions.record(group, token, d)
+	if d.Kind == schedule.DecidedStop && d.Reason == schedule.ReasonLeaving {
+		n.metrics.Add("runs_moved_leaving", 1)
+	}
+}
+
 // logResponse logs the response to a customer. Of the jobs that were completed in time it
 // logs one in sampleInterval.
 func (n *Node) logResponse(r ingress.Record) {
--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -207,3 +207,32 @@
 		u.LossShare, u.LateShare = lossShare, lateShare
 	}
 }
+
+// Limits of the time that a draining upstream stays, in milliseconds. It leaves later than its
+// entry says by at most maxOverstayMillis.
+const (
+	minNoticeMillis   = 20
+	maxNoticeMillis   = 900
+	maxOverstayMillis = 300
+)
+
+// leave makes an upstream drain. Three in four say when they leave. Then the upstream leaves, and
+// starts again under the same ID after a while.
+func (w *testCluster) leave(u *standin.SimulatedUpstream) {
+	if u.Upstream.Draining {
+		return
+	}
+	notice := w.RandMillis(minNoticeMillis, maxNoticeMillis)
+	u.Upstream.Draining = true
+	if w.Rand.IntN(4) > 0 {
+		u.Upstream.LeavesAt = w.Now().Add(notice)
+	}
+	w.listUpstreams()
+	started := u.StartedUnixMs
+	w.AfterFunc(notice+w.RandMillis(0, maxOverstayMillis), func() {
+		if u.StartedUnixMs == started {
+			w.restart(u)
+		}
+		u.Upstream.Draining, u.Upstream.LeavesAt = false, time.Time{}
+	})
+}
