--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -47,11 +47,14 @@
 	// PlaceWhenDue looks for room for waiting tasks only at ticks and after inputs that may
 	// have made any. Without it, every input does.
 	PlaceWhenDue bool
+	// MoveLeaving stops runs on upstreams that leave before these runs can end, and starts
+	// their tasks on other upstreams, if they are expected to end sooner there.
+	MoveLeaving bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
 var DefaultPolicy = Policy{
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
-	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, PlaceWhenDue: true,
+	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, PlaceWhenDue: true, MoveLeaving: true,
 }
