Cheaper loads and a cheaper order of the queue

The load of a group goes out with each result: it went through all runs for their mean demand and took two exponentials an upstream. The sum of demands is kept, and an upstream whose last estimate is not slow is not looked at closer, since estimates only decay. The order of the queue compares times that are computed once a job instead of once a comparison.

--- a/schedule/load.go
+++ b/schedule/load.go
@@ -47,13 +47,7 @@
 // meanTaskMilliCPU returns the mean CPU demand, in thousandths of a core, of the tracked
 // runs and the queued jobs.
 func (p *Pool) meanTaskMilliCPU() int64 {
-	total, n := int64(0), int64(0)
-	for _, r := range p.runByTask {
-		if !r.fromFormerOwner {
-			total += r.demand.MilliCPU
-			n++
-		}
-	}
+	total, n := p.runDemands.milliCPU, p.runDemands.runs
 	for _, j := range p.queue {
 		total += j.Demand.MilliCPU
 		n++
@@ -63,3 +57,13 @@
 	}
 	return total / n
 }
+
+// demandSum is the sum of the CPU demands of runs, in thousandths of a core.
+type demandSum struct{ milliCPU, runs int64 }
+
+func (s *demandSum) add(r *run, sign int64) {
+	if !r.fromFormerOwner {
+		s.milliCPU += sign * r.demand.MilliCPU
+		s.runs += sign
+	}
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -84,20 +84,29 @@
 // even so, because their objectives are the shortest.
 func (p *Pool) sortQueue() {
 	policy := p.cfg.Policy
+	for _, j := range p.queue {
+		j.sortKey = queueKey{hasBegun: j.hasBegun(), latestStart: j.latestStart()}
+	}
 	slices.SortStableFunc(p.queue, func(a, b *job) int {
 		switch {
-		case policy.BegunFirst && a.hasBegun() != b.hasBegun() && a.hasBegun():
+		case policy.BegunFirst && a.sortKey.hasBegun != b.sortKey.hasBegun && a.sortKey.hasBegun:
 			return -1
-		case policy.BegunFirst && a.hasBegun() != b.hasBegun():
+		case policy.BegunFirst && a.sortKey.hasBegun != b.sortKey.hasBegun:
 			return 1
 		case !policy.EarliestFirst:
 			return a.offeredAt.Compare(b.offeredAt)
 		default:
-			return cmp.Or(a.latestStart().Compare(b.latestStart()), cmp.Compare(a.Priority, b.Priority))
+			return cmp.Or(a.sortKey.latestStart.Compare(b.sortKey.latestStart), cmp.Compare(a.Priority, b.Priority))
 		}
 	})
 }
 
+// queueKey holds what the order of the queue depends on, as of the last sortQueue.
+type queueKey struct {
+	hasBegun    bool
+	latestStart time.Time
+}
+
 // hasBegun reports whether a run of one of the job's tasks has been ordered, in this pool or
 // another, or may have been: a blocked task may have a run from an earlier submission.
 func (j *job) hasBegun() bool { return j.begun || j.Begun || j.blockedTasks > 0 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -20,6 +20,7 @@
 	jobs            map[JobKey]*job
 	jobsByID        map[string][]*job
 	runByTask       map[fleet.TaskRef]*run
+	runDemands      demandSum // of the runs in runByTask
 	// coordinatorLeases has an entry for each coordinator that needs a lease and has
 	// jobs in the pool.
 	coordinatorLeases map[string]*coordinatorLease
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -35,7 +35,11 @@
 // blocked until that run is over.
 func (p *Pool) trackRun(r *run) {
 	r.upstream.runs[r.id] = r
+	if replaced := p.runByTask[r.id.Task]; replaced != nil {
+		p.runDemands.add(replaced, -1)
+	}
 	p.runByTask[r.id.Task] = r
+	p.runDemands.add(r, 1)
 	r.upstream.used = r.upstream.used.Plus(r.demand)
 	if r.fromFormerOwner {
 		r.upstream.formerOwnerRuns++
@@ -53,6 +57,7 @@
 	delete(r.upstream.runs, r.id)
 	if p.runByTask[r.id.Task] == r {
 		delete(p.runByTask, r.id.Task)
+		p.runDemands.add(r, -1)
 		p.unblockTasks(r.id.Task)
 	}
 	r.upstream.used = r.upstream.used.Minus(r.demand)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -348,6 +348,7 @@
 	failureChargedTo     *upstream           // where a task failed first; nil before that, and once a task failed on another upstream too
 	history              map[int]TaskHistory // of tasks that were returned after they had runs
 	done                 []int
+	sortKey              queueKey
 }
 
 type upstream struct {
--- a/schedule/slowdown.go
+++ b/schedule/slowdown.go
@@ -27,6 +27,9 @@
 	minSlowdownFactor = 1.6
 )
 
+// minSlowdownLog is slightly below the logarithm of minSlowdownFactor.
+const minSlowdownLog = 0.47
+
 // logAt returns the logarithm of the slowdown, decayed from updatedAt to the time at.
 func (s *slowdown) logAt(at time.Time) float64 {
 	if s.updatedAt.IsZero() {
@@ -58,7 +61,7 @@
 // slowdownFactor returns how many times longer tasks take on an upstream than on the others of
 // the pool. It returns 1 for an upstream that does not count as slow.
 func (p *Pool) slowdownFactor(u *upstream) float64 {
-	if !p.cfg.Policy.LearnSpeed {
+	if !p.cfg.Policy.LearnSpeed || u.slowdown.log < minSlowdownLog { // the estimate only decays towards 0
 		return 1
 	}
 	if factor := math.Exp(u.slowdown.logAt(p.now)); factor >= minSlowdownFactor {
