--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -52,6 +53,13 @@
 	// tasks of the job.
 	Owners    int
 	OwnersAge time.Duration // age of the oldest load report used for that choice
+	// RejectedAtOnce is set if the job was rejected without any offer, because the waits that
+	// the owners had reported showed that it would be late.
+	RejectedAtOnce bool
+	// Probe is set if the job was offered although these waits showed that it would be late.
+	Probe bool
+	// Waits are the estimated waits for which the job was rejected or offered as a probe.
+	Waits string
 }
 
 // Request is one submission of a job by a customer, with the route that it matches.
@@ -98,6 +106,7 @@
 	owners     Owners
 	clock      Clock
 	policy     Policy
+	queues     queueChooser
 	retries    retryPlan
 	offersMade atomic.Uint32 // offers made so far by all jobs; also the number of the newest offer
 	// sendsInFlight counts the goroutines that have decided to make or withdraw an offer, but
@@ -115,13 +124,13 @@
 
 // NewCoordinator returns a Coordinator for an instance in the given zone.
 func NewCoordinator(zone string, owners Owners) *Coordinator {
-	return NewSimulatedCoordinator(zone, owners, systemClock{}, DefaultPolicy)
+	return NewSimulatedCoordinator(zone, owners, systemClock{}, DefaultPolicy, rand.Float64)
 }
 
-// NewSimulatedCoordinator is like NewCoordinator, but uses the given clock and policy instead
-// of the system's clock and DefaultPolicy.
-func NewSimulatedCoordinator(zone string, owners Owners, clock Clock, policy Policy) *Coordinator {
-	c := &Coordinator{zone: zone, owners: owners, clock: clock, policy: policy}
+// NewSimulatedCoordinator is like NewCoordinator, but uses the given clock, policy and source of
+// random numbers instead of the system's clock, DefaultPolicy and rand.Float64.
+func NewSimulatedCoordinator(zone string, owners Owners, clock Clock, policy Policy, random func() float64) *Coordinator {
+	c := &Coordinator{zone: zone, owners: owners, clock: clock, policy: policy, queues: queueChooser{policy: policy, zone: zone, random: random}}
 	for i := range c.shards {
 		c.shards[i].jobs = map[string]*openJob{}
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -279,7 +279,7 @@
 	c := NewSimulatedCoordinator("a", &fakeOwners{loads: closed, offer: func(group string, _ schedule.Offer, _ owner.OfferCallbacks) error {
 		t.Errorf("the job was offered to %s", group)
 		return nil
-	}}, stoppedClock{}, DefaultPolicy)
+	}}, stoppedClock{}, DefaultPolicy, alwaysHalf)
 	var responses []Response
 	c.Start(newRequest(2), func(r Response) { responses = append(responses, r) })
 	if len(responses) != 1 || responses[0].Verdict != NotRun || responses[0].RetryAfter != closedRetryAfter {
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -67,6 +67,7 @@
 		Verdict: v, Reason: reason, Begun: j.begun, Offers: j.offerCount, Groups: strings.Join(j.search.offered, ","),
 		RetryAfter: j.coordinator.retryAfter(v, j.search.outcome(j.begun)), Owners: j.search.ownerCount, OwnersAge: j.search.loadAge,
 	}
+	j.recordSearch()
 	toWithdraw := lo.Filter(slices.Collect(maps.Values(j.offers)), func(o *openOffer, _ int) bool { return o.sent })
 	slices.SortFunc(toWithdraw, func(a, b *openOffer) int { return a.number - b.number })
 	j.coordinator.sendsInFlight.Add(1)
@@ -82,6 +83,14 @@
 	}
 }
 
+// recordSearch adds to the response what the reported waits showed, and records whether the job
+// was served. The lock must be held.
+func (j *openJob) recordSearch() {
+	s := &j.search
+	j.response.RejectedAtOnce, j.response.Probe, j.response.Waits = s.knownLate && j.offerCount == 0, s.probe, s.waits
+	j.coordinator.queues.recordVerdict(s, j.response.Verdict, j.coordinator.clock.Now())
+}
+
 func (j *openJob) withdraw(offer *openOffer) {
 	j.coordinator.owners.Withdraw(offer.group, schedule.JobKey{ID: j.Job.ID, Part: offer.number}, j.response.Reason)
 }
@@ -150,7 +159,12 @@
 	if j.coordinator.policy.BoundAsks && len(j.search.noCapacity) >= maxOwnersWithoutCapacity && !begun {
 		return Choice{}, false
 	}
-	return j.coordinator.policy.choose(loads, j.coordinator.zone, j.search.tried, len(j.unassigned), begun)
+	choice, found := j.coordinator.policy.choose(loads, j.coordinator.zone, j.search.tried, len(j.unassigned), begun)
+	if !found || !choice.MayQueue || begun {
+		return choice, found
+	}
+	now := j.coordinator.clock.Now()
+	return j.coordinator.queues.choose(&j.search, loads, newWaitingJob(&j.Request, len(j.unassigned), now.Sub(j.acceptedAt)), now)
 }
 
 // newOffer creates an offer of all unassigned tasks to the chosen group and records it as
@@ -209,6 +223,7 @@
 	otherOffersOpen := len(j.offers) > 0
 	begun := j.begun
 	outcome := j.search.outcome(begun)
+	knownLate := j.search.knownLate
 	j.search.allowRetries()
 	j.mu.Unlock()
 	switch {
@@ -218,6 +233,8 @@
 		return // the unassigned tasks are offered again when one of the open offers ends
 	case outcome == tooLarge:
 		j.settle(Failed, "no upstream is large enough")
+	case outcome == noCapacityInTime && knownLate:
+		j.settle(NotRun, "no room in time, by the owners' reports")
 	case outcome == noCapacityInTime:
 		j.settle(NotRun, "no room in time")
 	case outcome == allGroupsClosed && begun:
--- a/ingress/policy.go
+++ b/ingress/policy.go
@@ -13,7 +13,11 @@
 //     renewing it, the owner starts no more of these tasks and finally stops the running ones.
 package ingress
 
-import "time"
+import (
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/schedule"
+)
 
 // OwnerLoad is the last reported load of the owner of one group of upstreams.
 type OwnerLoad struct {
@@ -24,6 +28,14 @@
 	Capacity int64         // total capacity of the upstreams, in thousandths of a core
 	Closed   bool          // no task may start on any upstream of the group
 	Age      time.Duration // time since the owner reported the load
+	Waits    schedule.Waits
+	Offered  int // number of tasks that this instance has offered to the owner since the report
+}
+
+// AddOffered updates the load when tasks are offered to the owner after its report.
+func (l *OwnerLoad) AddOffered(tasks int) {
+	l.Free -= tasks
+	l.Offered += tasks
 }
 
 // Choice is the group whose owner receives the next offer of a job's unassigned tasks, and
@@ -65,6 +77,13 @@
 	// BoundAsks rejects a job once maxOwnersWithoutCapacity owners have returned it because
 	// they expect no free capacity in time. It is not offered to the remaining owners.
 	BoundAsks bool
+	// KnowWaits queues a job that has not begun in a group that would start it in time according
+	// to the waits that the owners report. It applies while the waits of all groups are known, and
+	// then replaces ShortestQueue.
+	KnowWaits bool
+	// RejectKnown rejects a job that has not begun once the reported waits of all groups show that
+	// it would be late, and does not offer it to groups that would start it late.
+	RejectKnown bool
 }
 
 // maxOwnersWithoutCapacity is how many owners must expect no free capacity in time before a
@@ -75,7 +94,7 @@
 const maxOwnersWithoutCapacity = 3
 
 // DefaultPolicy enables all rules.
-var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true, BoundAsks: true}
+var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true, BoundAsks: true, KnowWaits: true, RejectKnown: true}
 
 // choose picks an owner for the given number of tasks of a job whose coordinator is in the
 // given zone. Begun reports whether other tasks of the job may have begun, so that there is
--- a/ingress/retryplan_test.go
+++ b/ingress/retryplan_test.go
@@ -67,7 +67,7 @@
 // TestRetryAfter checks that retries are spread over time only after rejections for lack of
 // capacity, and that only rejected customers are told to retry.
 func TestRetryAfter(t *testing.T) {
-	c := NewSimulatedCoordinator("a", &fakeOwners{}, stoppedClock{}, DefaultPolicy)
+	c := NewSimulatedCoordinator("a", &fakeOwners{}, stoppedClock{}, DefaultPolicy, alwaysHalf)
 	for range 3 {
 		if after := c.retryAfter(NotRun, noneReachable); after != minRetryAfter {
 			t.Errorf("no owner reachable: retry after %v, want minRetryAfter each time", after)
--- a/ingress/search.go
+++ b/ingress/search.go
@@ -17,6 +17,7 @@
 	ownerCount  int             // number of loads passed to the last refresh
 	loadAge     time.Duration   // age of the oldest of these loads
 	allClosed   bool            // at the last refresh, no task could start in any group
+	queueSearch
 }
 
 // maxOfferedGroups limits ownerSearch.offered, and so the length of a log record.
@@ -52,7 +53,7 @@
 const (
 	noneReachable    searchOutcome = iota // no owner could be reached
 	tooLarge                              // no upstream is large enough for a task
-	noCapacityInTime                      // at least one owner expects no free capacity in time
+	noCapacityInTime                      // at least one owner expects no free capacity in time, or all reports show that
 	allGroupsClosed                       // no task may start on any upstream
 )
 
@@ -61,7 +62,7 @@
 // fitted on an upstream.
 func (s *ownerSearch) outcome(begun bool) searchOutcome {
 	switch {
-	case len(s.noCapacity) > 0:
+	case len(s.noCapacity) > 0 || s.knownLate:
 		return noCapacityInTime
 	case len(s.neverFits) > 0 && len(s.unreachable) == 0 && !begun:
 		return tooLarge
--- a/ingress/suspended_test.go
+++ b/ingress/suspended_test.go
@@ -210,7 +210,7 @@
 			machine := newSuspendedClock()
 			offers := make(chan owner.OfferCallbacks, 2)
 			f := &fakeOwners{loads: twoZoneLoads(), offer: func(_ string, _ schedule.Offer, cb owner.OfferCallbacks) error { offers <- cb; return nil }}
-			coordinator := NewSimulatedCoordinator("a", f, machine, DefaultPolicy)
+			coordinator := NewSimulatedCoordinator("a", f, machine, DefaultPolicy, alwaysHalf)
 			response := make(chan Response, 1)
 			r := newRequest(1)
 			r.Disconnected = func() bool { return false } // the operating system does not know better
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -85,7 +85,7 @@
 	}
 	for _, zone := range f.zones {
 		c := &simCoordinator{simProcess: simProcess{fleet: f, name: "c-" + zone}, links: map[*simOwner]*simLink{}, loads: map[string]OwnerLoad{}, lastHeartbeat: map[*simOwner]time.Time{}}
-		c.coordinator = NewSimulatedCoordinator(zone, c, &c.simProcess, DefaultPolicy)
+		c.coordinator = NewSimulatedCoordinator(zone, c, &c.simProcess, DefaultPolicy, f.Rand.Float64)
 		c.receiveLoads()
 		f.coordinators = append(f.coordinators, c)
 	}
--- /dev/null
+++ b/ingress/waits.go
@@ -0,0 +1,145 @@
+package ingress
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// This file estimates from the waits that owners report when a job could start in each group, and
+// learns how far such estimates can be relied on.
+
+const (
+	// maxWaitsAge is the maximum age of a report for its waits to be used. An owner reports every
+	// 100 or 250 ms, so that an older report means that at least one was lost or relayed slowly.
+	maxWaitsAge = 400 * time.Millisecond
+	// longestTaskFactor is the assumed ratio of the duration of a job's longest task to the
+	// estimate, as in package schedule.
+	longestTaskFactor = 1.1
+	// minAllowedWait is the least wait that a job is assumed to tolerate. It avoids ratios to
+	// waits that are shorter than the accuracy of the reports.
+	minAllowedWait = 10 * time.Millisecond
+	// remoteZoneWait is added to the wait in groups of other zones, because running a job there
+	// costs a round trip and traffic between zones.
+	remoteZoneWait = 5 * time.Millisecond
+	// unlimitedPressure is the pressure in a group that can never run the job in time.
+	unlimitedPressure = 100.0
+)
+
+// waitingJob describes a job whose tasks are to wait for capacity.
+type waitingJob struct {
+	route       string
+	tasks       int
+	milliCPU    int64         // CPU demand of a task, in thousandths of a core
+	allowedWait time.Duration // how long the start of the last task may be delayed
+}
+
+// newWaitingJob describes a job of which a number of tasks wait, after a time since it was
+// accepted.
+func newWaitingJob(r *Request, tasks int, age time.Duration) waitingJob {
+	step := r.Job.Steps[0]
+	timeLeft := min(r.Objective(), r.Timeout) - age
+	allowed := timeLeft - time.Duration(longestTaskFactor*float64(step.Estimate))
+	return waitingJob{route: r.Route.Name, tasks: tasks, milliCPU: step.Demand.MilliCPU, allowedWait: max(allowed, minAllowedWait)}
+}
+
+// groupWait is the estimated wait of a job in one group.
+type groupWait struct {
+	load  OwnerLoad
+	known bool // the group has reported its waits recently; otherwise the fields below are not set
+	wait  time.Duration
+	// pressure is wait as a share of the wait that the job allows. Above 1, the job would be late.
+	pressure float64
+}
+
+// estimateWaits returns the estimated wait of a job in each group, for a coordinator in the given
+// zone. It leaves out groups in which nothing can start.
+func estimateWaits(loads []OwnerLoad, zone string, j waitingJob) []groupWait {
+	var list []groupWait
+	for _, l := range loads {
+		if l.Capacity <= 0 || l.Closed {
+			continue
+		}
+		g := groupWait{load: l}
+		if wait, known := l.waitFor(j.tasks, j.milliCPU); known {
+			if l.Zone != zone {
+				wait += remoteZoneWait
+			}
+			g.known, g.wait = true, wait
+			g.pressure = min(wait.Seconds()/j.allowedWait.Seconds(), unlimitedPressure)
+		}
+		list = append(list, g)
+	}
+	return list
+}
+
+// waitFor returns the estimated time until the last of a number of tasks can start. It returns
+// false if the owner has not reported its waits recently. Since the report, the time that has
+// passed has shortened the wait, and the tasks offered to the owner have prolonged it.
+func (l *OwnerLoad) waitFor(tasks int, milliCPU int64) (time.Duration, bool) {
+	w := l.Waits
+	if w.Known == 0 || w.TaskMilliCPU <= 0 || l.Age > maxWaitsAge {
+		return 0, false
+	}
+	usualTasks := max(float64(tasks)*float64(milliCPU)/float64(w.TaskMilliCPU), 1) + float64(l.Offered)
+	return max(interpolate(w.Until[:w.Known], usualTasks)-l.Age, 0), true
+}
+
+// interpolate returns the wait for a number of tasks, given the waits for 1, 2, 4, 8 ... tasks.
+// Beyond the last of them, the wait grows as it does between the last two.
+func interpolate(until []time.Duration, tasks float64) time.Duration {
+	if len(until) == 1 {
+		return time.Duration(tasks * float64(until[0]))
+	}
+	position := math.Log2(max(tasks, 1))
+	i := min(int(position), len(until)-2)
+	low, high := float64(int(1)<<i), float64(int(2)<<i)
+	share := (tasks - low) / (high - low)
+	return until[i] + time.Duration(share*float64(until[i+1]-until[i]))
+}
+
+// leastPressure returns the group with the least pressure. All waits must be known, and the list
+// must not be empty.
+func leastPressure(list []groupWait) groupWait {
+	return slices.MinFunc(list, func(a, b groupWait) int { return cmp.Compare(a.pressure, b.pressure) })
+}
+
+// chooseQueue chooses the group in which a job waits. If several groups would start it in time, the
+// choice is random, and a group is the more likely the more tasks it could still take in time:
+// coordinators that know the same reports must not all choose the same group. Otherwise it is the
+// group with the least pressure. It returns false if the waits of a group are not known.
+func chooseQueue(list []groupWait, random func() float64) (string, bool) {
+	if len(list) == 0 || slices.ContainsFunc(list, func(g groupWait) bool { return !g.known }) {
+		return "", false
+	}
+	total := 0.0
+	for _, g := range list {
+		total += g.room()
+	}
+	if total == 0 {
+		return leastPressure(list).load.Group, true
+	}
+	point := random() * total
+	for _, g := range list {
+		if point -= g.room(); point < 0 {
+			return g.load.Group, true
+		}
+	}
+	return leastPressure(list).load.Group, true // only reached by rounding
+}
+
+// room returns the weight of a group in chooseQueue: its capacity for the time that the job could
+// wait longer than estimated.
+func (g *groupWait) room() float64 { return float64(g.load.Capacity) * max(1-g.pressure, 0) }
+
+// formatWaits formats estimated waits for the log, as GROUP=WAIT@AGE in milliseconds.
+func formatWaits(list []groupWait) string {
+	var parts []string
+	for _, g := range list[:min(len(list), maxOfferedGroups)] {
+		parts = append(parts, fmt.Sprintf("%s=%d@%d", g.load.Group, g.wait.Milliseconds(), g.load.Age.Milliseconds()))
+	}
+	return strings.Join(parts, ",")
+}
--- a/lab/instance.go
+++ b/lab/instance.go
@@ -19,7 +19,13 @@
 	zone          string
 	localGroup    *group // group whose owner is on this instance, or nil
 	coordinator   *ingress.Coordinator
-	reportedLoads map[string]ingress.OwnerLoad // by group
+	reportedLoads map[string]reportedLoad // by group
+}
+
+// reportedLoad is the load that an owner reported last.
+type reportedLoad struct {
+	ingress.OwnerLoad
+	at time.Time
 }
 
 // newInstances returns the instances of the zone of a group. The first one owns the group.
@@ -29,8 +35,8 @@
 		instances = append(instances, &instance{sim: sim, name: fmt.Sprintf("%s-%d", g.name, i), zone: g.name})
 	}
 	for _, n := range instances {
-		n.reportedLoads = map[string]ingress.OwnerLoad{}
-		n.coordinator = ingress.NewSimulatedCoordinator(n.zone, n, sim, p.Ingress)
+		n.reportedLoads = map[string]reportedLoad{}
+		n.coordinator = ingress.NewSimulatedCoordinator(n.zone, n, sim, p.Ingress, sim.choices.Float64)
 	}
 	return instances
 }
@@ -43,7 +49,7 @@
 		for _, instances := range sim.instances {
 			for _, n := range instances {
 				if (n.zone == g.name) == sameZone {
-					n.reportedLoads[g.name] = load
+					n.reportedLoads[g.name] = reportedLoad{load, sim.Now()}
 				}
 			}
 		}
@@ -52,7 +58,7 @@
 }
 
 func ownerLoad(zone string, l schedule.Load) ingress.OwnerLoad {
-	return ingress.OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
+	return ingress.OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed, Waits: l.Waits}
 }
 
 // Loads implements ingress.Owners.
@@ -62,7 +68,9 @@
 		if g == inst.localGroup {
 			list = append(list, ownerLoad(g.name, g.pool.Load(inst.sim.Now())))
 		} else {
-			list = append(list, inst.reportedLoads[g.name])
+			l := inst.reportedLoads[g.name]
+			l.Age = inst.sim.Now().Sub(l.at)
+			list = append(list, l.OwnerLoad)
 		}
 	}
 	return list
@@ -78,12 +86,12 @@
 		return nil
 	}
 	load := inst.reportedLoads[name]
-	load.Free -= len(o.Tasks)
+	load.AddOffered(len(o.Tasks))
 	inst.reportedLoads[name] = load
 	delayed := func(callback func(schedule.Result, schedule.Load)) func(schedule.Result, schedule.Load) {
 		return func(r schedule.Result, l schedule.Load) {
 			inst.sim.AfterFunc(messageLatency, func() {
-				inst.reportedLoads[name] = ownerLoad(name, l)
+				inst.reportedLoads[name] = reportedLoad{ownerLoad(name, l), inst.sim.Now()}
 				callback(r, l)
 			})
 		}
--- a/lab/metrics.go
+++ b/lab/metrics.go
@@ -30,6 +30,8 @@
 	Late                  float64 `json:"late"`              // jobs that completed after their objective
 	Refused               float64 `json:"refused"`           // jobs that were rejected before any task started
 	RefusedWithRoom       float64 `json:"refused_with_room"` // refused jobs for which all groups together had enough free capacity at that time
+	RejectedAtOnce        float64 `json:"at_once"`           // refused jobs that were not offered to any owner
+	Offers                float64 `json:"offers"`            // mean number of offers of a refused job
 	GivenUp               float64 `json:"given_up"`          // jobs that ended without completing, after tasks may have started
 	Failed                float64 `json:"failed"`            // jobs whose response said that they failed
 	Wasted                float64 `json:"wasted"`            // CPU time of runs that were stopped, failed or lost their lease, as a share of the work of all jobs
@@ -105,8 +107,11 @@
 			unservedMs = append(unservedMs, float64(o.responseTime)/float64(time.Millisecond))
 		}
 	}
+	if m.Refused > 0 {
+		m.Offers /= m.Refused
+	}
 	n := float64(len(sim.firstResponses))
-	for _, v := range []*float64{&m.InTime, &m.Late, &m.Refused, &m.RefusedWithRoom, &m.GivenUp, &m.Failed} {
+	for _, v := range []*float64{&m.InTime, &m.Late, &m.Refused, &m.RefusedWithRoom, &m.RejectedAtOnce, &m.GivenUp, &m.Failed} {
 		*v /= n
 	}
 	m.Worth, m.PeakWorth = total.value(), peak.value()
@@ -130,6 +135,10 @@
 		m.Late++
 	case o.Verdict == ingress.NotRun:
 		m.Refused++
+		m.Offers += float64(o.Offers)
+		if o.RejectedAtOnce {
+			m.RejectedAtOnce++
+		}
 		if o.hadRoom {
 			m.RefusedWithRoom++
 		}
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -52,6 +53,7 @@
 	*standin.Simulation
 	deployment        *deployment
 	startTime         time.Time
+	choices           *rand.Rand // of the coordinators
 	upstreams         map[string]*standin.SimulatedUpstream
 	groups            []*group
 	instances         [][]*instance // by zone
@@ -97,7 +99,7 @@
 // jobs.
 func simulate(d *deployment, seed uint64, p Policies) *simulation {
 	start := time.Unix(1_000_000, 0)
-	sim := &simulation{Simulation: standin.NewSimulation(start, seed), deployment: d, startTime: start, upstreams: map[string]*standin.SimulatedUpstream{}}
+	sim := &simulation{Simulation: standin.NewSimulation(start, seed), deployment: d, startTime: start, choices: rand.New(rand.NewPCG(seed, 2)), upstreams: map[string]*standin.SimulatedUpstream{}}
 	jobs := map[string]*customerJob{}
 	for _, j := range d.jobs {
 		jobs[j.id] = j
--- a/node/convert.go
+++ b/node/convert.go
@@ -17,11 +17,29 @@
 // claimToProto returns the message by which this instance claims a group that it owns, with the
 // load of the group.
 func claimToProto(g *owner.Group, l schedule.Load) *inner.Claim {
-	return &inner.Claim{Group: g.Name, Token: g.Token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity, Closed: l.Closed}
+	return loadToProto(g.Name, g.Token, l)
+}
+
+// loadToProto returns the claim of an owner with the given fencing token.
+func loadToProto(group string, token uint64, l schedule.Load) *inner.Claim {
+	return &inner.Claim{
+		Group: group, Token: token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity, Closed: l.Closed,
+		WaitMs:  lo.Map(l.Waits.Until[:l.Waits.Known], func(d time.Duration, _ int) uint32 { return uint32(d.Milliseconds()) }),
+		UsualMs: uint32(l.Waits.TaskDuration.Milliseconds()), UsualMilliCpu: l.Waits.TaskMilliCPU,
+	}
 }
 
 func loadFromProto(c *inner.Claim) schedule.Load {
-	return schedule.Load{Free: int(c.GetFree()), Waiting: int(c.GetWaiting()), Capacity: c.GetCapacity(), Closed: c.GetClosed()}
+	return schedule.Load{Free: int(c.GetFree()), Waiting: int(c.GetWaiting()), Capacity: c.GetCapacity(), Closed: c.GetClosed(), Waits: waitsFromProto(c)}
+}
+
+// waitsFromProto returns the waits in a claim. Claims of earlier versions contain none.
+func waitsFromProto(c *inner.Claim) schedule.Waits {
+	w := schedule.Waits{Known: min(len(c.GetWaitMs()), schedule.WaitSteps), TaskMilliCPU: c.GetUsualMilliCpu(), TaskDuration: time.Duration(c.GetUsualMs()) * time.Millisecond}
+	for i, ms := range c.GetWaitMs()[:w.Known] {
+		w.Until[i] = time.Duration(ms) * time.Millisecond
+	}
+	return w
 }
 
 func toInts(list []uint32) []int { return lo.Map(list, func(v uint32, _ int) int { return int(v) }) }
--- a/node/relay.go
+++ b/node/relay.go
@@ -8,6 +8,7 @@
 	"github.com/sedgehatch/sedgehatch/clock"
 	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
 // Spokes receive no heartbeats from other zones, except from active owners there. The hubs of
@@ -48,9 +49,9 @@
 			continue
 		}
 		list = append(list, &inner.RemoteOwner{
-			Claim: &inner.Claim{
-				Group: group, Token: v.token, Free: uint32(max(v.load.Free, 0)), Waiting: uint32(v.load.Waiting), Capacity: v.load.Capacity, Closed: v.load.Closed,
-			},
+			Claim: loadToProto(group, v.token, schedule.Load{
+				Free: v.load.Free, Waiting: v.load.Waiting, Capacity: v.load.Capacity, Closed: v.load.Closed, Waits: v.load.Waits,
+			}),
 			Incarnation: string(v.peer), AgeMs: uint32(clock.Since(v.reportedAt).Milliseconds()),
 		})
 	}
--- a/node/router.go
+++ b/node/router.go
@@ -124,7 +124,7 @@
 }
 
 func ownerLoad(group string, l schedule.Load) ingress.OwnerLoad {
-	return ingress.OwnerLoad{Group: group, Zone: zoneOfGroup(group), Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
+	return ingress.OwnerLoad{Group: group, Zone: zoneOfGroup(group), Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed, Waits: l.Waits}
 }
 
 // handleClaims updates the owners of groups from the claims in a heartbeat of a peer.
@@ -176,7 +176,7 @@
 	peer := v.peer
 	tracked := &openOffer{OfferCallbacks: callbacks, peer: peer.Instance()}
 	r.openOffers[k] = tracked
-	v.load.Free -= len(o.Tasks)
+	v.load.AddOffered(len(o.Tasks))
 	r.lastOfferAt[peer.Instance()] = clock.Now()
 	aliveMs := aliveOnPeerClock(r.peerClocks[peer], o.AliveAt)
 	r.mu.Unlock()
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -13,6 +13,7 @@
 	// Closed is set if no upstream accepts new tasks. It is not set while the pool is
 	// draining, because the pool of another owner takes over its upstreams.
 	Closed bool
+	Waits  Waits
 }
 
 // Load returns the load of the pool. Slow upstreams count only if all upstreams on
@@ -36,6 +37,7 @@
 	if l.Capacity == 0 {
 		l.Capacity, l.Free = slow.Capacity, slow.Free
 	}
+	l.Waits = p.waits(l.Free)
 	l.Free = p.link.orderCapacity(now, l.Free)
 	return l
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -29,7 +29,8 @@
 	durationsByRoute  map[string]*taskDurations
 	crashHistory      crashHistory
 	missRate          missRate // over all upstreams
-	meanSlowdown      float64  // moving average, over the runs on all upstreams, of log(actual duration / expected duration)
+	lastWaits         waitsForecast
+	meanSlowdown      float64 // moving average, over the runs on all upstreams, of log(actual duration / expected duration)
 	link              link
 	responseTimeout   time.Duration   // after which the response to a call is overdue
 	fencedIDs         map[string]bool // upstreams that have seen a higher fencing token
