--- a/ingress/outcomes.go
+++ b/ingress/outcomes.go
@@ -7,34 +7,24 @@
 )
 
 // offerClass groups offers of jobs that wait for capacity, in so far as their chances to be served
-// are alike. How well reported waits predict the start of a job depends on the route: owners start
-// the jobs with the shortest objectives first. It also depends on the size of the tasks: capacity
-// that becomes free in small pieces is of no use to a large task. And it depends on the number of
-// owners that have refused the job, each after it has waited there.
+// are alike. How well the reported waits predict the start of a job depends on its route: on how
+// exactly its customers estimate durations, and on how different the sizes of its tasks are.
 type offerClass struct {
 	route    string
-	refusals int // number of owners that have refused the job, at most maxClassRefusals
 	pressure pressureClass
-	large    bool // the tasks are much larger than usual
 }
 
-// pressureClass classifies groupWait.pressure.
+// pressureClass is the number of pressureBounds that a pressure reaches. Class 0 always has a
+// chance.
 type pressureClass int
 
-const (
-	inTime   pressureClass = iota // up to 1
-	late                          // up to veryLatePressure
-	veryLate                      // above
-)
+// pressureBounds separate the classes of pressures. Below the first one, the job would be in time.
+var pressureBounds = [...]float64{1, 1.5, 2.5}
+
+// initialShares are the served shares by pressureClass that are assumed before outcomes are known.
+var initialShares = [len(pressureBounds) + 1]float64{1, 0.2, 0.08, 0.04}
 
 const (
-	// veryLatePressure is the pressure above which a job would start far too late.
-	veryLatePressure = 2.0
-	// largeTaskFactor is how many times the usual CPU demand a large task needs at least. Tasks
-	// of a route differ by about 20%, so that few are large.
-	largeTaskFactor = 1.5
-	// maxClassRefusals bounds offerClass.refusals. After more refusals, the chances are alike.
-	maxClassRefusals = 2
 	// minServedShare is the least share of the jobs of a class that must be served for a job of
 	// it to be offered. Rejecting less hopeless ones would take from many customers a chance that
 	// they would rather wait for.
@@ -49,18 +39,11 @@
 	probeShare = 0.05
 )
 
-// initialShares are the served shares that are assumed before outcomes are known.
-var initialShares = map[pressureClass]float64{inTime: 0.5, late: 0.3, veryLate: 0.15}
-
-// newOfferClass returns the class of an offer of a job to a group whose waits are known.
-func newOfferClass(route string, refusals int, g *groupWait, milliCPU int64) offerClass {
-	c := offerClass{route: route, refusals: min(refusals, maxClassRefusals)}
-	c.large = float64(milliCPU) > largeTaskFactor*float64(g.load.Waits.TaskMilliCPU)
-	switch {
-	case g.pressure > veryLatePressure:
-		c.pressure = veryLate
-	case g.pressure > 1:
-		c.pressure = late
+// classOf returns the class of an offer of a job to a group whose waits are known.
+func classOf(route string, g *groupWait) offerClass {
+	c := offerClass{route: route}
+	for c.pressure < pressureClass(len(pressureBounds)) && g.pressure >= pressureBounds[c.pressure] {
+		c.pressure++
 	}
 	return c
 }
@@ -77,15 +60,18 @@
 	at    time.Time
 }
 
-// servedShare returns the served share of a class.
-func (o *outcomes) servedShare(c offerClass, now time.Time) float64 {
+// hasChance reports whether enough jobs of a class were served lately to offer another one.
+func (o *outcomes) hasChance(c offerClass, now time.Time) bool {
+	if c.pressure == 0 {
+		return true
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.decayed(c, now)
+	return o.shareAt(c, now) >= minServedShare
 }
 
-// decayed returns the served share of a class, decayed to the given time. The lock must be held.
-func (o *outcomes) decayed(c offerClass, now time.Time) float64 {
+// shareAt returns the served share of a class, decayed to the given time. The lock must be held.
+func (o *outcomes) shareAt(c offerClass, now time.Time) float64 {
 	initial := initialShares[c.pressure]
 	s, found := o.byClass[c]
 	if !found {
@@ -94,15 +80,18 @@
 	return initial + (s.share-initial)*math.Exp(-now.Sub(s.at).Seconds()/outcomesTimeConstant.Seconds())
 }
 
-// record records whether a job was served after an offer.
+// record records whether a job of a class was served.
 func (o *outcomes) record(c offerClass, served bool, now time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	if c.pressure == 0 {
+		return
+	}
 	outcome := 0.0
 	if served {
 		outcome = 1
 	}
-	share := o.decayed(c, now)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	share := o.shareAt(c, now)
 	if o.byClass == nil {
 		o.byClass = map[offerClass]servedShare{}
 	}
--- a/ingress/queuechoice.go
+++ b/ingress/queuechoice.go
@@ -33,7 +33,7 @@
 	c.recordRefusal(s, now)
 	list := estimateWaits(loads, c.zone, j)
 	if c.policy.RejectKnown && len(list) > 0 && len(s.unreachable) == 0 {
-		possible := c.withChance(s, list, j, now)
+		possible := c.withChance(list, j, now)
 		if len(possible) == 0 {
 			s.waits = formatWaits(list)
 			if s.probe || c.random() >= probeShare {
@@ -62,9 +62,9 @@
 
 // withChance returns the groups that may serve the job in time: those whose waits are not known,
 // and those that have lately served enough jobs like it.
-func (c *queueChooser) withChance(s *ownerSearch, list []groupWait, j waitingJob, now time.Time) []groupWait {
+func (c *queueChooser) withChance(list []groupWait, j waitingJob, now time.Time) []groupWait {
 	return lo.Filter(list, func(g groupWait, _ int) bool {
-		return !g.known || c.outcomes.servedShare(newOfferClass(j.route, len(s.noCapacity), &g, j.milliCPU), now) >= minServedShare
+		return !g.known || c.outcomes.hasChance(classOf(j.route, &g), now)
 	})
 }
 
@@ -73,7 +73,7 @@
 	s.pending, s.pendingGroup = nil, group
 	i := slices.IndexFunc(list, func(g groupWait) bool { return g.load.Group == group })
 	if i >= 0 && list[i].known {
-		s.pending = lo.ToPtr(newOfferClass(j.route, len(s.noCapacity), &list[i], j.milliCPU))
+		s.pending = lo.ToPtr(classOf(j.route, &list[i]))
 	}
 }
 
--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -25,8 +25,6 @@
 	// remoteZoneWait is added to the wait in groups of other zones, because running a job there
 	// costs a round trip and traffic between zones.
 	remoteZoneWait = 5 * time.Millisecond
-	// unlimitedPressure is the pressure in a group that can never run the job in time.
-	unlimitedPressure = 100.0
 )
 
 // waitingJob describes a job whose tasks are to wait for capacity.
@@ -50,9 +48,12 @@
 type groupWait struct {
 	load  OwnerLoad
 	known bool // the group has reported its waits recently; otherwise the fields below are not set
-	wait  time.Duration
-	// pressure is wait as a share of the wait that the job allows. Above 1, the job would be late.
-	pressure float64
+	// earliest is the least possible wait, queued the wait behind all tasks that wait in the
+	// group. Which of them start first depends on their objectives.
+	earliest, queued time.Duration
+	// pressure is earliest as a share of the wait that the job allows. Above 1, the job would be
+	// late. queuePressure is the same for queued.
+	pressure, queuePressure float64
 }
 
 // estimateWaits returns the estimated wait of a job in each group, for a coordinator in the given
@@ -64,28 +65,33 @@
 			continue
 		}
 		g := groupWait{load: l}
-		if wait, known := l.waitFor(j.tasks, j.milliCPU); known {
+		if l.knowsWaits() {
+			g.known = true
+			g.earliest, g.queued = l.waitFor(j, 0), l.waitFor(j, l.Waiting)
 			if l.Zone != zone {
-				wait += remoteZoneWait
+				g.earliest += remoteZoneWait
+				g.queued += remoteZoneWait
 			}
-			g.known, g.wait = true, wait
-			g.pressure = min(wait.Seconds()/j.allowedWait.Seconds(), unlimitedPressure)
+			g.pressure = g.earliest.Seconds() / j.allowedWait.Seconds()
+			g.queuePressure = g.queued.Seconds() / j.allowedWait.Seconds()
 		}
 		list = append(list, g)
 	}
 	return list
 }
 
-// waitFor returns the estimated time until the last of a number of tasks can start. It returns
-// false if the owner has not reported its waits recently. Since the report, the time that has
-// passed has shortened the wait, and the tasks offered to the owner have prolonged it.
-func (l *OwnerLoad) waitFor(tasks int, milliCPU int64) (time.Duration, bool) {
-	w := l.Waits
-	if w.Known == 0 || w.TaskMilliCPU <= 0 || l.Age > maxWaitsAge {
-		return 0, false
-	}
-	usualTasks := max(float64(tasks)*float64(milliCPU)/float64(w.TaskMilliCPU), 1) + float64(l.Offered)
-	return max(interpolate(w.Until[:w.Known], usualTasks)-l.Age, 0), true
+// knowsWaits reports whether the owner has reported its waits recently.
+func (l *OwnerLoad) knowsWaits() bool {
+	return l.Waits.Known > 0 && l.Waits.TaskMilliCPU > 0 && l.Age <= maxWaitsAge
+}
+
+// waitFor returns the estimated time until the last task of a job can start, behind a number of
+// other tasks of usual size. Since the report, the time that has passed has shortened the wait, and
+// the tasks offered to the owner have prolonged it.
+func (l *OwnerLoad) waitFor(j waitingJob, ahead int) time.Duration {
+	usualTasks := float64(j.tasks) * float64(j.milliCPU) / float64(l.Waits.TaskMilliCPU)
+	usualTasks = max(usualTasks, 1) + float64(l.Offered+ahead)
+	return max(interpolate(l.Waits.Until[:l.Waits.Known], usualTasks)-l.Age, 0)
 }
 
 // interpolate returns the wait for a number of tasks, given the waits for 1, 2, 4, 8 ... tasks.
@@ -101,16 +107,18 @@
 	return until[i] + time.Duration(share*float64(until[i+1]-until[i]))
 }
 
-// leastPressure returns the group with the least pressure. All waits must be known, and the list
-// must not be empty.
+// leastPressure returns the group with the least pressure. The list must not be empty.
 func leastPressure(list []groupWait) groupWait {
-	return slices.MinFunc(list, func(a, b groupWait) int { return cmp.Compare(a.pressure, b.pressure) })
+	return slices.MinFunc(list, func(a, b groupWait) int {
+		return cmp.Or(cmp.Compare(a.pressure, b.pressure), cmp.Compare(a.queuePressure, b.queuePressure))
+	})
 }
 
-// chooseQueue chooses the group in which a job waits. If several groups would start it in time, the
-// choice is random, and a group is the more likely the more tasks it could still take in time:
-// coordinators that know the same reports must not all choose the same group. Otherwise it is the
-// group with the least pressure. It returns false if the waits of a group are not known.
+// chooseQueue chooses the group in which a job waits. If several groups would start it in time
+// behind all that waits there, the choice is random, and a group is the more likely the more tasks
+// it could still take in time: coordinators that know the same reports must not all choose the same
+// group. Otherwise it is the group where the job would wait least. It returns false if the waits of
+// a group are not known.
 func chooseQueue(list []groupWait, random func() float64) (string, bool) {
 	if len(list) == 0 || slices.ContainsFunc(list, func(g groupWait) bool { return !g.known }) {
 		return "", false
@@ -119,8 +127,9 @@
 	for _, g := range list {
 		total += g.room()
 	}
+	least := slices.MinFunc(list, func(a, b groupWait) int { return cmp.Compare(a.queuePressure, b.queuePressure) })
 	if total == 0 {
-		return leastPressure(list).load.Group, true
+		return least.load.Group, true
 	}
 	point := random() * total
 	for _, g := range list {
@@ -128,18 +137,18 @@
 			return g.load.Group, true
 		}
 	}
-	return leastPressure(list).load.Group, true // only reached by rounding
+	return least.load.Group, true // only reached by rounding
 }
 
 // room returns the weight of a group in chooseQueue: its capacity for the time that the job could
 // wait longer than estimated.
-func (g *groupWait) room() float64 { return float64(g.load.Capacity) * max(1-g.pressure, 0) }
+func (g *groupWait) room() float64 { return float64(g.load.Capacity) * max(1-g.queuePressure, 0) }
 
 // formatWaits formats estimated waits for the log, as GROUP=WAIT@AGE in milliseconds.
 func formatWaits(list []groupWait) string {
 	var parts []string
 	for _, g := range list[:min(len(list), maxOfferedGroups)] {
-		parts = append(parts, fmt.Sprintf("%s=%d@%d", g.load.Group, g.wait.Milliseconds(), g.load.Age.Milliseconds()))
+		parts = append(parts, fmt.Sprintf("%s=%d@%d", g.load.Group, g.earliest.Milliseconds(), g.load.Age.Milliseconds()))
 	}
 	return strings.Join(parts, ",")
 }
--- a/schedule/waits.go
+++ b/schedule/waits.go
@@ -9,12 +9,13 @@
 const WaitSteps = 6
 
 // waitsInterval is the shortest time between two forecasts of the waits. A forecast goes through
-// all runs and all waiting tasks, and Load is called for each reply to a coordinator. Waits change
-// little within the interval: it is shorter than almost all tasks.
+// all runs and all jobs that have begun, and Load is called for each reply to a coordinator. Waits
+// change little within the interval: it is shorter than almost all tasks.
 const waitsInterval = 25 * time.Millisecond
 
-// Waits is a forecast of when tasks of usual size could start in a pool, behind all tasks that run
-// or wait there. The zero value means that nothing is known.
+// Waits is a forecast of when tasks of usual size could start in a pool: behind the running tasks and
+// the jobs that have begun, but ahead of all others. No new job can start earlier. Behind which of
+// the others it starts depends on its objective. The zero value means that nothing is known.
 type Waits struct {
 	// Until holds, at index i, the time until the last of 1<<i tasks could start. Entries from
 	// Known on are not set.
@@ -56,15 +57,9 @@
 		return Waits{}
 	}
 	w := Waits{TaskMilliCPU: p.meanTaskMilliCPU(), TaskDuration: p.meanTaskDuration()}
-	p.sortQueue()
 	f := p.newForecast(service)
 	f.addFree(free)
 	f.reserveBegun(p.queue, nil)
-	for _, j := range p.queue {
-		if !j.hasBegun() {
-			f.reserve(j.countWaiting(), j.expectedTaskDuration)
-		}
-	}
 	reserved := 0
 	for i := range WaitSteps {
 		start, hasCapacity := f.reserve(1<<i-reserved, w.TaskDuration)
