--- a/explain/explain.go
+++ b/explain/explain.go
@@ -257,6 +257,8 @@
 		return fmt.Sprintf("; a task was retried: %s (%d times)", mostFrequent, reasons[mostFrequent])
 	case resultLine.Field("owners") == "0":
 		return "; the instance knew no owner of upstreams"
+	case resultLine.Field("waits") != "":
+		return "; the earliest starts were, in ms and with the age of the report, " + resultLine.Field("waits")
 	}
 	if wait := e.longestWait(); wait > 0 {
 		return fmt.Sprintf("; a task waited %.0f ms for capacity", wait)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -19,6 +19,7 @@
 {"time":"2026-04-04T22:12:03.200Z","level":"WARN","msg":"zone_evacuated","instance":"i-1","zone":"b","revision":8,"from":"store"}
 {"time":"2026-04-04T22:12:04.000Z","level":"INFO","msg":"zone_returned","instance":"i-1","zone":"b","revision":9,"from":"store"}
 {"time":"2026-04-04T22:12:07.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"ff","status":503,"verdict":"not_run","reason":"no room in time","owners":2,"took_ms":30,"groups":"b/0"}
+{"time":"2026-04-04T22:12:07.500Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"hh","status":503,"verdict":"not_run","reason":"no room in time, by the owners' reports","owners":2,"took_ms":0,"groups":"","waits":"a/0=250@80,b/0=310@200"}
 {"time":"2026-04-04T22:12:08.000Z","level":"INFO","msg":"zone_returned","instance":"i-1","zone":"a","revision":10,"from":"store"}
 {"time":"2026-04-04T22:12:09.000Z","level":"INFO","msg":"task_started","instance":"i-1","job":"dd","run":1,"age_ms":0}
 {"time":"2026-04-04T22:12:10.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"gg","status":504,"verdict":"left","reason":"the customer left before its request was read","took_ms":0.1,"patience_ms":2676}
@@ -36,6 +37,7 @@
 		"bb": {"bb received status 504 (unknown) from i-2 after 600 ms: the owner of upstreams was lost; the connection to the owner of b/0 broke.",
 			"lines of the owners of b/0: these instances ended, or their logs were not passed"},
 		"cc": {"cc received status 503 (not_run) from i-2 after 90 ms: no owner can be reached; the instance knew no owner of upstreams.", "lines that an instance dropped because its output stalled (22:12:02)"},
+		"hh": {"hh received status 503 (not_run) from i-2 after 0 ms: no room in time, by the owners' reports; the earliest starts were, in ms and with the age of the report, a/0=250@80,b/0=310@200; zones evacuated at that time: a.", ""},
 		"ff": {"ff received status 503 (not_run) from i-2 after 30 ms: no room in time; zones evacuated at that time: a.", ""},
 		"gg": {"gg received status 504 (left) from i-2 after 0.1 ms: the customer left before its request was read; the customer submitted it to i-2 (2676 ms before its deadline), i-3 (2561).", ""},
 		"dd": {"The logs do not contain the response to dd.", "the line of the response: the instance that accepted the job ended, or its log was not passed"},
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -58,7 +58,7 @@
 	RejectedAtOnce bool
 	// Probe is set if the job was offered although these waits showed that it would be late.
 	Probe bool
-	// Waits are the estimated waits for which the job was rejected or offered as a probe.
+	// Waits holds the earliest starts for which the job was rejected or a probe; see formatWaits.
 	Waits string
 }
 
--- a/ingress/suspended_test.go
+++ b/ingress/suspended_test.go
@@ -28,6 +28,7 @@
 		seed: rapid.Uint64().Draw(t, "seed"), lateShare: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"),
 		faultPercent: rapid.IntRange(5, 25).Draw(t, "faults"), faultKinds: allFaultKinds,
 		linkHeartbeat: rapid.SampledFrom([]time.Duration{sameZoneHeartbeat, crossZoneHeartbeat}).Draw(t, "beat"), suspendsMachines: true,
+		reportsWaits: rapid.Bool().Draw(t, "waits"),
 	}
 }
 
--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -7,10 +7,11 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/samber/lo"
 )
 
-// This file estimates from the waits that owners report when a job could start in each group, and
-// learns how far such estimates can be relied on.
+// This file estimates from the waits that owners report when a job could start in each group.
 
 const (
 	// maxWaitsAge is the maximum age of a report for its waits to be used. An owner reports every
@@ -46,14 +47,15 @@
 
 // groupWait is the estimated wait of a job in one group.
 type groupWait struct {
-	load  OwnerLoad
-	known bool // the group has reported its waits recently; otherwise the fields below are not set
+	load    OwnerLoad
+	ownZone bool // the group is in the coordinator's zone
+	known   bool // the group has reported its waits recently; otherwise the fields below are not set
 	// earliest is the least possible wait, queued the wait behind all tasks that wait in the
 	// group. Which of them start first depends on their objectives.
 	earliest, queued time.Duration
 	// pressure is earliest as a share of the wait that the job allows. Above 1, the job would be
-	// late. queuePressure is the same for queued.
-	pressure, queuePressure float64
+	// late even if it started first.
+	pressure float64
 }
 
 // estimateWaits returns the estimated wait of a job in each group, for a coordinator in the given
@@ -64,16 +66,15 @@
 		if l.Capacity <= 0 || l.Closed {
 			continue
 		}
-		g := groupWait{load: l}
+		g := groupWait{load: l, ownZone: l.Zone == zone}
 		if l.knowsWaits() {
 			g.known = true
 			g.earliest, g.queued = l.waitFor(j, 0), l.waitFor(j, l.Waiting)
-			if l.Zone != zone {
+			if !g.ownZone {
 				g.earliest += remoteZoneWait
 				g.queued += remoteZoneWait
 			}
 			g.pressure = g.earliest.Seconds() / j.allowedWait.Seconds()
-			g.queuePressure = g.queued.Seconds() / j.allowedWait.Seconds()
 		}
 		list = append(list, g)
 	}
@@ -110,41 +111,35 @@
 // leastPressure returns the group with the least pressure. The list must not be empty.
 func leastPressure(list []groupWait) groupWait {
 	return slices.MinFunc(list, func(a, b groupWait) int {
-		return cmp.Or(cmp.Compare(a.pressure, b.pressure), cmp.Compare(a.queuePressure, b.queuePressure))
+		return cmp.Or(cmp.Compare(a.pressure, b.pressure), cmp.Compare(a.queued, b.queued))
 	})
 }
 
-// chooseQueue chooses the group in which a job waits. If several groups would start it in time
-// behind all that waits there, the choice is random, and a group is the more likely the more tasks
-// it could still take in time: coordinators that know the same reports must not all choose the same
-// group. Otherwise it is the group where the job would wait least. It returns false if the waits of
-// a group are not known.
+// chooseQueue chooses the group in which a job waits: of one group and another, the one where it
+// would wait less behind all that waits there. The first is the best in the coordinator's zone, if
+// there is any, and otherwise a random one, the second is always random. Choosing the best of all
+// groups would be worse, because all coordinators that know the same reports would choose the same
+// one. It returns false if the waits of a group are not known.
 func chooseQueue(list []groupWait, random func() float64) (string, bool) {
 	if len(list) == 0 || slices.ContainsFunc(list, func(g groupWait) bool { return !g.known }) {
 		return "", false
 	}
-	total := 0.0
-	for _, g := range list {
-		total += g.room()
-	}
-	least := slices.MinFunc(list, func(a, b groupWait) int { return cmp.Compare(a.queuePressure, b.queuePressure) })
-	if total == 0 {
-		return least.load.Group, true
+	first, second := list[randomIndex(list, random)], list[randomIndex(list, random)]
+	if own := lo.Filter(list, func(g groupWait, _ int) bool { return g.ownZone }); len(own) > 0 {
+		first = slices.MinFunc(own, func(a, b groupWait) int { return cmp.Compare(a.queued, b.queued) })
 	}
-	point := random() * total
-	for _, g := range list {
-		if point -= g.room(); point < 0 {
-			return g.load.Group, true
-		}
+	if second.queued < first.queued {
+		return second.load.Group, true
 	}
-	return least.load.Group, true // only reached by rounding
+	return first.load.Group, true
 }
 
-// room returns the weight of a group in chooseQueue: its capacity for the time that the job could
-// wait longer than estimated.
-func (g *groupWait) room() float64 { return float64(g.load.Capacity) * max(1-g.queuePressure, 0) }
+func randomIndex(list []groupWait, random func() float64) int {
+	return int(random() * float64(len(list)))
+}
 
-// formatWaits formats estimated waits for the log, as GROUP=WAIT@AGE in milliseconds.
+// formatWaits formats for the log the earliest start in each group and the age of the report that it
+// is estimated from, as GROUP=START@AGE in milliseconds.
 func formatWaits(list []groupWait) string {
 	var parts []string
 	for _, g := range list[:min(len(list), maxOfferedGroups)] {
--- a/node/log.go
+++ b/node/log.go
@@ -171,6 +171,20 @@
 		slog.Int("offers", r.Offers), slog.String("groups", r.Groups), slog.Int("tasks", r.Tasks), slog.Duration("took", r.Took),
 		slog.Duration("patience", r.Timeout),
 		slog.Duration("objective", r.Objective), slog.Uint64("config", r.ConfigVersion), slog.Int("owners", r.Owners),
-		slog.Duration("owners_age", r.OwnersAge),
+		slog.Duration("owners_age", r.OwnersAge), slog.Bool("probe", r.Probe), slog.String("waits", r.Waits),
 	}, sample)...)
 }
+
+// countOffers counts the offers made for a job, and what became of it if the reported waits showed
+// that it would be late.
+func (n *Node) countOffers(r ingress.Record) {
+	n.metrics.Add("offers_"+string(r.Verdict), int64(r.Offers))
+	switch {
+	case r.RejectedAtOnce:
+		n.metrics.Add("rejected_at_once", 1)
+	case r.Probe && r.Verdict == ingress.Completed:
+		n.metrics.Add("probes_served", 1)
+	case r.Probe:
+		n.metrics.Add("probes_not_served", 1)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -411,6 +411,7 @@
 	} else if r.Late {
 		n.metrics.Add("answer_"+r.Route+"_late", 1)
 	}
+	n.countOffers(r)
 	n.metrics.Latencies.Observe("request_"+string(r.Verdict), r.Took)
 	n.logResponse(r)
 }
