--- a/ingress/job.go
+++ b/ingress/job.go
@@ -155,7 +155,10 @@
 // maxOwnersWithoutCapacity owners expect no free capacity in time. The lock must be held.
 func (j *openJob) chooseOwner() (Choice, bool) {
 	begun := j.begun || len(j.offers) > 0
-	loads := j.search.refresh(j.coordinator.owners.Loads())
+	now := j.coordinator.clock.Now()
+	loads := j.coordinator.owners.Loads()
+	j.search.allReported = j.coordinator.queues.groups.areComplete(loads, now)
+	loads = j.search.refresh(loads)
 	if j.coordinator.policy.BoundAsks && len(j.search.noCapacity) >= maxOwnersWithoutCapacity && !begun {
 		return Choice{}, false
 	}
@@ -163,7 +166,6 @@
 	if !found || !choice.MayQueue || begun {
 		return choice, found
 	}
-	now := j.coordinator.clock.Now()
 	return j.coordinator.queues.choose(&j.search, loads, newWaitingJob(&j.Request, len(j.unassigned), now.Sub(j.acceptedAt)), now)
 }
 
--- a/ingress/queuechoice.go
+++ b/ingress/queuechoice.go
@@ -14,6 +14,7 @@
 	// pendingGroup the group. Offers to groups whose waits are not known have no class.
 	pending      *offerClass
 	pendingGroup string
+	allReported  bool   // the current loads include those of all groups that are known
 	probe        bool   // the job was offered although it had no chance
 	knownLate    bool   // the job was not offered again because it had no chance
 	waits        string // estimates at the last choice of a job that is knownLate or a probe, for the log
@@ -25,6 +26,7 @@
 	zone     string
 	random   func() float64 // returns random numbers from 0 to 1; safe for concurrent use
 	outcomes outcomes
+	groups   knownGroups
 }
 
 // choose chooses the group in which a job that has not begun waits. It returns false if the job is
@@ -32,7 +34,7 @@
 func (c *queueChooser) choose(s *ownerSearch, loads []OwnerLoad, j waitingJob, now time.Time) (Choice, bool) {
 	c.recordRefusal(s, now)
 	list := estimateWaits(loads, c.zone, j)
-	if c.policy.RejectKnown && len(list) > 0 && len(s.unreachable) == 0 {
+	if c.policy.RejectKnown && len(list) > 0 && s.allReported && len(s.unreachable) == 0 {
 		possible := c.withChance(list, j, now)
 		if len(possible) == 0 {
 			s.waits = formatWaits(list)
--- a/ingress/waits_test.go
+++ b/ingress/waits_test.go
@@ -155,6 +155,35 @@
 	}
 }
 
+// TestSilentOwner checks that a job is not rejected at once while a group is missing from the
+// reports, until it has been missing for groupMemory.
+func TestSilentOwner(t *testing.T) {
+	all := []OwnerLoad{fullGroup("a/0", 300*ms), fullGroup("b/0", 300*ms)}
+	now := time.Unix(1_000_000, 0)
+	c := queueChooser{policy: DefaultPolicy, zone: "a", random: alwaysHalf}
+	j := waitingJob{route: "r", tasks: 1, milliCPU: 1000, allowedWait: 50 * ms}
+	isOffered := func(loads []OwnerLoad) bool {
+		s := newOwnerSearch()
+		s.allReported = c.groups.areComplete(loads, now)
+		_, offered := c.choose(&s, loads, j, now)
+		return offered
+	}
+	if isOffered(all) {
+		t.Error("all owners report: the job is offered")
+	}
+	now = now.Add(ms)
+	if !isOffered(all[:1]) {
+		t.Error("the owner of b/0 is silent: the job is not offered")
+	}
+	now = now.Add(groupCheckInterval)
+	if !isOffered(all[:1]) {
+		t.Error("the owner of b/0 is silent for longer: the job is not offered")
+	}
+	if now = now.Add(groupMemory); isOffered(all[:1]) {
+		t.Error("b/0 has been gone for groupMemory: the job is offered")
+	}
+}
+
 // TestOutcomes checks that a route loses its chances in a class of waits by refusals, regains them
 // by a job that is served, and that the estimate returns to its initial value.
 func TestOutcomes(t *testing.T) {
