--- a/ingress/job.go
+++ b/ingress/job.go
@@ -86,8 +86,9 @@
 // recordSearch adds to the response what the reported waits showed, and records whether the job
 // was served. The lock must be held.
 func (j *openJob) recordSearch() {
-	s := &j.search
-	j.response.RejectedAtOnce, j.response.Probe, j.response.Waits = s.knownLate && j.offerCount == 0, s.probe, s.waits
+	s, r := &j.search, &j.response
+	r.RejectedAtOnce = r.Verdict == NotRun && s.knownLate && j.offerCount == 0
+	r.Probe, r.Waits = s.probe, s.waits
 	j.coordinator.queues.recordVerdict(s, j.response.Verdict, j.coordinator.clock.Now())
 }
 
--- a/ingress/policy.go
+++ b/ingress/policy.go
@@ -28,8 +28,8 @@
 	Capacity int64         // total capacity of the upstreams, in thousandths of a core
 	Closed   bool          // no task may start on any upstream of the group
 	Age      time.Duration // time since the owner reported the load
-	Waits    schedule.Waits
-	Offered  int // number of tasks that this instance has offered to the owner since the report
+	Waits    schedule.Waits // zero if the owner does not report them
+	Offered  int            // number of tasks that this instance has offered to the owner since the report
 }
 
 // AddOffered updates the load when tasks are offered to the owner after its report.
@@ -77,9 +77,9 @@
 	// BoundAsks rejects a job once maxOwnersWithoutCapacity owners have returned it because
 	// they expect no free capacity in time. It is not offered to the remaining owners.
 	BoundAsks bool
-	// KnowWaits queues a job that has not begun in a group that would start it in time according
-	// to the waits that the owners report. It applies while the waits of all groups are known, and
-	// then replaces ShortestQueue.
+	// KnowWaits queues a job that has not begun where it would start soon according to the waits
+	// that the owners report (see chooseQueue). It replaces ShortestQueue while the waits of all
+	// groups are known.
 	KnowWaits bool
 	// RejectKnown rejects a job that has not begun once the reported waits of all groups show that
 	// it would be late, and does not offer it to groups that would start it late.
