--- a/ingress/policy.go
+++ b/ingress/policy.go
@@ -23,11 +23,11 @@
 type OwnerLoad struct {
 	Group    string
 	Zone     string
-	Free     int           // number of tasks of average size that would fit now
-	Waiting  int           // number of tasks in the owner's queue
-	Capacity int64         // total capacity of the upstreams, in thousandths of a core
-	Closed   bool          // no task may start on any upstream of the group
-	Age      time.Duration // time since the owner reported the load
+	Free     int            // number of tasks of average size that would fit now
+	Waiting  int            // number of tasks in the owner's queue
+	Capacity int64          // total capacity of the upstreams, in thousandths of a core
+	Closed   bool           // no task may start on any upstream of the group
+	Age      time.Duration  // time since the owner reported the load
 	Waits    schedule.Waits // zero if the owner does not report them
 	Offered  int            // number of tasks that this instance has offered to the owner since the report
 }
