--- a/node/log.go
+++ b/node/log.go
@@ -165,14 +165,18 @@
 		}
 		sample = sampleInterval
 	}
-	e.Log(n.log, markSampled([]slog.Attr{
+	attrs := []slog.Attr{
 		slog.String("job", r.Job), slog.String("route", r.Route), slog.Int("status", r.Status),
 		slog.String("verdict", string(r.Verdict)), slog.String("reason", r.Reason), slog.Bool("begun", r.Begun),
 		slog.Int("offers", r.Offers), slog.String("groups", r.Groups), slog.Int("tasks", r.Tasks), slog.Duration("took", r.Took),
 		slog.Duration("patience", r.Timeout),
 		slog.Duration("objective", r.Objective), slog.Uint64("config", r.ConfigVersion), slog.Int("owners", r.Owners),
-		slog.Duration("owners_age", r.OwnersAge), slog.Bool("probe", r.Probe), slog.String("waits", r.Waits),
-	}, sample)...)
+		slog.Duration("owners_age", r.OwnersAge),
+	}
+	if r.Waits != "" {
+		attrs = append(attrs, slog.Bool("probe", r.Probe), slog.String("waits", r.Waits))
+	}
+	e.Log(n.log, markSampled(attrs, sample)...)
 }
 
 // countOffers counts the offers made for a job, and what became of it if the reported waits showed
