--- a/node/log.go
+++ b/node/log.go
@@ -150,6 +150,19 @@
 	return append(attrs, slog.Int("one_of", sample), slog.Bool(logging.RoutineKey, true))
 }
 
+// RecordResponse implements ingress.Recorder.
+func (n *Node) RecordResponse(r ingress.Record) {
+	n.metrics.Add("answer_"+r.Route+"_"+string(r.Verdict), 1)
+	if r.Verdict != ingress.Completed {
+		n.metrics.Add("cause_"+string(r.Verdict)+": "+r.Reason, 1)
+	} else if r.Late {
+		n.metrics.Add("answer_"+r.Route+"_late", 1)
+	}
+	n.countOffers(r)
+	n.metrics.Latencies.Observe("request_"+string(r.Verdict), r.Took)
+	n.logResponse(r)
+}
+
 // logResponse logs the response to a customer. Of the jobs that were completed in time it
 // logs one in sampleInterval.
 func (n *Node) logResponse(r ingress.Record) {
--- a/node/node.go
+++ b/node/node.go
@@ -402,16 +402,3 @@
 
 // CallOverdue implements owner.Observer.
 func (n *Node) CallOverdue(kind string) { n.metrics.Add(kind+"_overdue", 1) }
-
-// RecordResponse implements ingress.Recorder.
-func (n *Node) RecordResponse(r ingress.Record) {
-	n.metrics.Add("answer_"+r.Route+"_"+string(r.Verdict), 1)
-	if r.Verdict != ingress.Completed {
-		n.metrics.Add("cause_"+string(r.Verdict)+": "+r.Reason, 1)
-	} else if r.Late {
-		n.metrics.Add("answer_"+r.Route+"_late", 1)
-	}
-	n.countOffers(r)
-	n.metrics.Latencies.Observe("request_"+string(r.Verdict), r.Took)
-	n.logResponse(r)
-}
