--- a/node/log.go
+++ b/node/log.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// RecordResponse implements ingress.Recorder.
+func (n *Node) RecordResponse(r ingress.Record) {
+	n.metrics.Add("answer_"+r.Route+"_"+string(r.Verdict), 1)
+	if r.Verdict != ingress.Completed {
+		n.metrics.Add("cause_"+string(r.Verdict)+": "+r.Reason, 1)
+	} else if r.Late {
+		n.metrics.Add("answer_"+r.Route+"_late", 1)
+	}
+	n.countOffers(r)
+	n.metrics.Latencies.Observe("request_"+string(r.Verdict), r.Took)
+	n.logResponse(r)
+}
+
 // logResponse logs the response to a customer. Of the jobs that were completed in time it
 // logs one in sampleInterval.
 func (n *Node) logResponse(r ingress.Record) {
@@ -173,12 +186,30 @@
 		}
 		sample = sampleInterval
 	}
-	e.Log(n.log, markSampled([]slog.Attr{
+	attrs := []slog.Attr{
 		slog.String("job", r.Job), slog.String("route", r.Route), slog.Int("status", r.Status),
 		slog.String("verdict", string(r.Verdict)), slog.String("reason", r.Reason), slog.Bool("begun", r.Begun),
 		slog.Int("offers", r.Offers), slog.String("groups", r.Groups), slog.Int("tasks", r.Tasks), slog.Duration("took", r.Took),
 		slog.Duration("patience", r.Timeout),
 		slog.Duration("objective", r.Objective), slog.Uint64("config", r.ConfigVersion), slog.Int("owners", r.Owners),
 		slog.Duration("owners_age", r.OwnersAge),
-	}, sample)...)
+	}
+	if r.Waits != "" {
+		attrs = append(attrs, slog.Bool("probe", r.Probe), slog.String("waits", r.Waits))
+	}
+	e.Log(n.log, markSampled(attrs, sample)...)
+}
+
+// countOffers counts the offers made for a job, and what became of it if the reported waits showed
+// that it would be late.
+func (n *Node) countOffers(r ingress.Record) {
+	n.metrics.Add("offers_"+string(r.Verdict), int64(r.Offers))
+	switch {
+	case r.RejectedAtOnce:
+		n.metrics.Add("rejected_at_once", 1)
+	case r.Probe && r.Verdict == ingress.Completed:
+		n.metrics.Add("probes_served", 1)
+	case r.Probe:
+		n.metrics.Add("probes_not_served", 1)
+	}
 }
