A restarted upstream does not inherit the leaving time of its former incarnation

Where the pool learned of a restart from a report ahead of the entry, the new incarnation kept the former LeavesAt. Of two known times the earlier one counts, so that a later notice of the new incarnation was ignored, or runs were moved by the notice of the former one. Scenario leaving_started_again fails without.

--- a/schedule/incarnations.go
+++ b/schedule/incarnations.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
 )
@@ -29,7 +30,7 @@
 		return nil
 	case startedUnixMs > u.StartedUnixMs:
 		next := u.Upstream
-		next.StartedUnixMs, next.Draining = startedUnixMs, false
+		next.StartedUnixMs, next.Draining, next.LeavesAt = startedUnixMs, false, time.Time{}
 		return p.replaceRestarted(u, next)
 	default:
 		return u
