--- a/node/timing.go
+++ b/node/timing.go
@@ -44,7 +44,8 @@
 
 // silenceLimits holds the times in milliseconds without a heartbeat after which a peer is suspected
 // and considered dead. For far neighbours both are doubled, because their heartbeats are rarer. The
-// tasks of a lost instance must be stopped well before its customers submit their jobs again.
+// tasks of a lost instance should be stopped well before its customers submit their jobs again. The
+// leases of coordinators ensure that they are, also where this instance stalls and detects it later.
 var silenceLimits = membership.Config{SuspectMs: 350, DeadMs: 600, FarFactor: 2}
 
 // dialYieldDelay is how long an instance waits before it dials a peer whose name sorts before
