--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -106,13 +106,10 @@
 func (f *forecast) reserve(tasks int, duration time.Duration) (time.Time, bool) {
 	last := f.now
 	for range tasks {
-		if len(f.freeAt) == 0 {
+		at, hasCapacity := f.nextStart()
+		if !hasCapacity {
 			return time.Time{}, false
 		}
-		at := f.freeAt[0]
-		if at.Before(f.now) {
-			at = f.now
-		}
 		if at.After(last) {
 			last = at
 		}
@@ -122,6 +119,19 @@
 	return last, true
 }
 
+// nextStart returns when one more task is expected to start. It returns false if the forecast has
+// no capacity, neither now nor later.
+func (f *forecast) nextStart() (time.Time, bool) {
+	switch {
+	case len(f.freeAt) == 0:
+		return time.Time{}, false
+	case f.freeAt[0].Before(f.now):
+		return f.now, true
+	default:
+		return f.freeAt[0], true
+	}
+}
+
 // countWaiting returns the number of waiting tasks of a job.
 func (j *job) countWaiting() int {
 	n := 0
--- a/schedule/leaving.go
+++ b/schedule/leaving.go
@@ -78,12 +78,11 @@
 	slices.SortStableFunc(runs, func(a, b leavingRun) int { return b.end.Compare(a.end) })
 	f := p.forecastForMoves(runs)
 	for _, r := range runs {
-		freeBefore := slices.Clone(f.freeAt)
-		start, hasCapacity := f.reserve(1, r.job.expectedTaskDuration)
-		if !hasCapacity || !p.hasAlternative(r.job, r.upstream.ID) || !p.endsSoonerIfMoved(r, start) {
-			f.freeAt = freeBefore
+		start, hasCapacity := f.nextStart()
+		if !hasCapacity || !p.endsSoonerIfMoved(r, start) || !p.hasAlternative(r.job, r.upstream.ID) {
 			continue
 		}
+		f.reserve(1, r.job.expectedTaskDuration)
 		r.job.tasks[r.id.Task.Index].moves++
 		p.stopRun(r.run, ReasonLeaving)
 	}
