Check the cost of an input that places tasks, beside the report that no longer does

With PlaceWhenDue the report of TestInputsAreCheap does not reach the queue any more; the new input does.

--- a/schedule/cost_test.go
+++ b/schedule/cost_test.go
@@ -90,7 +90,14 @@
 			p.Withdraw(startTime, o.Key, "left")
 		})
 	}
-	for name, input := range map[string]func(*Pool) float64{"report": report, "offer": offer} {
+	entries := func(p *Pool) float64 { // unlike the report, they may make room
+		var list []fleet.Upstream
+		for _, u := range p.sortedUpstreams {
+			list = append(list, u.Upstream)
+		}
+		return testing.AllocsPerRun(20, func() { p.SetUpstreams(startTime, list) })
+	}
+	for name, input := range map[string]func(*Pool) float64{"report": report, "offer": offer, "entries": entries} {
 		few, many := input(fullPool(8, 10)), input(fullPool(8, 400))
 		if many > few+8 {
 			t.Errorf("%s: allocations grow with the queue: %.0f with 10 waiting tasks, %.0f with 400", name, few, many)
