Adopt the done runs of a lost owner

The coordinator of an offer that was lost with its owner asks the next owner of the group for the ends of the tasks, instead of answering that they are unknown. The next owner lets the runs that it finds go on for a moment and remembers the ends that it acknowledges. Nothing starts and no lease is renewed for such an offer.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -236,7 +236,11 @@
 // other lines of the job if possible.
 func (e *Explanation) reason(resultLine Line) string {
 	if l, found := e.lastLine("offer_lost"); found {
-		return fmt.Sprintf("; the connection to the owner of %s broke", l.Field("group"))
+		text := fmt.Sprintf("; the connection to the owner of %s broke", l.Field("group"))
+		if failed, found := e.lastLine("adoption_failed"); found {
+			text += fmt.Sprintf(", and the next owner could not complete the job: %s", failed.Field("reason"))
+		}
+		return text
 	}
 	reasons := map[string]int{}
 	for _, l := range e.Lines {
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -35,6 +35,8 @@
 	deadline       time.Time // latest deadline of the waiters
 	settled        bool      // the job has its verdict
 	retryScheduled bool      // a timer will offer the unassigned tasks again
+	// reviewScheduled is set while a timer will call reviewOrphans.
+	reviewScheduled bool
 }
 
 // openOffer is an offer of some of a job's tasks whose result has not arrived yet.
@@ -43,7 +45,9 @@
 	group    string
 	tasks    map[int]struct{} // offered tasks that are neither done nor returned
 	mayQueue bool
-	sent     bool // the offer has been sent and can be withdrawn
+	sent     bool    // the offer has been sent and can be withdrawn
+	orphan   *orphan // set if the owner was lost; see orphan.go
+	adopting *orphan // set for an adopting offer: the state of the orphaned offer that it replaces
 }
 
 // ownerRetryDelay is the delay before tasks are offered again when no owner could be reached.
@@ -67,8 +71,7 @@
 		Verdict: v, Reason: reason, Begun: j.begun, Offers: j.offerCount, Groups: strings.Join(j.search.offered, ","),
 		RetryAfter: j.coordinator.retryAfter(v, j.search.outcome(j.begun)), Owners: j.search.ownerCount, OwnersAge: j.search.loadAge,
 	}
-	toWithdraw := lo.Filter(slices.Collect(maps.Values(j.offers)), func(o *openOffer, _ int) bool { return o.sent })
-	slices.SortFunc(toWithdraw, func(a, b *openOffer) int { return a.number - b.number })
+	toWithdraw := lo.Filter(j.sortedOffers(), func(o *openOffer, _ int) bool { return o.sent && o.orphan == nil })
 	j.coordinator.sendsInFlight.Add(1)
 	defer j.coordinator.sendsInFlight.Add(-1)
 	j.mu.Unlock()
@@ -93,7 +96,7 @@
 	j.mu.Lock()
 	offer.sent = true
 	_, pending := j.offers[offer.number]
-	unwanted := pending && j.settled
+	unwanted := pending && j.settled && offer.orphan == nil
 	j.mu.Unlock()
 	if unwanted {
 		j.withdraw(offer)
@@ -117,7 +120,8 @@
 			j.handleNoOwner()
 			return
 		}
-		offer, o := j.newOffer(choice, aliveAt)
+		offer, o := j.newOffer(choice, j.unassigned, aliveAt)
+		j.unassigned = nil
 		j.coordinator.sendsInFlight.Add(1)
 		j.mu.Unlock()
 		if j.sendOffer(offer, o) {
@@ -132,6 +136,7 @@
 	err := j.coordinator.owners.Offer(offer.group, o, owner.OfferCallbacks{
 		TasksReturned: func(r schedule.Result, _ schedule.Load) { j.handleReturned(offer, r) },
 		OfferEnded:    func(r schedule.Result, _ schedule.Load) { j.handleEnded(offer, r) },
+		OwnerLost:     func(token uint64) { j.handleOwnerLost(offer, token) },
 	})
 	if err != nil {
 		j.undoOffer(offer)
@@ -153,10 +158,9 @@
 	return j.coordinator.policy.choose(loads, j.coordinator.zone, j.search.tried, len(j.unassigned), begun)
 }
 
-// newOffer creates an offer of all unassigned tasks to the chosen group and records it as
-// open. AliveAt is the time before the last check of the customer's connection; the owner
+// newOffer creates an offer of tasks to the chosen group and records it as open. AliveAt is the time before the last check of the customer's connection; the owner
 // must not start the tasks when that time is too long ago. The lock must be held.
-func (j *openJob) newOffer(choice Choice, aliveAt time.Time) (*openOffer, schedule.Offer) {
+func (j *openJob) newOffer(choice Choice, tasks []int, aliveAt time.Time) (*openOffer, schedule.Offer) {
 	step := j.Job.Steps[0]
 	now := j.coordinator.clock.Now()
 	j.offerCount++
@@ -164,22 +168,25 @@
 	o := schedule.Offer{
 		Key:     schedule.JobKey{ID: j.Job.ID, Part: number},
 		Service: j.Route.Service, Route: j.Route.Name, Spec: j.Job.Spec, Demand: step.Demand, Estimate: step.Estimate,
-		Priority: j.Route.Priority, MaxAttempts: j.Route.MaxAttempts, Tasks: j.unassigned,
+		Priority: j.Route.Priority, MaxAttempts: j.Route.MaxAttempts, Tasks: tasks,
 		Stretch: j.Route.Stretch, Slack: j.Route.Slack, Age: now.Sub(j.acceptedAt), Timeout: j.deadline.Sub(now), AliveAt: aliveAt, MayQueue: choice.MayQueue, AllOrNothing: choice.AllOrNothing, Begun: j.begun,
-		History: lo.PickByKeys(j.history, j.unassigned), Rack: step.Rack, MaxPerUpstream: step.MaxPerUpstream,
+		History: lo.PickByKeys(j.history, tasks), Rack: step.Rack, MaxPerUpstream: step.MaxPerUpstream,
 	}
-	offer := &openOffer{number: number, group: choice.Group, tasks: lo.Keyify(j.unassigned), mayQueue: choice.MayQueue}
-	j.unassigned = nil
+	offer := &openOffer{number: number, group: choice.Group, tasks: lo.Keyify(tasks), mayQueue: choice.MayQueue}
 	j.offers[offer.number] = offer
 	j.search.markOffered(choice.Group)
 	return offer, o
 }
 
 // undoOffer handles an offer that could not be sent: its tasks become unassigned again, and
-// the group counts as unreachable.
+// the group counts as unreachable. The tasks of an adopting offer stay orphaned.
 func (j *openJob) undoOffer(offer *openOffer) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if offer.adopting != nil {
+		j.restoreOrphan(offer)
+		return
+	}
 	j.unassign(offer, lo.Keys(offer.tasks))
 	delete(j.offers, offer.number)
 	j.search.unreachable[offer.group] = true // until handleNoOwner allows retries
@@ -265,6 +272,10 @@
 // handleEnded processes the end of an offer. It settles the job if all tasks are done or the
 // rest cannot be completed, and otherwise offers the remaining tasks to other owners.
 func (j *openJob) handleEnded(offer *openOffer, r schedule.Result) {
+	if offer.adopting != nil {
+		j.handleAdoptionEnded(offer, r)
+		return
+	}
 	j.mu.Lock()
 	delete(j.offers, offer.number)
 	j.begun = j.begun || r.Begun
@@ -294,7 +305,7 @@
 	case r.Outcome == schedule.Expired && r.Begun:
 		j.settle(Unknown, "no room in time for all of it")
 	case r.Outcome == schedule.Unknown:
-		j.settle(Unknown, "the owner of upstreams was lost")
+		j.settle(Unknown, reasonOwnerLost)
 	default:
 		j.offerUnassigned()
 	}
--- /dev/null
+++ b/ingress/orphan.go
@@ -0,0 +1,209 @@
+package ingress
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/schedule"
+
+	"github.com/samber/lo"
+)
+
+// An offer is orphaned when the connection to the owner that it was sent to is lost. Its tasks may
+// be running on the upstreams, or done. The next owner of the group, which has a higher fencing
+// token, learns of the ends that the lost owner has not acknowledged. The coordinator offers it
+// exactly these tasks, as an adopting offer (see schedule.Offer.AdoptFrom), for which no task
+// starts. If the customer leaves meanwhile, the job is settled as with any offer.
+
+// maxOrphanWait is how long the coordinator waits for the next owner of an orphaned offer. An owner
+// is replaced within about a second; leases lapse earlier, so that a later owner finds little more.
+const maxOrphanWait = 1500 * time.Millisecond
+
+// orphan is the state of an orphaned offer.
+type orphan struct {
+	lostToken uint64    // fencing token of the lost owner
+	lostAt    time.Time // when the loss was noticed
+	giveUpAt  time.Time // when the coordinator stops waiting for the next owner
+}
+
+// orphanStep is what to do about an orphaned offer.
+type orphanStep int
+
+const (
+	waitForOwner orphanStep = iota
+	adoptOffer              // offer the tasks to the next owner
+	giveUpOffer             // the ends of the tasks cannot be learned
+)
+
+// nextStep decides about an orphaned offer, given the last known load of the owner of its group,
+// or nil if the group has no known owner. If the lost owner has itself reported since the loss, it
+// has withdrawn the offer together with the connection, and will not be replaced.
+func (o *orphan) nextStep(now time.Time, load *OwnerLoad) orphanStep {
+	switch {
+	case !now.Before(o.giveUpAt):
+		return giveUpOffer
+	case load == nil || load.Token < o.lostToken:
+		return waitForOwner
+	case load.Token > o.lostToken:
+		return adoptOffer
+	case !load.Relayed && load.Age < now.Sub(o.lostAt):
+		return giveUpOffer
+	default:
+		return waitForOwner
+	}
+}
+
+// reasonOwnerLost is the reason of jobs whose tasks were lost with an owner.
+const reasonOwnerLost = "the owner of upstreams was lost"
+
+// usefulUntil is the time from which on the result of the job is of no use.
+func (j *openJob) usefulUntil() time.Time {
+	return lo.Earliest(j.acceptedAt.Add(schedule.ExpiryFactor*j.Objective()), j.deadline)
+}
+
+// handleOwnerLost processes the loss of the connection to the owner with the given fencing token
+// while an offer was open.
+func (j *openJob) handleOwnerLost(offer *openOffer, token uint64) {
+	if !j.coordinator.policy.AdoptRuns || token == 0 {
+		j.handleEnded(offer, schedule.Result{Outcome: schedule.Unknown, Begun: true})
+		return
+	}
+	now := j.coordinator.clock.Now()
+	j.mu.Lock()
+	o := &orphan{lostToken: token, lostAt: now, giveUpAt: lo.Earliest(now.Add(maxOrphanWait), j.usefulUntil())}
+	if former := offer.adopting; former != nil {
+		o.giveUpAt = former.giveUpAt // the owner that should have adopted the tasks is lost as well
+	}
+	offer.orphan, offer.adopting = o, nil
+	j.begun = true
+	j.mu.Unlock()
+	j.reviewOrphans()
+}
+
+// reviewOrphans offers the tasks of orphaned offers to the next owners of their groups, and settles
+// the job if one of them cannot be completed. It calls itself until no offer is orphaned.
+func (j *openJob) reviewOrphans() {
+	for {
+		aliveAt := j.coordinator.clock.Now()
+		j.detachDisconnected(j.coordinator.clock.Suspended())
+		j.mu.Lock()
+		if j.settled {
+			j.mu.Unlock()
+			return
+		}
+		offer, step := j.nextOrphan()
+		switch {
+		case offer == nil:
+			j.mu.Unlock()
+			return
+		case step == waitForOwner:
+			j.mu.Unlock()
+			j.scheduleOrphanReview()
+			return
+		case step == giveUpOffer:
+			j.mu.Unlock()
+			j.settle(Unknown, reasonOwnerLost)
+			return
+		}
+		adopting, o := j.newAdoptingOffer(offer, aliveAt)
+		j.coordinator.sendsInFlight.Add(1)
+		j.mu.Unlock()
+		if !j.sendOffer(adopting, o) {
+			j.scheduleOrphanReview()
+			return
+		}
+	}
+}
+
+// nextOrphan returns the orphaned offer about which something can be done, or else any orphaned
+// offer with waitForOwner. It returns nil if no offer is orphaned. The lock must be held.
+func (j *openJob) nextOrphan() (*openOffer, orphanStep) {
+	var waiting *openOffer
+	now := j.coordinator.clock.Now()
+	var loads []OwnerLoad
+	for _, offer := range j.sortedOffers() {
+		if offer.orphan == nil {
+			continue
+		}
+		if loads == nil {
+			loads = j.coordinator.owners.Loads()
+		}
+		var load *OwnerLoad
+		if i := slices.IndexFunc(loads, func(l OwnerLoad) bool { return l.Group == offer.group }); i >= 0 {
+			load = &loads[i]
+		}
+		if step := offer.orphan.nextStep(now, load); step != waitForOwner {
+			return offer, step
+		}
+		waiting = offer
+	}
+	return waiting, waitForOwner
+}
+
+// sortedOffers returns the open offers by number. The lock must be held.
+func (j *openJob) sortedOffers() []*openOffer {
+	offers := lo.Values(j.offers)
+	slices.SortFunc(offers, func(a, b *openOffer) int { return cmp.Compare(a.number, b.number) })
+	return offers
+}
+
+// newAdoptingOffer replaces an orphaned offer by an adopting offer of the same tasks. The lock must
+// be held.
+func (j *openJob) newAdoptingOffer(orphaned *openOffer, aliveAt time.Time) (*openOffer, schedule.Offer) {
+	delete(j.offers, orphaned.number)
+	tasks := lo.Keys(orphaned.tasks)
+	slices.Sort(tasks)
+	offer, o := j.newOffer(Choice{Group: orphaned.group}, tasks, aliveAt)
+	offer.adopting = orphaned.orphan
+	o.AdoptFrom = orphaned.orphan.lostToken
+	return offer, o
+}
+
+// restoreOrphan makes an adopting offer that no owner has taken an orphaned one again. The lock must
+// be held.
+func (j *openJob) restoreOrphan(offer *openOffer) { offer.orphan, offer.adopting = offer.adopting, nil }
+
+// handleAdoptionEnded processes the end of an adopting offer. Its tasks that are not done must not
+// be offered again, because they may have been done.
+func (j *openJob) handleAdoptionEnded(offer *openOffer, r schedule.Result) {
+	j.mu.Lock()
+	if !r.Begun { // the instance does not own the group any more
+		j.restoreOrphan(offer)
+		j.mu.Unlock()
+		j.scheduleOrphanReview()
+		return
+	}
+	delete(j.offers, offer.number)
+	for _, t := range r.Done {
+		delete(j.unfinished, t)
+		delete(offer.tasks, t)
+	}
+	missing, complete := len(offer.tasks) > 0, len(j.unfinished) == 0
+	j.mu.Unlock()
+	switch {
+	case complete:
+		j.settle(Completed, "")
+	case missing:
+		j.settle(Unknown, reasonOwnerLost)
+	default:
+		j.offerUnassigned()
+	}
+}
+
+// scheduleOrphanReview sets a timer that calls reviewOrphans after ownerRetryDelay, unless it is set.
+func (j *openJob) scheduleOrphanReview() {
+	j.mu.Lock()
+	alreadyScheduled := j.reviewScheduled
+	j.reviewScheduled = true
+	j.mu.Unlock()
+	if alreadyScheduled {
+		return
+	}
+	j.coordinator.clock.AfterFunc(ownerRetryDelay, func() {
+		j.mu.Lock()
+		j.reviewScheduled = false
+		j.mu.Unlock()
+		j.reviewOrphans()
+	})
+}
--- a/ingress/policy.go
+++ b/ingress/policy.go
@@ -23,6 +23,8 @@
 	Waiting  int           // number of tasks in the owner's queue
 	Capacity int64         // total capacity of the upstreams, in thousandths of a core
 	Closed   bool          // no task may start on any upstream of the group
+	Token    uint64        // fencing token of the owner; 0 if unknown
+	Relayed  bool          // another instance has relayed the report
 	Age      time.Duration // time since the owner reported the load
 }
 
@@ -65,6 +67,9 @@
 	// BoundAsks rejects a job once maxOwnersWithoutCapacity owners have returned it because
 	// they expect no free capacity in time. It is not offered to the remaining owners.
 	BoundAsks bool
+	// AdoptRuns lets jobs go on when the owner of an offer is lost: the next owner of the
+	// group is asked for the ends of the tasks (see orphan.go). Without it, they end Unknown.
+	AdoptRuns bool
 }
 
 // maxOwnersWithoutCapacity is how many owners must expect no free capacity in time before a
@@ -75,7 +80,7 @@
 const maxOwnersWithoutCapacity = 3
 
 // DefaultPolicy enables all rules.
-var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true, BoundAsks: true}
+var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true, BoundAsks: true, AdoptRuns: true}
 
 // choose picks an owner for the given number of tasks of a job whose coordinator is in the
 // given zone. Begun reports whether other tasks of the job may have begun, so that there is
--- /dev/null
+++ b/node/adopt_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/sedgehatch/sedgehatch/ingress"
+	"github.com/sedgehatch/sedgehatch/platform/standin"
+	"github.com/sedgehatch/sedgehatch/schedule"
+)
+
+// withoutAdoption switches the adoption of runs off for the instances that the test starts.
+func withoutAdoption(t *testing.T, pool, coordinator bool) {
+	t.Helper()
+	formerConfig, formerPolicy := schedule.DefaultConfig, ingress.DefaultPolicy
+	t.Cleanup(func() { schedule.DefaultConfig, ingress.DefaultPolicy = formerConfig, formerPolicy })
+	schedule.DefaultConfig.Policy.AdoptRuns = !pool
+	ingress.DefaultPolicy.AdoptRuns = !coordinator
+}
+
+// runWhileOwnerIsKilled submits a job of tasks that run for ms milliseconds each to an instance that
+// does not own the group, kills the owner while they run, and returns the status of the response.
+func runWhileOwnerIsKilled(t *testing.T, tasks, ms int) (*testCluster, int) {
+	t.Helper()
+	cluster := newTestCluster(t, []string{"a"}, 2, "a-1", "a-2")
+	owner := cluster.owner("a/0")
+	response := cluster.submitAsync(cluster.other(owner), cluster.newJobID(), tasks, ms)
+	cluster.waitUntil("all tasks of the job run", func() bool { return cluster.runs.Starts() == tasks })
+	cluster.kill(owner)
+	return cluster, <-response
+}
+
+// TestNextOwnerAdopts kills the owner of a group while tasks run that end before their leases lapse.
+// The next owner must find their ends, and no task may start again.
+func TestNextOwnerAdopts(t *testing.T) {
+	cluster, status := runWhileOwnerIsKilled(t, 4, 300)
+	if status != http.StatusOK {
+		t.Errorf("the job whose tasks were done got status %d, want 200", status)
+	}
+	if starts := cluster.runs.Starts(); starts != 4 {
+		t.Errorf("4 tasks were started %d times", starts)
+	}
+	cluster.mustComplete(cluster.owner("a/0"), 4, 20)
+}
+
+// TestAdoptionOff checks that the job of TestNextOwnerAdopts is not completed if the owners or the
+// coordinators have the rule switched off.
+func TestAdoptionOff(t *testing.T) {
+	for name, off := range map[string][2]bool{"owners": {true, false}, "coordinators": {false, true}, "both": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			withoutAdoption(t, off[0], off[1])
+			if _, status := runWhileOwnerIsKilled(t, 4, 300); status != http.StatusGatewayTimeout {
+				t.Errorf("the job got status %d, want 504", status)
+			}
+		})
+	}
+}
+
+// TestAdoptionFindsLapsedRuns kills the owner while tasks run that outlast their leases. The job
+// cannot be completed and its tasks must not start again.
+func TestAdoptionFindsLapsedRuns(t *testing.T) {
+	cluster, status := runWhileOwnerIsKilled(t, 4, 1500)
+	if status != http.StatusGatewayTimeout {
+		t.Errorf("the job whose tasks lapsed got status %d, want 504", status)
+	}
+	if starts := cluster.runs.Starts(); starts != 4 {
+		t.Errorf("4 tasks were started %d times", starts)
+	}
+}
+
+// TestAdoptionWithoutReport kills the owner while the upstream that runs the only task stops
+// responding: the next owner does not learn how the run ended. The job must end in time.
+func TestAdoptionWithoutReport(t *testing.T) {
+	cluster := newTestCluster(t, []string{"a"}, 2, "a-1", "a-2")
+	owner := cluster.owner("a/0")
+	id := cluster.newJobID()
+	response := cluster.submitAsync(cluster.other(owner), id, 1, 300)
+	cluster.waitUntil("the job runs", func() bool { return cluster.runs.IsRunning(id) })
+	for _, u := range cluster.upstreams {
+		u.SetFault(standin.NoAnswer)
+	}
+	cluster.kill(owner)
+	if status := <-response; status != http.StatusGatewayTimeout {
+		t.Errorf("the job got status %d, want 504", status)
+	}
+	for _, u := range cluster.upstreams {
+		u.SetFault(standin.NoFault)
+	}
+	cluster.mustComplete(cluster.owner("a/0"), 1, 20)
+}
--- a/node/convert.go
+++ b/node/convert.go
@@ -118,20 +118,36 @@
 // offerToProto returns the message for an offer. aliveMs is when the customer was last known
 // to be connected, in milliseconds of the receiver's clock.
 func offerToProto(group string, o schedule.Offer, aliveMs uint64) *inner.Offer {
-	return &inner.Offer{
+	m := &inner.Offer{
 		Group: group, Job: o.Key.ID, Part: uint32(o.Key.Part), Service: o.Service, Route: o.Route, Spec: o.Spec,
 		MilliCpu: o.Demand.MilliCPU, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
 		EstimateMs: uint32(o.Estimate.Milliseconds()), Priority: uint32(o.Priority), MaxAttempts: uint32(o.MaxAttempts),
 		Tasks: toUint32s(o.Tasks), Stretch: o.Stretch, SlackMs: uint32(o.Slack.Milliseconds()),
 		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Timeout, 0).Milliseconds()), MayQueue: o.MayQueue, Begun: o.Begun, Whole: o.AllOrNothing,
 		Past: taskHistoryToProto(o.History), AliveMs: aliveMs, Rack: o.Rack, MostOnOne: uint32(o.MaxPerUpstream),
+		AdoptFrom: o.AdoptFrom,
 	}
+	if o.AdoptFrom > 0 {
+		// An instance of an earlier version ignores AdoptFrom. Without Tasks it starts none.
+		m.Tasks, m.Past = nil, adoptedTasksToProto(o)
+	}
+	return m
+}
+
+// adoptedTasksToProto returns the messages for the tasks of an adopting offer, with the history
+// of those that have one.
+func adoptedTasksToProto(o schedule.Offer) []*inner.TaskPast {
+	history := make(map[int]schedule.TaskHistory, len(o.Tasks))
+	for _, t := range o.Tasks {
+		history[t] = o.History[t]
+	}
+	return taskHistoryToProto(history)
 }
 
 // offerFromProto returns the offer in a message, without Key.Coordinator and AliveAt, which
 // the caller sets.
 func offerFromProto(m *inner.Offer) schedule.Offer {
-	return schedule.Offer{
+	o := schedule.Offer{
 		Key:     schedule.JobKey{ID: m.GetJob(), Part: int(m.GetPart())},
 		Service: m.GetService(), Route: m.GetRoute(), Spec: m.GetSpec(),
 		Demand:   fleet.Resources{MilliCPU: m.GetMilliCpu(), MemoryMB: m.GetMemoryMb(), GPUs: m.GetGpus()},
@@ -140,5 +156,10 @@
 		Slack: time.Duration(m.GetSlackMs()) * time.Millisecond, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		Timeout: time.Duration(m.GetPatienceMs()) * time.Millisecond, MayQueue: m.GetMayQueue(), Begun: m.GetBegun(), AllOrNothing: m.GetWhole(),
 		History: taskHistoryFromProto(m.GetPast()), Rack: m.GetRack(), MaxPerUpstream: int(m.GetMostOnOne()),
+		AdoptFrom: m.GetAdoptFrom(),
+	}
+	if o.AdoptFrom > 0 {
+		o.Tasks = slices.Sorted(maps.Keys(o.History))
 	}
+	return o
 }
--- a/node/log.go
+++ b/node/log.go
@@ -26,6 +26,20 @@
 	schedule.DecidedGone:       event.UpstreamGone,
 	schedule.DecidedFenced:     event.UpstreamFenced,
 	schedule.DecidedSuspect:    event.TaskSuspected,
+
+	schedule.DecidedAdopt:       event.RunAdopted,
+	schedule.DecidedAdoptFailed: event.AdoptionFailed,
+}
+
+// countAdoption counts the runs of former owners that are adopted, and the adopting offers that
+// fail.
+func (n *Node) countAdoption(d schedule.Decision) {
+	switch d.Kind {
+	case schedule.DecidedAdopt:
+		n.metrics.Add("runs_adopted", 1)
+	case schedule.DecidedAdoptFailed:
+		n.metrics.Add("adoptions_failed: "+d.Reason, 1)
+	}
 }
 
 const (
@@ -100,11 +114,12 @@
 	return append(write, pending...), sampleInterval
 }
 
-// endedNormally reports whether an offer was completed in time, without a retry or a stop.
+// endedNormally reports whether an offer was completed in time, without a retry, a stop or an
+// adopted run.
 func endedNormally(decisions []pendingDecision) bool {
 	for _, p := range decisions {
 		switch p.Kind {
-		case schedule.DecidedRetry, schedule.DecidedStop:
+		case schedule.DecidedRetry, schedule.DecidedStop, schedule.DecidedAdopt, schedule.DecidedAdoptFailed:
 			return false
 		case schedule.DecidedResult:
 			if p.Late || p.Reason != string(schedule.Completed) {
--- a/node/node.go
+++ b/node/node.go
@@ -385,6 +385,7 @@
 // DecisionMade implements owner.Observer.
 func (n *Node) DecisionMade(group string, token uint64, d schedule.Decision) {
 	n.decisions.record(group, token, d)
+	n.countAdoption(d)
 }
 
 // CallEnded implements owner.Observer.
--- a/node/relay.go
+++ b/node/relay.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		r.peerOwners[c.GetGroup()] = &peerOwner{
-			peer: fate.Incarnation(o.GetIncarnation()), token: c.GetToken(), load: ownerLoad(c.GetGroup(), loadFromProto(c)), reportedAt: reportedAt, relayed: true,
+			peer: fate.Incarnation(o.GetIncarnation()), token: c.GetToken(), load: ownerLoad(c.GetGroup(), c.GetToken(), loadFromProto(c)), reportedAt: reportedAt, relayed: true,
 		}
 	}
 	for group, v := range r.peerOwners {
--- a/node/router.go
+++ b/node/router.go
@@ -40,8 +40,9 @@
 // openOffer is an offer that was sent to a peer and has not ended.
 type openOffer struct {
 	owner.OfferCallbacks
-	peer string           // name of the instance that the offer was sent to
-	conn inner.Connection // connection on which the offer was sent; nil while it is being sent
+	peer  string           // name of the instance that the offer was sent to
+	token uint64           // fencing token of the owner on that instance
+	conn  inner.Connection // connection on which the offer was sent; nil while it is being sent
 	// withdrawn and reason are set when the coordinator withdraws the offer.
 	withdrawn bool
 	reason    string
@@ -100,7 +101,7 @@
 	r.node.mu.Unlock()
 	var fresh, stale []ingress.OwnerLoad
 	for _, g := range own {
-		fresh = append(fresh, ownerLoad(g.Name, g.Load()))
+		fresh = append(fresh, ownerLoad(g.Name, g.Token, g.Load()))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -109,7 +110,7 @@
 			continue
 		}
 		l := v.load
-		l.Age = clock.Since(v.reportedAt)
+		l.Age, l.Relayed = clock.Since(v.reportedAt), v.relayed
 		if v.isFresh() {
 			fresh = append(fresh, l)
 		} else {
@@ -123,8 +124,8 @@
 	return fresh
 }
 
-func ownerLoad(group string, l schedule.Load) ingress.OwnerLoad {
-	return ingress.OwnerLoad{Group: group, Zone: zoneOfGroup(group), Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
+func ownerLoad(group string, token uint64, l schedule.Load) ingress.OwnerLoad {
+	return ingress.OwnerLoad{Group: group, Zone: zoneOfGroup(group), Token: token, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
 }
 
 // handleClaims updates the owners of groups from the claims in a heartbeat of a peer.
@@ -138,7 +139,7 @@
 		if c.GetLeaving() || v != nil && v.token > c.GetToken() {
 			continue
 		}
-		r.peerOwners[c.GetGroup()] = &peerOwner{peer: from, token: c.GetToken(), load: ownerLoad(c.GetGroup(), loadFromProto(c)), reportedAt: clock.Now()}
+		r.peerOwners[c.GetGroup()] = &peerOwner{peer: from, token: c.GetToken(), load: ownerLoad(c.GetGroup(), c.GetToken(), loadFromProto(c)), reportedAt: clock.Now()}
 	}
 	for group, v := range r.peerOwners {
 		if v.peer == from && !claimed[group] {
@@ -162,6 +163,10 @@
 // Offer implements ingress.Owners. It hands the offer to the group if this instance owns it,
 // and otherwise sends it to the owner.
 func (r *router) Offer(group string, o schedule.Offer, callbacks owner.OfferCallbacks) error {
+	if o.AdoptFrom > 0 {
+		event.OfferAdopting.Log(r.node.log, slog.String("job", o.Key.ID), slog.String("group", group), slog.Int("tasks", len(o.Tasks)), slog.Uint64("lost_token", o.AdoptFrom))
+		r.node.metrics.Add("offers_adopting", 1)
+	}
 	if g, open := r.findGroup(group); open {
 		o.Key.Coordinator = string(r.node.self)
 		return g.Offer(o, callbacks)
@@ -174,7 +179,7 @@
 	}
 	k := offerKey{group, o.Key}
 	peer := v.peer
-	tracked := &openOffer{OfferCallbacks: callbacks, peer: peer.Instance()}
+	tracked := &openOffer{OfferCallbacks: callbacks, peer: peer.Instance(), token: v.token}
 	r.openOffers[k] = tracked
 	v.load.Free -= len(o.Tasks)
 	r.lastOfferAt[peer.Instance()] = clock.Now()
@@ -218,8 +223,9 @@
 		// done task makes the coordinator offer all tasks again.
 		offer.OfferEnded(schedule.Result{Key: k.job, Outcome: schedule.Completed}, schedule.Load{})
 	case err != nil:
-		event.OfferLost.Log(r.node.log, slog.String("job", k.job.ID), slog.String("group", k.group), slog.String("error", err.Error()))
-		offer.OfferEnded(schedule.Result{Key: k.job, Outcome: schedule.Unknown, Begun: true}, schedule.Load{})
+		event.OfferLost.Log(r.node.log, slog.String("job", k.job.ID), slog.String("group", k.group), slog.Uint64("token", offer.token), slog.String("error", err.Error()))
+		r.node.metrics.Add("offers_lost", 1)
+		offer.OwnerLost(offer.token)
 	default:
 		ended := f.GetOfferEnded()
 		r.updateLoad(ended.GetLoad())
@@ -236,7 +242,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if v := r.peerOwners[c.GetGroup()]; v != nil && v.token == c.GetToken() {
-		v.load = ownerLoad(c.GetGroup(), loadFromProto(c))
+		v.load = ownerLoad(c.GetGroup(), c.GetToken(), loadFromProto(c))
 		v.reportedAt = clock.Now()
 	}
 }
--- a/owner/group.go
+++ b/owner/group.go
@@ -78,6 +78,9 @@
 	// OfferEnded is called once, when the offer has ended. It is not called for a withdrawn
 	// offer.
 	OfferEnded func(schedule.Result, schedule.Load)
+	// OwnerLost is called instead of OfferEnded if the connection to the owner, which has the
+	// given fencing token, was lost while the offer was open. It may be nil.
+	OwnerLost func(token uint64)
 }
 
 // Group carries out the decisions of a schedule.Pool for one group of upstreams.
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -210,7 +210,9 @@
 	}
 	u.reportRequestedAt = sent
 	p.reconcileRuns(u, sent, report.Running)
-	u.accepted = true
+	if !u.accepted {
+		u.accepted, u.acceptedAt = true, p.now
+	}
 	p.everAccepted = true
 }
 
@@ -224,7 +226,7 @@
 		isListed[t.Run] = true
 		r := u.runs[t.Run]
 		if r == nil {
-			p.stopFormerOwnerRun(u, t.Run)
+			p.trackFormerOwnerRun(u, t.Run)
 			continue
 		}
 		p.recordProgress(r, t.Percent)
@@ -255,16 +257,16 @@
 	return list
 }
 
-// stopFormerOwnerRun tracks and stops a run that an upstream reports and this pool has not
-// ordered, so that a former owner must have. Nothing starts on the upstream until the run is
-// gone.
-func (p *Pool) stopFormerOwnerRun(u *upstream, id fleet.Run) {
+// trackFormerOwnerRun tracks a run that an upstream reports and this pool has not ordered, so that
+// a former owner must have. The run is stopped unless it may be adopted. Nothing starts on the
+// upstream, and no lease of it is renewed, until the run is gone.
+func (p *Pool) trackFormerOwnerRun(u *upstream, id fleet.Run) {
 	if slices.Contains(u.recentEnds, id) {
 		return
 	}
 	r := &run{id: id, upstream: u, fromFormerOwner: true, state: running, orderedAt: p.now, startAckedAt: p.now, percentRoseAt: p.now, percentAt: p.now}
 	p.trackRun(r)
-	p.stopRun(r, "started by a former owner")
+	p.stopUnheld(r)
 }
 
 // handleEnd handles the end of a run that an upstream has reported.
@@ -274,6 +276,9 @@
 		u.recentEnds = u.recentEnds[1:]
 	}
 	r := u.runs[e.Run]
+	if r == nil || r.fromFormerOwner {
+		p.recordFoundEnd(u, e)
+	}
 	if r == nil {
 		return
 	}
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -44,6 +44,9 @@
 	LookOverdue bool
 	// LearnSpeed avoids upstreams on which tasks take longer than on the others.
 	LearnSpeed bool
+	// AdoptRuns lets runs that a former owner has started go on for a moment, and counts
+	// those that are done for the offers that were lost with that owner.
+	AdoptRuns bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
@@ -51,4 +54,5 @@
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
 	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true,
+	AdoptRuns: true,
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -25,6 +25,8 @@
 	coordinatorLeases map[string]*coordinatorLease
 	renewalsCheckedAt time.Time // when checkRenewals was last called
 	queue             []*job    // jobs with waiting tasks
+	adoptions         []*job    // adopting offers
+	foundEnds         map[fleet.TaskRef]foundEnd
 	waitingTasks      int
 	durationsByRoute  map[string]*taskDurations
 	crashHistory      crashHistory
@@ -46,7 +48,7 @@
 	return &Pool{
 		cfg: cfg, token: token, link: link{rate: linkShare * cfg.LinkRate}, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{}, jobsByID: map[string][]*job{},
 		runByTask: map[fleet.TaskRef]*run{}, coordinatorLeases: map[string]*coordinatorLease{}, durationsByRoute: map[string]*taskDurations{},
-		fencedIDs: map[string]bool{}, crashHistory: crashHistory{tasks: map[fleet.TaskRef]crashRecord{}},
+		foundEnds: map[fleet.TaskRef]foundEnd{}, fencedIDs: map[string]bool{}, crashHistory: crashHistory{tasks: map[fleet.TaskRef]crashRecord{}},
 	}
 }
 
@@ -156,11 +158,17 @@
 
 // Offer adds a job to the pool.
 func (p *Pool) Offer(now time.Time, o Offer) Effects {
-	return p.handle(now, func() { p.addOffer(o) })
+	return p.handle(now, func() {
+		if o.AdoptFrom > 0 {
+			p.addAdoptingOffer(o)
+			return
+		}
+		p.addOffer(o)
+	})
 }
 
-func (p *Pool) addOffer(o Offer) {
-	p.supersede(o.Key)
+// newJob returns the job of an offer, whose tasks are not counted as waiting yet.
+func (p *Pool) newJob(o Offer) *job {
 	j := &job{Offer: o, offeredAt: p.now, tasks: map[int]*task{}, unfinished: len(o.Tasks), failedOn: map[string]bool{}, history: map[int]TaskHistory{}}
 	j.expectedTaskDuration = p.durationsOf(o.Route).estimate(o.Estimate)
 	for _, index := range o.Tasks {
@@ -169,15 +177,29 @@
 		j.taskList = append(j.taskList, t)
 		p.crashHistory.importCount(p.now, p.taskRef(j, t), o.History[index].Crashes)
 	}
+	return j
+}
+
+// registerJob adds a job to those of the pool.
+func (p *Pool) registerJob(j *job) {
+	p.jobs[j.Key] = j
+	p.joinLease(j)
+	p.jobsByID[j.Key.ID] = append(p.jobsByID[j.Key.ID], j)
+}
+
+func (p *Pool) addOffer(o Offer) {
+	p.supersede(o.Key)
+	j := p.newJob(o)
 	p.waitingTasks += len(j.taskList)
+	p.registerJob(j)
 	for _, t := range j.taskList {
-		if p.runByTask[p.taskRef(j, t)] != nil {
+		if r := p.runByTask[p.taskRef(j, t)]; r != nil {
 			p.setTaskState(j, t, blocked)
+			if r.fromFormerOwner {
+				p.stopUnheld(r)
+			}
 		}
 	}
-	p.jobs[o.Key] = j
-	p.joinLease(j)
-	p.jobsByID[o.Key.ID] = append(p.jobsByID[o.Key.ID], j)
 	switch {
 	case p.draining:
 		p.returnAllWaiting(j, "draining")
@@ -297,6 +319,7 @@
 		delete(p.jobsByID, j.Key.ID)
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
+	p.adoptions = slices.DeleteFunc(p.adoptions, func(o *job) bool { return o == j })
 	for _, t := range j.taskList {
 		if t.state == waiting || t.state == blocked {
 			p.setTaskState(j, t, ended)
@@ -326,11 +349,14 @@
 func (p *Pool) stopRuns(j *job, reason string) {
 	for _, t := range j.taskList {
 		r := p.runByTask[p.taskRef(j, t)]
-		if r == nil || r.job != j {
-			continue
+		switch {
+		case r == nil:
+		case t.state == adopting && r.fromFormerOwner:
+			p.stopRun(r, reason)
+		case r.job == j:
+			r.job, r.unwantedSince = nil, p.now
+			p.stopRun(r, reason)
 		}
-		r.job, r.unwantedSince = nil, p.now
-		p.stopRun(r, reason)
 	}
 }
 
--- a/schedule/scenario_test.go
+++ b/schedule/scenario_test.go
@@ -52,6 +52,9 @@
 		first = d.CmdArgs[0].Key
 	}
 	switch d.Cmd {
+	case "policy":
+		s.pool.cfg.Policy.AdoptRuns = arg("adopt", "on") == "on"
+		return ""
 	case "upstreams":
 		added, effects := s.pool.SetUpstreams(s.now, s.upstreams(t, d.Input))
 		return "new: " + strings.Join(added, " ") + "\n" + formatEffects(effects)
@@ -166,6 +169,7 @@
 		Stretch: 1.6, Slack: parseDuration(t, arg("slack", "60ms")), Timeout: parseDuration(t, arg("patience", "5s")), MayQueue: arg("queue", "") != "", Begun: arg("begun", "") != "",
 		AllOrNothing: arg("whole", "") != "", History: map[int]TaskHistory{}, Rack: arg("rack", ""), MaxPerUpstream: parseInt(t, arg("most", "0")),
 	}
+	o.AdoptFrom = uint64(parseInt(t, arg("adopt", "0")))
 	if aliveFor := arg("alive", ""); aliveFor != "" {
 		o.AliveAt = s.now.Add(-parseDuration(t, aliveFor))
 	}
@@ -249,6 +253,10 @@
 	}
 	for _, d := range e.Decisions {
 		switch d.Kind {
+		case DecidedAdopt:
+			fmt.Fprintf(&b, "  adopts %s.%d#%d on %s\n", d.Job, d.Task, d.Run, d.Upstream)
+		case DecidedAdoptFailed:
+			fmt.Fprintf(&b, "  cannot adopt %d of %s: %s\n", d.Task, d.Job, d.Reason)
 		case DecidedRetry, DecidedStop:
 			fmt.Fprintf(&b, "  because %s.%d: %s\n", d.Job, d.Task, d.Reason)
 		case DecidedEject, DecidedReadmit, DecidedSilent, DecidedResponding, DecidedGone, DecidedFenced:
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -167,6 +167,9 @@
 	// MaxPerUpstream is how many of the tasks may run on one upstream at the same
 	// time; 0 means unlimited.
 	MaxPerUpstream int
+	// AdoptFrom makes this an adopting offer (see adopt.go): it is the fencing token of the
+	// owner with which the tasks were lost. It is 0 for all other offers.
+	AdoptFrom uint64
 }
 
 // TaskHistory describes the earlier runs of a task that moves from one pool to
@@ -242,8 +245,8 @@
 	// for one job, its customer has submitted it twice.
 	Coordinator string
 	// Task is the index of the task. In decisions that are not about one task it is a
-	// count: of the tasks that are done (result) or returned, of the failures of an
-	// ejected upstream, or of the runs on an upstream that is silent, gone or fenced.
+	// count: of the tasks that are done (result), returned or not adopted, of the failures
+	// of an ejected upstream, or of the runs on an upstream that is silent, gone or fenced.
 	Task         int
 	Run          uint32
 	Upstream     string
@@ -262,18 +265,20 @@
 
 // The kinds of decisions.
 const (
-	DecidedStart      DecisionKind = iota // a run of a task is ordered
-	DecidedRetry                          // a run ended without success or never started, and its task waits again
-	DecidedStop                           // a run is stopped
-	DecidedReturn                         // tasks are returned to their coordinator
-	DecidedResult                         // an offer has ended
-	DecidedEject                          // an upstream gets no work for some time
-	DecidedReadmit                        // an ejected upstream gets work again
-	DecidedSilent                         // several reports of an upstream in a row are missing
-	DecidedResponding                     // a silent upstream responds again
-	DecidedGone                           // an upstream is removed: it has ended, restarted or lost its entry in the store
-	DecidedFenced                         // an upstream has seen a higher fencing token: another instance owns it
-	DecidedSuspect                        // a task is suspected of crashing upstreams
+	DecidedStart       DecisionKind = iota // a run of a task is ordered
+	DecidedRetry                           // a run ended without success or never started, and its task waits again
+	DecidedStop                            // a run is stopped
+	DecidedReturn                          // tasks are returned to their coordinator
+	DecidedResult                          // an offer has ended
+	DecidedEject                           // an upstream gets no work for some time
+	DecidedReadmit                         // an ejected upstream gets work again
+	DecidedSilent                          // several reports of an upstream in a row are missing
+	DecidedResponding                      // a silent upstream responds again
+	DecidedGone                            // an upstream is removed: it has ended, restarted or lost its entry in the store
+	DecidedFenced                          // an upstream has seen a higher fencing token: another instance owns it
+	DecidedSuspect                         // a task is suspected of crashing upstreams
+	DecidedAdopt                           // a done run of a former owner counts for an adopting offer
+	DecidedAdoptFailed                     // an adopting offer ends without a done run of each task
 )
 
 type runState int
@@ -318,6 +323,9 @@
 	// not ordered for this offer may still be executing. That run was ordered for an
 	// earlier submission of the job or by a former owner, and is being stopped.
 	blocked
+	// adopting means that the task belongs to an adopting offer and that no done run of it
+	// has been found yet. It never starts.
+	adopting
 )
 
 type task struct {
@@ -353,6 +361,7 @@
 type upstream struct {
 	fleet.Upstream
 	accepted        bool      // it has sent a report, and so has accepted the fencing token
+	acceptedAt      time.Time // when its first report came
 	listed          bool      // the store has an entry of it
 	unlistedAt      time.Time // when its entry was found to be missing
 	used            fleet.Resources
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -14,6 +14,7 @@
 		}
 		p.crashHistory.dropOld(now)
 		p.abandonExpiredCoordinators()
+		p.reviewAdoptions()
 		p.checkRenewals()
 		p.placeWaiting()
 		p.returnClosed()
@@ -36,6 +37,8 @@
 		case r.state == stopped && p.now.Sub(r.polledAt) >= p.resendInterval() && !u.silent:
 			r.polledAt = p.now
 			p.effects.Polls = append(p.effects.Polls, u.ID)
+		case r.state == running && r.fromFormerOwner:
+			p.stopUnheld(r)
 		case r.state == running:
 			p.pollIfOverdue(r)
 			p.checkProgress(r)
