Take over the runs of an owner whose process has ended

Where the next owner knows that the process has ended, and all upstreams have accepted its token, nobody else can start their tasks: it renews the leases of the runs that adopting offers claim, and treats them as its own.

--- a/ingress/job.go
+++ b/ingress/job.go
@@ -272,8 +272,8 @@
 // handleEnded processes the end of an offer. It settles the job if all tasks are done or the
 // rest cannot be completed, and otherwise offers the remaining tasks to other owners.
 func (j *openJob) handleEnded(offer *openOffer, r schedule.Result) {
-	if offer.adopting != nil {
-		j.handleAdoptionEnded(offer, r)
+	if offer.adopting != nil && !r.Begun {
+		j.handleNotAdopted(offer)
 		return
 	}
 	j.mu.Lock()
--- a/ingress/orphan.go
+++ b/ingress/orphan.go
@@ -13,8 +13,8 @@
 // An offer is orphaned when the connection to the owner that it was sent to is lost. Its tasks may
 // be running on the upstreams, or done. The next owner of the group, which has a higher fencing
 // token, learns of the ends that the lost owner has not acknowledged. The coordinator offers it
-// exactly these tasks, as an adopting offer (see schedule.Offer.AdoptFrom), for which no task
-// starts. If the customer leaves meanwhile, the job is settled as with any offer.
+// exactly these tasks, as an adopting offer (see schedule.Offer.AdoptFrom). If the customer leaves
+// meanwhile, the job is settled as with any offer.
 
 // maxOrphanWait is how long the coordinator waits for the next owner of an orphaned offer. An owner
 // is replaced within about a second; leases lapse earlier, so that a later owner finds little more.
@@ -23,6 +23,7 @@
 // orphan is the state of an orphaned offer.
 type orphan struct {
 	lostToken uint64    // fencing token of the lost owner
+	again     bool      // the lost owner was adopting the tasks itself
 	lostAt    time.Time // when the loss was noticed
 	giveUpAt  time.Time // when the coordinator stops waiting for the next owner
 }
@@ -73,7 +74,7 @@
 	j.mu.Lock()
 	o := &orphan{lostToken: token, lostAt: now, giveUpAt: lo.Earliest(now.Add(maxOrphanWait), j.usefulUntil())}
 	if former := offer.adopting; former != nil {
-		o.giveUpAt = former.giveUpAt // the owner that should have adopted the tasks is lost as well
+		o.giveUpAt, o.again = former.giveUpAt, true
 	}
 	offer.orphan, offer.adopting = o, nil
 	j.begun = true
@@ -154,7 +155,7 @@
 	delete(j.offers, orphaned.number)
 	tasks := lo.Keys(orphaned.tasks)
 	slices.Sort(tasks)
-	offer, o := j.newOffer(Choice{Group: orphaned.group}, tasks, aliveAt)
+	offer, o := j.newOffer(Choice{Group: orphaned.group, MayQueue: !orphaned.orphan.again}, tasks, aliveAt)
 	offer.adopting = orphaned.orphan
 	o.AdoptFrom = orphaned.orphan.lostToken
 	return offer, o
@@ -164,31 +165,13 @@
 // be held.
 func (j *openJob) restoreOrphan(offer *openOffer) { offer.orphan, offer.adopting = offer.adopting, nil }
 
-// handleAdoptionEnded processes the end of an adopting offer. Its tasks that are not done must not
-// be offered again, because they may have been done.
-func (j *openJob) handleAdoptionEnded(offer *openOffer, r schedule.Result) {
+// handleNotAdopted processes the response of an instance that does not own the group any more. The
+// tasks of the adopting offer must not be offered as if they had never begun.
+func (j *openJob) handleNotAdopted(offer *openOffer) {
 	j.mu.Lock()
-	if !r.Begun { // the instance does not own the group any more
-		j.restoreOrphan(offer)
-		j.mu.Unlock()
-		j.scheduleOrphanReview()
-		return
-	}
-	delete(j.offers, offer.number)
-	for _, t := range r.Done {
-		delete(j.unfinished, t)
-		delete(offer.tasks, t)
-	}
-	missing, complete := len(offer.tasks) > 0, len(j.unfinished) == 0
+	j.restoreOrphan(offer)
 	j.mu.Unlock()
-	switch {
-	case complete:
-		j.settle(Completed, "")
-	case missing:
-		j.settle(Unknown, reasonOwnerLost)
-	default:
-		j.offerUnassigned()
-	}
+	j.scheduleOrphanReview()
 }
 
 // scheduleOrphanReview sets a timer that calls reviewOrphans after ownerRetryDelay, unless it is set.
--- a/membership/table.go
+++ b/membership/table.go
@@ -306,6 +306,12 @@
 	return slices.AppendSeq(make([]Peer, 0, t.Len()), t.All())
 }
 
+// HasEnded reports whether the last known incarnation of an instance has certainly ended.
+func (t *Table) HasEnded(instance string) bool {
+	p := t.peers[instance]
+	return p != nil && p.ended
+}
+
 // State returns the state of an instance. It returns Dead for an unknown one.
 func (t *Table) State(instance string) State {
 	if p := t.peers[instance]; p != nil {
--- a/node/log.go
+++ b/node/log.go
@@ -31,17 +31,6 @@
 	schedule.DecidedAdoptFailed: event.AdoptionFailed,
 }
 
-// countAdoption counts the runs of former owners that are adopted, and the adopting offers that
-// fail.
-func (n *Node) countAdoption(d schedule.Decision) {
-	switch d.Kind {
-	case schedule.DecidedAdopt:
-		n.metrics.Add("runs_adopted", 1)
-	case schedule.DecidedAdoptFailed:
-		n.metrics.Add("adoptions_failed: "+d.Reason, 1)
-	}
-}
-
 const (
 	// sampleInterval is the sampling rate of the log: one in sampleInterval of the offers
 	// that end normally is logged, and one in sampleInterval of the jobs completed in time.
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -279,6 +279,7 @@
 	n.highestToken = membership.NextToken(clock.WallClock().UnixMilli(), n.highestToken, string(n.self))
 	cfg := schedule.ConfigForMaxLease(n.settings.Timing.MaxTaskLease)
 	cfg.RemoteFactor = n.settings.Timing.RemoteFactor
+	cfg.EndedOwner = n.endedOwner(group)
 	cfg.LinkRate = n.settings.LinkRate // not divided: each group may use the whole link, even if there are several
 	n.groups[group] = &ownedGroup{Group: owner.NewGroup(group, cfg, n.highestToken, n.upstreamClient, n), takenAt: clock.Now()}
 	n.lastTakenAt = clock.Now()
--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -12,10 +12,15 @@
 // with the owner makes an adopting offer of the same tasks to the next owner: it asks for the ends
 // of the runs that the former owner has started.
 //
-// The pool starts no task of an adopting offer and renews no lease for its runs: a task that no
-// upstream lists may have been done and acknowledged, and a former owner that is only cut off may
-// start a task again once the leases that it knows of have lapsed. So an adopting offer ends as
-// Completed if a done run of each of its tasks is found, and otherwise as Unknown.
+// A task that no upstream lists is never started, because it may have been done and acknowledged.
+// What becomes of the runs that are still executing depends on the former owner:
+//   - It may be alive and only cut off. Then it starts a task again once the leases that it knows
+//     of have lapsed. So the pool renews no lease for these runs, and starts none of their tasks.
+//   - Its process has certainly ended (Config.EndedOwner). Once all upstreams have accepted the
+//     pool's token, no order of it can be carried out any more, and the pool takes the runs over:
+//     they become ordinary runs of the offer.
+//
+// An adopting offer ends as Unknown if a task of it has neither a run that goes on nor a done one.
 //
 // The upstreams' first reports may come before the adopting offer. For adoptionPeriod from then on
 // the pool does not stop the runs that it finds, and remembers the ends that it acknowledges.
@@ -23,10 +28,10 @@
 const (
 	// adoptionPeriod is how long after the first report of an upstream the runs found there
 	// may go on without an adopting offer, and how long an adopting offer waits for the first
-	// reports. Coordinators learn of a new owner within a heartbeat between zones, 250 ms.
-	// Runs of customers that have left are over in time even without a stop, because their
-	// leases are not renewed.
-	adoptionPeriod = 300 * time.Millisecond
+	// reports. Runs of customers that have left are over in time even without a stop,
+	// because their leases are not renewed. It is short enough for the leases of runs that
+	// are taken over to be renewed after the others on their upstream have been stopped.
+	adoptionPeriod = 200 * time.Millisecond
 	// foundEndRetention is how long the done ends of runs of a former owner are remembered.
 	// It is longer than a coordinator waits for the next owner.
 	foundEndRetention = 2 * time.Second
@@ -39,12 +44,12 @@
 // reasonFormerOwner is the reason that is logged when a run of a former owner is stopped.
 const reasonFormerOwner = "started by a former owner"
 
-// Reasons for which an adopting offer ends without a done run of each task.
+// Reasons for which an adopting offer fails.
 const (
 	reasonAdoptionOff     = "this owner adopts no runs"
 	reasonNotLater        = "it was lost by this owner or a later one"
 	reasonSubmittedAgain  = "the job was submitted again"
-	reasonNoDoneRun       = "no upstream lists a done run of a task"
+	reasonNoRun           = "no upstream lists a run of a task that goes on or was done"
 	reasonReportIsMissing = "an upstream has not reported in time"
 )
 
@@ -74,6 +79,7 @@
 			p.adoptDone(j, t, e.run, e.upstreamID)
 		}
 	}
+	p.takeOverRuns()
 }
 
 // adoptionRefusal returns why an adopting offer cannot be taken, or "" if it can. A job that
@@ -110,7 +116,7 @@
 	j.done = append(j.done, t.index)
 	p.addDecision(Decision{
 		Kind: DecidedAdopt, Job: j.Key.ID, Coordinator: j.Key.Coordinator, Task: t.index, Run: id.Number, Upstream: upstreamID,
-		Age: p.now.Sub(j.offeredAt),
+		Reason: "done", Age: p.now.Sub(j.offeredAt),
 	})
 	if j.unfinished == 0 {
 		p.removeJob(j)
@@ -118,6 +124,56 @@
 	}
 }
 
+// takeOverRuns takes over the runs of the adopting offers that may be taken over.
+func (p *Pool) takeOverRuns() {
+	if len(p.adoptions) == 0 || !p.allReported() {
+		return
+	}
+	for _, j := range p.adoptions {
+		if !j.MayQueue || j.AdoptFrom != p.cfg.EndedOwner || !p.isCoordinatorFresh(j) {
+			continue
+		}
+		for _, t := range j.taskList {
+			r := p.runByTask[p.taskRef(j, t)]
+			if t.state == adopting && r != nil && r.fromFormerOwner && r.state == running && !p.hasOtherRun(r) {
+				p.takeOverRun(j, t, r)
+			}
+		}
+	}
+}
+
+// hasOtherRun reports whether an upstream lists another run of the task of r.
+func (p *Pool) hasOtherRun(r *run) bool {
+	return slices.ContainsFunc(p.sortedUpstreams, func(u *upstream) bool {
+		for id := range u.runs {
+			if id.Task == r.id.Task && id != r.id {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// takeOverRun makes a run of a former owner an ordinary run of an adopting offer.
+func (p *Pool) takeOverRun(j *job, t *task, r *run) {
+	u := r.upstream
+	u.formerOwnerRuns--
+	r.fromFormerOwner, r.takenOver, r.reported = false, true, true
+	r.job, r.demand = j, j.Demand
+	u.used = u.used.Plus(r.demand)
+	r.remoteFactor = p.remoteFactor(j, u)
+	r.expectedDuration = r.remoteDuration(j.expectedTaskDuration)
+	r.orderedAt = r.percentAt.Add(-r.expectedDuration * time.Duration(r.percent) / 100) // an estimate
+	// The former owner may have renewed the lease until the upstream accepted this pool.
+	u.maxLeaseUntilMs = max(u.maxLeaseUntilMs, u.clockMsAt(p.now)+int64(float64(p.cfg.Lease.Milliseconds())/maxLeaseShare))
+	t.lastRun = r.id.Number
+	p.setTaskState(j, t, placed)
+	p.addDecision(Decision{
+		Kind: DecidedAdopt, Job: j.Key.ID, Coordinator: j.Key.Coordinator, Task: t.index, Run: r.id.Number, Upstream: u.ID,
+		Reason: "running", Age: p.now.Sub(j.offeredAt),
+	})
+}
+
 // recordFoundEnd handles the end of a run that this pool has not ordered or no longer tracks.
 func (p *Pool) recordFoundEnd(u *upstream, e fleet.EndedRun) {
 	if !p.cfg.Policy.AdoptRuns || e.End != fleet.EndDone {
@@ -190,7 +246,7 @@
 	case !unlisted:
 		return ""
 	case p.allReported():
-		return reasonNoDoneRun
+		return reasonNoRun
 	case p.now.Sub(j.offeredAt) > adoptionPeriod:
 		return reasonReportIsMissing
 	default:
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -214,6 +214,7 @@
 		u.accepted, u.acceptedAt = true, p.now
 	}
 	p.everAccepted = true
+	p.takeOverRuns()
 }
 
 // reconcileRuns compares the runs that an upstream reports as running, in response to a request
@@ -224,12 +225,12 @@
 	isListed := make(map[fleet.Run]bool, len(list))
 	for _, t := range list {
 		isListed[t.Run] = true
-		r := u.runs[t.Run]
-		if r == nil {
+		if u.runs[t.Run] == nil {
 			p.trackFormerOwnerRun(u, t.Run)
-			continue
 		}
-		p.recordProgress(r, t.Percent)
+		if r := u.runs[t.Run]; r != nil {
+			p.recordProgress(r, t.Percent)
+		}
 	}
 	for _, r := range sortedRuns(u) {
 		if isListed[r.id] {
@@ -302,13 +303,8 @@
 	p.setTaskState(j, t, ended)
 	j.unfinished--
 	j.done = append(j.done, t.index)
-	took := p.now.Sub(r.orderedAt)
-	p.learnSlowdown(r, p.now.Sub(r.startedAt()))
-	if p.cfg.Policy.LearnTimes {
-		p.durationsOf(j.Route).add(r.localDuration(took))
-	}
-	if p.cfg.Policy.LearnJob {
-		j.learnDuration(r.localDuration(took))
+	if !r.takenOver { // when it started is not known
+		p.learnFromDone(r)
 	}
 	p.resetHealth(r.upstream)
 	if j.unfinished == 0 {
@@ -317,6 +313,18 @@
 	}
 }
 
+// learnFromDone updates the expected durations from that of a run that is done.
+func (p *Pool) learnFromDone(r *run) {
+	took := p.now.Sub(r.orderedAt)
+	p.learnSlowdown(r, p.now.Sub(r.startedAt()))
+	if p.cfg.Policy.LearnTimes {
+		p.durationsOf(r.job.Route).add(r.localDuration(took))
+	}
+	if p.cfg.Policy.LearnJob {
+		r.job.learnDuration(r.localDuration(took))
+	}
+}
+
 func (p *Pool) handleFailure(r *run) {
 	j := r.job
 	t := j.tasks[r.id.Task.Index]
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -58,6 +58,9 @@
 	// If a coordinator has not been known to be alive for CoordinatorExpiresAfter,
 	// the runs of its tasks are stopped.
 	CoordinatorExpiresAfter time.Duration
+	// EndedOwner is the fencing token of the former owner of the group, if its process has
+	// certainly ended; otherwise 0.
+	EndedOwner uint64
 	// Policy switches the scheduling rules on and off.
 	Policy Policy
 }
@@ -169,6 +172,10 @@
 	MaxPerUpstream int
 	// AdoptFrom makes this an adopting offer (see adopt.go): it is the fencing token of the
 	// owner with which the tasks were lost. It is 0 for all other offers.
+	//
+	// In an adopting offer, MayQueue allows the pool to take over runs that still execute. It
+	// is not set if an owner was lost while it adopted the tasks: the owner before that one
+	// may still be alive.
 	AdoptFrom uint64
 }
 
@@ -277,8 +284,8 @@
 	DecidedGone                            // an upstream is removed: it has ended, restarted or lost its entry in the store
 	DecidedFenced                          // an upstream has seen a higher fencing token: another instance owns it
 	DecidedSuspect                         // a task is suspected of crashing upstreams
-	DecidedAdopt                           // a done run of a former owner counts for an adopting offer
-	DecidedAdoptFailed                     // an adopting offer ends without a done run of each task
+	DecidedAdopt                           // a run of a former owner counts for an adopting offer
+	DecidedAdoptFailed                     // an adopting offer ends because a task has no run that goes on or was done
 )
 
 type runState int
@@ -296,6 +303,7 @@
 	job              *job // nil once the run is no longer wanted
 	upstream         *upstream
 	demand           fleet.Resources // zero if fromFormerOwner is set, since the demand is not known then
+	takenOver        bool            // fromFormerOwner was set before
 	fromFormerOwner  bool            // reported by the upstream, but ordered by a former owner of the group
 	state            runState
 	orderedAt        time.Time // when the network link has transmitted the order to start it
