--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -42,6 +42,11 @@
 	mayCrash        bool                   // as in modelCase
 	crashesByTask   map[fleet.TaskRef]int  // has an entry for each task that crashes upstreams: how many it has crashed under the current pool
 	evacuated       bool                   // all upstreams are closed
+	// The fields below are used only if modelCase.mayAdopt is set.
+	mayAdopt                             bool
+	cutOff                               map[string]bool        // upstreams that the owner cannot reach, by ID
+	doneTasks                            map[fleet.TaskRef]bool // tasks of which a run was done
+	adoptionsOffered, adoptionsCompleted int
 }
 
 type simJob struct {
@@ -71,6 +76,14 @@
 	w.orderedFor[run] = w.submissions[run.Task]
 	u := w.findUpstream(s.Upstream.ID)
 	w.checkCapacity(u, run)
+	if w.cutOff[u.ID] {
+		w.AfterFunc(startTimeout, func() {
+			w.applyIfCurrent(token, func(p *Pool, now time.Time) Effects {
+				return p.HandleStartResponse(now, s.Upstream.Incarnation(), run, fleet.NotRefused, errs["lost"])
+			})
+		})
+		return
+	}
 	w.pendingStarts[u.UpstreamModel] = append(w.pendingStarts[u.UpstreamModel], s.Order)
 	u.CallStart(s.Order, startTimeout, func(refusal fleet.Refusal, err error) {
 		w.applyIfCurrent(token, func(p *Pool, now time.Time) Effects {
@@ -105,6 +118,9 @@
 
 func (w *testCluster) sendStop(s Stop) {
 	token := w.poolToken
+	if w.cutOff[s.Upstream.ID] {
+		return
+	}
 	w.findUpstream(s.Upstream.ID).CallStop(s.Run, w.pool.Token(), callTimeout, func(err error) {
 		w.applyIfCurrent(token, func(p *Pool, now time.Time) Effects {
 			return p.HandleStopResponse(now, s.Upstream.Incarnation(), s.Run, err)
@@ -114,14 +130,18 @@
 
 func (w *testCluster) sendHold(to fleet.Upstream, o fleet.HoldOrder, then func(ok bool)) {
 	token, sent := w.poolToken, w.Now()
-	u := w.findUpstream(to.ID)
-	u.CallHold(o, callTimeout, func(report fleet.Report, err error) {
+	handle := func(report fleet.Report, err error) {
 		if token != w.poolToken {
 			return
 		}
 		w.applyEffects(w.pool.HandleHoldResponse(w.Now(), to.Incarnation(), sent, report, err))
 		then(err == nil)
-	})
+	}
+	if w.cutOff[to.ID] {
+		w.AfterFunc(callTimeout, func() { handle(fleet.Report{}, errs["lost"]) })
+		return
+	}
+	w.findUpstream(to.ID).CallHold(o, callTimeout, handle)
 }
 
 func (w *testCluster) findUpstream(id string) *standin.SimulatedUpstream {
@@ -139,6 +159,7 @@
 	w := &testCluster{
 		Simulation: standin.NewSimulation(startTime, seed), t: t,
 		openJobs: map[JobKey]*simJob{}, startedTasks: map[fleet.TaskRef]bool{}, returnedTasks: map[fleet.TaskRef]bool{}, ackedDone: map[fleet.TaskRef]bool{}, crashesByTask: map[fleet.TaskRef]int{},
+		doneTasks: map[fleet.TaskRef]bool{}, cutOff: map[string]bool{},
 		submissions: map[fleet.TaskRef]int{}, orderedFor: map[fleet.Run]int{}, capacityAtOrder: map[fleet.Run]fleet.Resources{},
 		listedCapacity: map[string]fleet.Resources{}, pendingStarts: map[*standin.UpstreamModel][]fleet.StartOrder{},
 	}
@@ -155,6 +176,13 @@
 		})
 	u.ClockRate = 0.98 + 0.02*w.Rand.Float64()
 	u.StopTime = func() time.Duration { return w.RandMillis(0, maxStopMillis) }
+	onEnd := u.OnEnd
+	u.OnEnd = func(r fleet.Run, end fleet.End) {
+		if end == fleet.EndDone {
+			w.doneTasks[r.Task] = true
+		}
+		onEnd(r, end)
+	}
 	startedFor := map[fleet.Run]int{} // value of orderedFor when a run started on this upstream
 	u.OnEndAcknowledged = func(e fleet.EndedRun) {
 		if e.End == fleet.EndDone && startedFor[e.Run] == w.submissions[e.Run.Task] {
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -100,6 +100,9 @@
 	}
 	delete(w.openJobs, r.Key)
 	w.results++
+	if j.offer.AdoptFrom > 0 {
+		w.checkAdopted(r, j.offer)
+	}
 }
 
 // requestReports requests the reports of one upstream, each as soon as the one before has come,
@@ -150,15 +153,18 @@
 // takeOver replaces the pool by a new one with a higher fencing token. The open jobs of the former
 // pool are lost.
 func (w *testCluster) takeOver() {
+	lostToken := uint64(w.poolToken)
+	cfg := DefaultConfig
+	cfg.EndedOwner = w.keepFormerOwner()
+	w.cutOff = map[string]bool{}
 	w.poolToken++
 	for ref := range w.crashesByTask {
 		w.crashesByTask[ref] = 0 // a new owner does not know of earlier crashes
 	}
-	w.pool = NewPool(DefaultConfig, uint64(w.poolToken))
+	w.pool = NewPool(cfg, uint64(w.poolToken))
 	clear(w.listedCapacity)
 	for _, key := range w.openKeys() {
-		w.lostJobs = append(w.lostJobs, lostJob{key.ID, w.Now()})
-		delete(w.openJobs, key)
+		w.loseJob(key, lostToken)
 	}
 	w.listUpstreams()
 	w.scheduleTicks(w.poolToken)
@@ -237,7 +243,7 @@
 // another coordinator. A resubmitted job is still open or was lost with its owner.
 func (w *testCluster) offerJob(n int) {
 	key := JobKey{"home", fmt.Sprintf("%016x", n), 1}
-	if other, found := w.drawOpenJob(); found && w.Rand.IntN(10) == 0 {
+	if other, found := w.drawOpenJob(); found && w.Rand.IntN(10) == 0 && !w.isAdopting(other) {
 		key = JobKey{fmt.Sprintf("home-%d", n), other.ID, 1}
 	}
 	if id, found := w.takeResubmittable(); found && w.Rand.IntN(2) == 0 {
@@ -286,6 +292,7 @@
 			lateShare: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late"),
 			steps:     rapid.IntRange(20, 80).Draw(t, "jobs"), mayEvacuate: rapid.Bool().Draw(t, "evacuates"),
 			mayRestart: rapid.Bool().Draw(t, "restarts"), mayResize: rapid.Bool().Draw(t, "resizes"), mayCrash: rapid.Bool().Draw(t, "crashes"),
+			mayAdopt: rapid.Bool().Draw(t, "adopts"),
 		}.run(t)
 	})
 }
@@ -314,11 +321,14 @@
 	// mayResize lets the capacity of upstreams change. mayCrash makes some tasks crash every
 	// upstream that starts them.
 	mayResize, mayCrash bool
+	// mayAdopt lets coordinators make adopting offers after a takeover; see adopt_test.go.
+	mayAdopt bool
 }
 
-func (c modelCase) run(t failer) {
+func (c modelCase) run(t failer) *testCluster {
 	w := newTestCluster(t, c.seed)
 	w.mayEvacuate, w.mayRestart, w.mayResize, w.mayCrash = c.mayEvacuate, c.mayRestart, c.mayResize, c.mayCrash
+	w.mayAdopt = c.mayAdopt
 	w.takeOver()
 	w.Run(startTime.Add(300 * time.Millisecond))
 	w.setFaults(c.lossShare, c.lateShare)
@@ -326,6 +336,7 @@
 		w.step(i)
 	}
 	w.setFaults(0, 0)
+	clear(w.cutOff)
 	for _, u := range w.upstreams {
 		u.Partitioned, u.RunsStalled, u.Failing = false, false, false
 	}
@@ -342,6 +353,7 @@
 	if len(w.openJobs) > 0 || !w.pool.Idle() {
 		t.Fatalf("the pool is not idle 15 s after the faults ended: %d jobs are still open, Idle returns %v", len(w.openJobs), w.pool.Idle())
 	}
+	return w
 }
 
 // step lets one randomly drawn event happen, and then some time pass.
@@ -349,6 +361,10 @@
 	u := w.upstreams[w.Rand.IntN(len(w.upstreams))]
 	switch w.Rand.IntN(12) {
 	case 0:
+		if w.mayAdopt && w.Rand.IntN(2) == 0 {
+			w.cutOff[u.ID] = !w.cutOff[u.ID]
+			break
+		}
 		u.Partitioned = !u.Partitioned
 	case 1:
 		u.RunsStalled = !u.RunsStalled
