--- a/ingress/simfleet_test.go
+++ b/ingress/simfleet_test.go
@@ -151,6 +151,17 @@
 	})
 }
 
+// recordLoad records the load that an owner reports, unless that of a later owner is known.
+func (c *simCoordinator) recordLoad(o *simOwner, load schedule.Load) {
+	l := loadAt(o.zone, load)
+	if o.pool != nil && c.fleet.adoptsRuns {
+		l.Token = o.pool.Token()
+	}
+	if l.Token >= c.loads[o.zone].Token {
+		c.loads[o.zone], c.loadsReportedAt[o.zone] = l, c.Now()
+	}
+}
+
 func loadAt(zone string, l schedule.Load) OwnerLoad {
 	return OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
 }
@@ -158,10 +169,12 @@
 // simCoordinator is a process that coordinates the jobs of customers.
 type simCoordinator struct {
 	simProcess
-	coordinator   *Coordinator
-	links         map[*simOwner]*simLink
-	loads         map[string]OwnerLoad    // by zone
-	lastHeartbeat map[*simOwner]time.Time // when each owner sent the latest heartbeat that has been received
+	coordinator *Coordinator
+	links       map[*simOwner]*simLink
+	loads       map[string]OwnerLoad // by zone
+	// loadsReportedAt is when the loads were recorded.
+	loadsReportedAt map[string]time.Time
+	lastHeartbeat   map[*simOwner]time.Time // when each owner sent the latest heartbeat that has been received
 	// pauseBeforeOffer makes the next offer pause the process after the decision to make the
 	// offer and before sending it. The offer is sent as soon as the pause ends.
 	pauseBeforeOffer bool
@@ -217,6 +230,9 @@
 	var list []OwnerLoad
 	for _, zone := range c.fleet.zones {
 		if v, known := c.loads[zone]; known {
+			if c.fleet.adoptsRuns {
+				v.Age = c.Now().Sub(c.loadsReportedAt[zone])
+			}
 			list = append(list, v)
 		}
 	}
@@ -229,7 +245,7 @@
 	c.AfterFunc(simZoneHeartbeat, func() {
 		for _, o := range c.fleet.owners {
 			if o.pool != nil && !o.paused {
-				c.loads[o.zone] = loadAt(o.zone, o.pool.Load(o.Now()))
+				c.recordLoad(o, o.pool.Load(o.Now()))
 			}
 		}
 		c.receiveLoads()
@@ -260,6 +276,9 @@
 		l = c.fleet.connect(c, o)
 	}
 	l.offers[offer.Key] = callbacks
+	if c.fleet.adoptsRuns {
+		l.tokens[offer.Key] = o.pool.Token()
+	}
 	offer.AliveAt = c.lastHeartbeat[o].Add(-c.Now().Sub(offer.AliveAt))
 	c.fleet.record(offer.Key.ID, "%s offers to %s on %s, part %d", c.name, o.name, l.name(), offer.Key.Part)
 	send := func() { l.sendToOwner(func() { o.handleOffer(l, offer) }) }
@@ -326,6 +345,8 @@
 	// losesResets makes a suspended machine never notice that a customer has reset a
 	// connection, because a reset is not retransmitted.
 	losesResets bool
+	adoptsRuns  bool                   // lost offers are adopted
+	doneTasks   map[fleet.TaskRef]bool // tasks of which a run was done
 	trace       []traceEvent
 	verdicts    map[Verdict]int // number of responses by verdict
 }
@@ -348,7 +369,7 @@
 
 func (f *simFleet) connect(c *simCoordinator, o *simOwner) *simLink {
 	f.linkCount++
-	l := &simLink{number: f.linkCount, coordinator: c, owner: o, coordinatorOpen: true, ownerOpen: true, coordinatorLastReceived: f.Now(), ownerLastReceived: f.Now(), offers: map[schedule.JobKey]owner.OfferCallbacks{}, afterSend: map[schedule.JobKey][]func(){}}
+	l := &simLink{number: f.linkCount, coordinator: c, owner: o, coordinatorOpen: true, ownerOpen: true, coordinatorLastReceived: f.Now(), ownerLastReceived: f.Now(), offers: map[schedule.JobKey]owner.OfferCallbacks{}, tokens: map[schedule.JobKey]uint64{}, afterSend: map[schedule.JobKey][]func(){}}
 	c.links[o] = l
 	c.lastHeartbeat[o] = f.Now() // on connecting, both ends send the time of their clocks
 	l.coordinatorHeartbeats()
--- a/ingress/simlink_test.go
+++ b/ingress/simlink_test.go
@@ -19,6 +19,7 @@
 	coordinatorLastReceived    time.Time
 	ownerLastReceived          time.Time
 	offers                     map[schedule.JobKey]owner.OfferCallbacks // the coordinator's open offers on this link
+	tokens                     map[schedule.JobKey]uint64               // fencing token of the owner by offer, if simFleet.adoptsRuns is set
 	afterSend                  map[schedule.JobKey][]func()             // by offer that is being sent: the withdrawals to send after it
 }
 
@@ -54,7 +55,7 @@
 }
 
 // closeAtCoordinator closes the coordinator's end of the link, and the owner's end when the owner
-// receives the notice. The coordinator's open offers on the link end with outcome Unknown.
+// receives the notice. The coordinator's open offers on the link are lost.
 func (l *simLink) closeAtCoordinator() {
 	if !l.coordinatorOpen {
 		return
@@ -65,7 +66,7 @@
 	offers := l.offers
 	l.offers = map[schedule.JobKey]owner.OfferCallbacks{}
 	for _, key := range l.coordinator.fleet.sortedKeys(offers) {
-		offers[key].OfferEnded(schedule.Result{Key: key, Outcome: schedule.Unknown, Begun: true}, schedule.Load{})
+		offers[key].OwnerLost(l.tokens[key])
 	}
 }
 
--- a/ingress/simowner_test.go
+++ b/ingress/simowner_test.go
@@ -17,13 +17,16 @@
 	callbacks         map[schedule.JobKey]owner.OfferCallbacks
 	peer              *simOwner
 	lastPeerHeartbeat time.Time
+	endedToken        uint64 // fencing token of the peer if its process is known to have ended
 }
 
 // acquireGroup makes the process the owner of the group, with the highest fencing token so far.
 func (o *simOwner) acquireGroup() {
 	o.fleet.record("", "%s acquires the group", o.name)
 	o.fleet.lastToken++
-	o.pool = schedule.NewPool(schedule.DefaultConfig, o.fleet.lastToken)
+	cfg := schedule.DefaultConfig
+	cfg.Policy.AdoptRuns, cfg.EndedOwner, o.endedToken = o.fleet.adoptsRuns, o.endedToken, 0
+	o.pool = schedule.NewPool(cfg, o.fleet.lastToken)
 	o.callbacks = map[schedule.JobKey]owner.OfferCallbacks{}
 	added, effects := o.pool.SetUpstreams(o.Now(), o.fleet.upstreamsIn(o.zone))
 	o.apply(effects)
@@ -33,6 +36,28 @@
 	o.tickLoop(o.pool)
 }
 
+// crash ends the process, which starts again at once as a standby. Its connections are reset, and
+// the peer, which notices that the process has ended, acquires the group.
+func (o *simOwner) crash() {
+	if o.paused || o.pool == nil || o.peer.paused {
+		return
+	}
+	o.fleet.record("", "%s crashes", o.name)
+	o.peer.endedToken = o.pool.Token()
+	o.pool, o.callbacks = nil, map[schedule.JobKey]owner.OfferCallbacks{}
+	for _, c := range o.fleet.coordinators {
+		if l := c.links[o]; l != nil {
+			l.ownerOpen = false
+			o.fleet.AfterFunc(simNetworkDelay, func() { c.run(l.closeAtCoordinator) })
+		}
+	}
+	o.peer.AfterFunc(simNetworkDelay, func() {
+		if o.peer.pool == nil {
+			o.peer.acquireGroup()
+		}
+	})
+}
+
 // loseGroup ends the process's ownership of the group. The open offers of the group end with
 // outcome Unknown.
 func (o *simOwner) loseGroup() {
@@ -168,7 +193,7 @@
 					if r.Outcome != "" {
 						delete(l.offers, key)
 					}
-					l.coordinator.loads[o.zone] = loadAt(o.zone, load)
+					l.coordinator.recordLoad(o, load)
 					pick(c)(r, load)
 				}
 			})
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -69,7 +69,7 @@
 func newSimFleet(t failer, seed uint64) *simFleet {
 	f := &simFleet{
 		Simulation: standin.NewSimulation(simEpoch, seed), t: t, zones: []string{"a", "b"},
-		upstreams: map[string]*standin.SimulatedUpstream{}, jobs: map[string]*simJob{}, verdicts: map[Verdict]int{},
+		upstreams: map[string]*standin.SimulatedUpstream{}, jobs: map[string]*simJob{}, verdicts: map[Verdict]int{}, doneTasks: map[fleet.TaskRef]bool{},
 	}
 	for _, zone := range f.zones {
 		for i := range 2 {
@@ -84,7 +84,7 @@
 		second.peerHeartbeats()
 	}
 	for _, zone := range f.zones {
-		c := &simCoordinator{simProcess: simProcess{fleet: f, name: "c-" + zone}, links: map[*simOwner]*simLink{}, loads: map[string]OwnerLoad{}, lastHeartbeat: map[*simOwner]time.Time{}}
+		c := &simCoordinator{simProcess: simProcess{fleet: f, name: "c-" + zone}, links: map[*simOwner]*simLink{}, loads: map[string]OwnerLoad{}, loadsReportedAt: map[string]time.Time{}, lastHeartbeat: map[*simOwner]time.Time{}}
 		c.coordinator = NewSimulatedCoordinator(zone, c, &c.simProcess, DefaultPolicy)
 		c.receiveLoads()
 		f.coordinators = append(f.coordinators, c)
@@ -100,6 +100,13 @@
 	u.ClockRate = 0.98 + 0.02*f.Rand.Float64()
 	u.StopTime = func() time.Duration { return f.RandMillis(0, 50) }
 	u.OnStart = func(r fleet.Run) { f.checkStart(id, r) }
+	onEnd := u.OnEnd
+	u.OnEnd = func(r fleet.Run, end fleet.End) {
+		if end == fleet.EndDone {
+			f.doneTasks[r.Task] = true
+		}
+		onEnd(r, end)
+	}
 	f.upstreams[id] = u
 	f.upstreamIDs = append(f.upstreamIDs, id)
 }
@@ -226,6 +233,7 @@
 	open.onResponse = func(r Response) {
 		f.verdicts[r.Verdict]++
 		f.record(j.id, "%s responds %s: %s", c.name, r.Verdict, r.Reason)
+		f.checkResponse(j, r)
 		f.AfterFunc(simCustomerNetworkDelay, func() {
 			switch r.Verdict {
 			case Completed, Failed, NotRun:
@@ -239,6 +247,18 @@
 	open.offerUnassigned()
 }
 
+// checkResponse fails the test if a job is completed although no run of one of its tasks was done.
+func (f *simFleet) checkResponse(j *simJob, r Response) {
+	if r.Verdict != Completed {
+		return
+	}
+	for i := range j.tasks {
+		if !f.doneTasks[fleet.TaskRef{Job: j.id, Index: i}] {
+			f.t.Fatalf("a job is completed, but its task %d is not done; events:%s", i, f.traceOf(j.id))
+		}
+	}
+}
+
 // injectFault injects one fault, drawn from the first f.faultKinds kinds.
 func (f *simFleet) injectFault() {
 	switch kind := f.Rand.IntN(f.faultKinds); kind {
@@ -256,6 +276,8 @@
 		f.coordinators[f.Rand.IntN(len(f.coordinators))].delayOfferGoroutine = true
 	case 10: // as kind 9, for the next withdrawal
 		f.coordinators[f.Rand.IntN(len(f.coordinators))].delayWithdrawalGoroutine = true
+	case 11: // the process of an owner ends
+		f.owners[f.Rand.IntN(len(f.owners))].crash()
 	default: // kinds 2, 3, 5, 6 and 7: a link is disturbed
 		if l := f.randomLink(); l != nil {
 			f.injectLinkFault(l, kind)
@@ -304,7 +326,7 @@
 	linkHeartbeat        time.Duration
 
 	// See the fields of the same names in simFleet.
-	suspendsMachines, suspensionStopsClocks, retransmitsCloses, losesResets bool
+	suspendsMachines, suspensionStopsClocks, retransmitsCloses, losesResets, adoptsRuns bool
 }
 
 // Numbers of kinds of faults. A recorded seed reproduces its simulation only with the number of
@@ -313,6 +335,7 @@
 	basicFaultKinds = 5 // with this number, customers also never send a job again at once
 	earlyFaultKinds = 9
 	allFaultKinds   = 11
+	crashFaultKinds = 12
 )
 
 // Intervals between the heartbeats on a link, within a zone and between zones.
@@ -328,6 +351,10 @@
 	f.faultKinds, f.linkHeartbeat = c.faultKinds, c.linkHeartbeat
 	f.suspendsMachines, f.suspensionStopsClocks = c.suspendsMachines, c.suspensionStopsClocks
 	f.retransmitsCloses, f.losesResets = c.retransmitsCloses, c.losesResets
+	f.adoptsRuns = c.adoptsRuns
+	for _, coordinator := range f.coordinators {
+		coordinator.coordinator.policy.AdoptRuns = c.adoptsRuns
+	}
 	f.Run(f.Now().Add(400 * time.Millisecond))
 	for _, u := range f.upstreams {
 		u.LossShare, u.LateShare = c.lossShare, c.lateShare
