--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -156,7 +156,6 @@
 	lostToken := uint64(w.poolToken)
 	cfg := DefaultConfig
 	cfg.EndedOwner = w.keepFormerOwner()
-	w.cutOff = map[string]bool{}
 	w.poolToken++
 	for ref := range w.crashesByTask {
 		w.crashesByTask[ref] = 0 // a new owner does not know of earlier crashes
@@ -371,6 +370,10 @@
 	case 2:
 		u.Failing = !u.Failing
 	case 3:
+		if w.mayAdopt && w.Rand.IntN(2) == 0 {
+			w.isolateOwner()
+			break
+		}
 		w.takeOver()
 	case 5:
 		w.drain()
