--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -104,6 +104,7 @@
 	// may not have sent the message to the owner yet.
 	sendsInFlight atomic.Int32
 	lastResume    resumeTracker
+	orphans       orphanedJobs
 	shards        [shardCount]jobShard
 }
 
@@ -122,6 +123,7 @@
 // of the system's clock and DefaultPolicy.
 func NewSimulatedCoordinator(zone string, owners Owners, clock Clock, policy Policy) *Coordinator {
 	c := &Coordinator{zone: zone, owners: owners, clock: clock, policy: policy}
+	c.orphans = orphanedJobs{coordinator: c, jobs: map[*openJob]struct{}{}}
 	for i := range c.shards {
 		c.shards[i].jobs = map[string]*openJob{}
 	}
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -35,8 +35,6 @@
 	deadline       time.Time // latest deadline of the waiters
 	settled        bool      // the job has its verdict
 	retryScheduled bool      // a timer will offer the unassigned tasks again
-	// reviewScheduled is set while a timer will call reviewOrphans.
-	reviewScheduled bool
 }
 
 // openOffer is an offer of some of a job's tasks whose result has not arrived yet.
--- a/ingress/orphan.go
+++ b/ingress/orphan.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/schedule"
@@ -79,57 +81,62 @@
 	offer.orphan, offer.adopting = o, nil
 	j.begun = true
 	j.mu.Unlock()
-	j.reviewOrphans()
+	j.reviewOrphans(j.coordinator.owners.Loads())
 }
 
 // reviewOrphans offers the tasks of orphaned offers to the next owners of their groups, and settles
-// the job if one of them cannot be completed. It calls itself until no offer is orphaned.
-func (j *openJob) reviewOrphans() {
+// the job if one of them cannot be completed. The loads are the result of Owners.Loads. It is called
+// again as long as an offer is orphaned.
+func (j *openJob) reviewOrphans(loads []OwnerLoad) {
 	for {
-		aliveAt := j.coordinator.clock.Now()
-		j.detachDisconnected(j.coordinator.clock.Suspended())
 		j.mu.Lock()
-		if j.settled {
-			j.mu.Unlock()
-			return
-		}
-		offer, step := j.nextOrphan()
+		offer, step := j.nextOrphan(loads)
+		j.mu.Unlock()
 		switch {
 		case offer == nil:
-			j.mu.Unlock()
 			return
 		case step == waitForOwner:
-			j.mu.Unlock()
-			j.scheduleOrphanReview()
+			j.coordinator.orphans.add(j)
 			return
 		case step == giveUpOffer:
-			j.mu.Unlock()
 			j.settle(Unknown, reasonOwnerLost)
 			return
-		}
-		adopting, o := j.newAdoptingOffer(offer, aliveAt)
-		j.coordinator.sendsInFlight.Add(1)
-		j.mu.Unlock()
-		if !j.sendOffer(adopting, o) {
-			j.scheduleOrphanReview()
+		case !j.sendAdopting(offer):
+			j.coordinator.orphans.add(j)
 			return
 		}
 	}
 }
 
+// sendAdopting replaces an orphaned offer by an adopting one, and reports whether the next owner
+// could be reached. It does nothing if the job is settled or the offer was replaced meanwhile.
+func (j *openJob) sendAdopting(orphaned *openOffer) bool {
+	aliveAt := j.coordinator.clock.Now()
+	j.detachDisconnected(j.coordinator.clock.Suspended())
+	j.mu.Lock()
+	if j.settled || j.offers[orphaned.number] != orphaned || orphaned.orphan == nil {
+		j.mu.Unlock()
+		return true
+	}
+	adopting, o := j.newAdoptingOffer(orphaned, aliveAt)
+	j.coordinator.sendsInFlight.Add(1)
+	j.mu.Unlock()
+	return j.sendOffer(adopting, o)
+}
+
 // nextOrphan returns the orphaned offer about which something can be done, or else any orphaned
-// offer with waitForOwner. It returns nil if no offer is orphaned. The lock must be held.
-func (j *openJob) nextOrphan() (*openOffer, orphanStep) {
+// offer with waitForOwner. It returns nil if no offer is orphaned or the job is settled. The lock
+// must be held.
+func (j *openJob) nextOrphan(loads []OwnerLoad) (*openOffer, orphanStep) {
+	if j.settled {
+		return nil, waitForOwner
+	}
 	var waiting *openOffer
 	now := j.coordinator.clock.Now()
-	var loads []OwnerLoad
 	for _, offer := range j.sortedOffers() {
 		if offer.orphan == nil {
 			continue
 		}
-		if loads == nil {
-			loads = j.coordinator.owners.Loads()
-		}
 		var load *OwnerLoad
 		if i := slices.IndexFunc(loads, func(l OwnerLoad) bool { return l.Group == offer.group }); i >= 0 {
 			load = &loads[i]
@@ -171,22 +178,36 @@
 	j.mu.Lock()
 	j.restoreOrphan(offer)
 	j.mu.Unlock()
-	j.scheduleOrphanReview()
+	j.coordinator.orphans.add(j)
 }
 
-// scheduleOrphanReview sets a timer that calls reviewOrphans after ownerRetryDelay, unless it is set.
-func (j *openJob) scheduleOrphanReview() {
-	j.mu.Lock()
-	alreadyScheduled := j.reviewScheduled
-	j.reviewScheduled = true
-	j.mu.Unlock()
-	if alreadyScheduled {
-		return
+// orphanedJobs holds the jobs with orphaned offers. They are reviewed together, because many are
+// orphaned at once when an owner is lost.
+type orphanedJobs struct {
+	coordinator *Coordinator
+	mu          sync.Mutex
+	jobs        map[*openJob]struct{}
+}
+
+// add makes a job be reviewed within ownerRetryDelay.
+func (s *orphanedJobs) add(j *openJob) {
+	s.mu.Lock()
+	first := len(s.jobs) == 0
+	s.jobs[j] = struct{}{}
+	s.mu.Unlock()
+	if first {
+		s.coordinator.clock.AfterFunc(ownerRetryDelay, s.review)
+	}
+}
+
+func (s *orphanedJobs) review() {
+	s.mu.Lock()
+	jobs := lo.Keys(s.jobs)
+	clear(s.jobs)
+	s.mu.Unlock()
+	slices.SortFunc(jobs, func(a, b *openJob) int { return strings.Compare(a.Job.ID, b.Job.ID) })
+	loads := s.coordinator.owners.Loads()
+	for _, j := range jobs {
+		j.reviewOrphans(loads)
 	}
-	j.coordinator.clock.AfterFunc(ownerRetryDelay, func() {
-		j.mu.Lock()
-		j.reviewScheduled = false
-		j.mu.Unlock()
-		j.reviewOrphans()
-	})
 }
--- a/ingress/simfleet_test.go
+++ b/ingress/simfleet_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
@@ -151,17 +153,6 @@
 	})
 }
 
-// recordLoad records the load that an owner reports, unless that of a later owner is known.
-func (c *simCoordinator) recordLoad(o *simOwner, load schedule.Load) {
-	l := loadAt(o.zone, load)
-	if o.pool != nil && c.fleet.adoptsRuns {
-		l.Token = o.pool.Token()
-	}
-	if l.Token >= c.loads[o.zone].Token {
-		c.loads[o.zone], c.loadsReportedAt[o.zone] = l, c.Now()
-	}
-}
-
 func loadAt(zone string, l schedule.Load) OwnerLoad {
 	return OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed}
 }
@@ -276,6 +267,9 @@
 		l = c.fleet.connect(c, o)
 	}
 	l.offers[offer.Key] = callbacks
+	if j := c.fleet.jobs[offer.Key.ID]; offer.AdoptFrom > 0 {
+		j.adopting, j.adoptingSend = true, j.sendCount
+	}
 	if c.fleet.adoptsRuns {
 		l.tokens[offer.Key] = o.pool.Token()
 	}
@@ -376,3 +370,26 @@
 	l.ownerHeartbeats()
 	return l
 }
+
+// traceEvent is an event of a simulation. The events are printed if two runs of a task are found.
+type traceEvent struct {
+	at   time.Duration // since simEpoch
+	job  string        // "" if the event is not about a particular job
+	text string
+}
+
+// record adds an event to the trace. Job is "" if the event is not about a particular job.
+func (f *simFleet) record(job, format string, args ...any) {
+	f.trace = append(f.trace, traceEvent{f.Now().Sub(simEpoch), job, fmt.Sprintf(format, args...)})
+}
+
+// traceOf formats the events about a job and those that are not about a particular job.
+func (f *simFleet) traceOf(job string) string {
+	var b strings.Builder
+	for _, e := range f.trace {
+		if e.job == job || e.job == "" {
+			fmt.Fprintf(&b, "\n%9.3f s  %s", e.at.Seconds(), e.text)
+		}
+	}
+	return b.String()
+}
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -40,18 +40,15 @@
 	duration  time.Duration // of each task
 	sendCount int           // number of times that the customer has sent the job
 	done      bool          // the customer has received a final response
+	// adopting is set once an adopting offer was made, in the submission adoptingSend; completed is
+	// set if that submission was completed.
+	adopting, completed bool
+	adoptingSend        int
 }
 
 // simEpoch is the virtual time at which each simulation begins.
 var simEpoch = time.Unix(1_000_000, 0)
 
-// traceEvent is an event of a simulation. The events are printed if two runs of a task are found.
-type traceEvent struct {
-	at   time.Duration // since simEpoch
-	job  string        // "" if the event is not about a particular job
-	text string
-}
-
 // simConn is a customer's connection to a coordinator.
 type simConn struct {
 	read           bool // the coordinator has read the request
@@ -127,22 +124,6 @@
 	}
 }
 
-// record adds an event to the trace. Job is "" if the event is not about a particular job.
-func (f *simFleet) record(job, format string, args ...any) {
-	f.trace = append(f.trace, traceEvent{f.Now().Sub(simEpoch), job, fmt.Sprintf(format, args...)})
-}
-
-// traceOf formats the events about a job and those that are not about a particular job.
-func (f *simFleet) traceOf(job string) string {
-	var b strings.Builder
-	for _, e := range f.trace {
-		if e.job == job || e.job == "" {
-			fmt.Fprintf(&b, "\n%9.3f s  %s", e.at.Seconds(), e.text)
-		}
-	}
-	return b.String()
-}
-
 // maxSends is the maximum number of times that a customer sends a job.
 const maxSends = 3
 
@@ -247,18 +228,6 @@
 	open.offerUnassigned()
 }
 
-// checkResponse fails the test if a job is completed although no run of one of its tasks was done.
-func (f *simFleet) checkResponse(j *simJob, r Response) {
-	if r.Verdict != Completed {
-		return
-	}
-	for i := range j.tasks {
-		if !f.doneTasks[fleet.TaskRef{Job: j.id, Index: i}] {
-			f.t.Fatalf("a job is completed, but its task %d is not done; events:%s", i, f.traceOf(j.id))
-		}
-	}
-}
-
 // injectFault injects one fault, drawn from the first f.faultKinds kinds.
 func (f *simFleet) injectFault() {
 	switch kind := f.Rand.IntN(f.faultKinds); kind {
--- a/node/log.go
+++ b/node/log.go
@@ -31,6 +31,12 @@
 	schedule.DecidedAdoptFailed: event.AdoptionFailed,
 }
 
+// DecisionMade implements owner.Observer.
+func (n *Node) DecisionMade(group string, token uint64, d schedule.Decision) {
+	n.decisions.record(group, token, d)
+	n.countAdoption(d)
+}
+
 const (
 	// sampleInterval is the sampling rate of the log: one in sampleInterval of the offers
 	// that end normally is logged, and one in sampleInterval of the jobs completed in time.
--- a/node/node.go
+++ b/node/node.go
@@ -46,7 +46,6 @@
 	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/metrics"
 	"github.com/sedgehatch/sedgehatch/platform"
-	"github.com/sedgehatch/sedgehatch/schedule"
 
 	"github.com/google/uuid"
 	"github.com/samber/do/v2"
@@ -382,12 +381,6 @@
 	n.contactPeer(name)
 }
 
-// DecisionMade implements owner.Observer.
-func (n *Node) DecisionMade(group string, token uint64, d schedule.Decision) {
-	n.decisions.record(group, token, d)
-	n.countAdoption(d)
-}
-
 // CallEnded implements owner.Observer.
 func (n *Node) CallEnded(kind string, err error, took time.Duration) {
 	n.metrics.CountSent(kind)
