--- a/node/adopt_test.go
+++ b/node/adopt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/sedgehatch/sedgehatch/ingress"
@@ -88,3 +89,22 @@
 	}
 	cluster.mustComplete(cluster.owner("a/0"), 1, 20)
 }
+
+// TestNextOwnerTakesOverForSpoke kills the owner of a large zone's group while tasks of a job run that
+// a spoke coordinates. The spoke must learn of the next owner soon enough to have the runs adopted.
+func TestNextOwnerTakesOverForSpoke(t *testing.T) {
+	cluster, _, spokes := newLargeTestCluster(t)
+	owner := cluster.owner("a/0")
+	cluster.waitUntil("the coordinator knows the owner of its zone", func() bool {
+		return slices.ContainsFunc(cluster.nodes[spokes[0]].router.Loads(), func(l ingress.OwnerLoad) bool { return l.Group == "a/0" && l.Free > 0 })
+	})
+	response := cluster.submitAsync(spokes[0], cluster.newJobID(), 2, 1500)
+	cluster.waitUntil("all tasks of the job run", func() bool { return cluster.runs.Starts() == 2 })
+	cluster.kill(owner)
+	if status := <-response; status != http.StatusOK {
+		t.Errorf("the job whose tasks go on got status %d, want 200", status)
+	}
+	if starts := cluster.runs.Starts(); starts != 2 {
+		t.Errorf("2 tasks were started %d times", starts)
+	}
+}
--- a/node/neighbours_test.go
+++ b/node/neighbours_test.go
@@ -68,8 +68,9 @@
 }
 
 // TestLargeZoneLosses kills the owner of the large zone's group while a job runs, and then a
-// spoke that coordinates a job. In both cases the tasks must be stopped.
+// spoke that coordinates a job. In both cases the tasks must be stopped. Runs are not adopted.
 func TestLargeZoneLosses(t *testing.T) {
+	withoutAdoption(t, true, true)
 	cluster, _, spokes := newLargeTestCluster(t)
 	owner := cluster.owner("a/0")
 	cluster.waitUntil("the coordinator knows the owner of its zone", func() bool {
