--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -23,6 +23,9 @@
 {"time":"2026-04-04T22:12:09.000Z","level":"INFO","msg":"task_started","instance":"i-1","job":"dd","run":1,"age_ms":0}
 {"time":"2026-04-04T22:12:10.000Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"gg","status":504,"verdict":"left","reason":"the customer left before its request was read","took_ms":0.1,"patience_ms":2676}
 {"time":"2026-04-04T22:12:10.200Z","level":"INFO","msg":"job_late","instance":"i-3","job":"gg","took_ms":210,"objective_ms":190,"groups":"a/0","patience_ms":2561}
+{"time":"2026-04-04T22:12:11.000Z","level":"WARN","msg":"offer_lost","instance":"i-2","job":"hh","group":"b/0"}
+{"time":"2026-04-04T22:12:11.600Z","level":"WARN","msg":"adoption_failed","instance":"i-4","job":"hh","group":"b/0","task":2,"reason":"an upstream has not reported in time"}
+{"time":"2026-04-04T22:12:11.610Z","level":"WARN","msg":"job_not_served","instance":"i-2","job":"hh","status":504,"verdict":"unknown","reason":"the owner of upstreams was lost","took_ms":900,"groups":"b/0,b/0"}
 no line of a log
 `
 
@@ -38,6 +41,7 @@
 		"cc": {"cc received status 503 (not_run) from i-2 after 90 ms: no owner can be reached; the instance knew no owner of upstreams.", "lines that an instance dropped because its output stalled (22:12:02)"},
 		"ff": {"ff received status 503 (not_run) from i-2 after 30 ms: no room in time; zones evacuated at that time: a.", ""},
 		"gg": {"gg received status 504 (left) from i-2 after 0.1 ms: the customer left before its request was read; the customer submitted it to i-2 (2676 ms before its deadline), i-3 (2561).", ""},
+		"hh": {"hh received status 504 (unknown) from i-2 after 900 ms: the owner of upstreams was lost; the connection to the owner of b/0 broke, and the next owner could not complete the job: an upstream has not reported in time.", ""},
 		"dd": {"The logs do not contain the response to dd.", "the line of the response: the instance that accepted the job ended, or its log was not passed"},
 		"ee": {"The logs contain no lines about ee.", "all lines of the job: it succeeded and was not sampled, its id is wrong, or the logs of its instances were not passed"},
 	} {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -88,3 +88,25 @@
 	check("replaced", "a.1", 1600, false)
 	check("leaving", "a.2", 1600, true)
 }
+
+// TestHasEnded checks that only an incarnation that has certainly ended counts as such, and not one
+// that is silent or that the table does not know.
+func TestHasEnded(t *testing.T) {
+	table := NewTable(Config{SuspectMs: 100, DeadMs: 300})
+	check := func(what string, want bool) {
+		t.Helper()
+		if got := table.HasEnded("a"); got != want {
+			t.Errorf("%s: has ended %v, want %v", what, got, want)
+		}
+	}
+	check("unknown", false)
+	table.RecordHeartbeat("a.1", Heartbeat{}, 0)
+	table.Tick(400)
+	check("silent", false)
+	table.MarkEnded("a.0")
+	check("a former incarnation has ended", false)
+	table.MarkEnded("a.1")
+	check("ended", true)
+	table.RecordHeartbeat("a.2", Heartbeat{}, 500)
+	check("started again", false)
+}
