--- a/ingress/job.go
+++ b/ingress/job.go
@@ -156,8 +156,9 @@
 	return j.coordinator.policy.choose(loads, j.coordinator.zone, j.search.tried, len(j.unassigned), begun)
 }
 
-// newOffer creates an offer of tasks to the chosen group and records it as open. AliveAt is the time before the last check of the customer's connection; the owner
-// must not start the tasks when that time is too long ago. The lock must be held.
+// newOffer creates an offer of tasks to the chosen group and records it as open. AliveAt is the
+// time before the last check of the customer's connection; the owner must not start the tasks
+// when that time is too long ago. The lock must be held.
 func (j *openJob) newOffer(choice Choice, tasks []int, aliveAt time.Time) (*openOffer, schedule.Offer) {
 	step := j.Job.Steps[0]
 	now := j.coordinator.clock.Now()
@@ -282,7 +283,13 @@
 		delete(j.unfinished, t)
 		delete(offer.tasks, t)
 	}
-	if r.Outcome == schedule.Completed || !r.Begun {
+	switch {
+	case offer.adopting != nil:
+		j.unassign(offer, r.Returned)
+		if r.Outcome == schedule.Completed && len(offer.tasks) > 0 {
+			r.Outcome = schedule.Unknown // nothing is known of the tasks that are left
+		}
+	case r.Outcome == schedule.Completed || !r.Begun:
 		j.unassign(offer, lo.Keys(offer.tasks)) // the owner runs none of the tasks that are left
 	}
 	switch r.Outcome {
--- a/ingress/orphan_test.go
+++ b/ingress/orphan_test.go
@@ -163,6 +163,12 @@
 			c.wait(2 * maxOrphanWait)
 			c.wantResponse(Unknown, maxOrphanWait) // since the first loss
 		},
+		"the next owner leaves a task out": func(c *orphanCase) {
+			c.setOwner(9)
+			c.callbacks[0].OwnerLost(5)
+			c.endLast(schedule.Result{Outcome: schedule.Completed, Done: []int{0}, Begun: true})
+			c.wantResponse(Unknown, 0)
+		},
 		"a task that the next owner has taken over is returned": func(c *orphanCase) {
 			c.setOwner(9)
 			c.callbacks[0].OwnerLost(5)
