--- a/ingress/job.go
+++ b/ingress/job.go
@@ -134,6 +134,7 @@
 	err := j.coordinator.owners.Offer(offer.group, o, owner.OfferCallbacks{
 		TasksReturned: func(r schedule.Result, _ schedule.Load) { j.handleReturned(offer, r) },
 		OfferEnded:    func(r schedule.Result, _ schedule.Load) { j.handleEnded(offer, r) },
+		TasksDone:     func(tasks []int) { j.handleDone(offer, tasks) },
 		OwnerLost:     func(token uint64) { j.handleOwnerLost(offer, token) },
 	})
 	if err != nil {
--- a/ingress/orphan.go
+++ b/ingress/orphan.go
@@ -65,6 +65,17 @@
 	return lo.Earliest(j.acceptedAt.Add(schedule.ExpiryFactor*j.Objective()), j.deadline)
 }
 
+// handleDone records tasks of an open offer that are done.
+func (j *openJob) handleDone(offer *openOffer, tasks []int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.begun = true
+	for _, t := range tasks {
+		delete(j.unfinished, t)
+		delete(offer.tasks, t)
+	}
+}
+
 // handleOwnerLost processes the loss of the connection to the owner with the given fencing token
 // while an offer was open.
 func (j *openJob) handleOwnerLost(offer *openOffer, token uint64) {
@@ -80,7 +91,18 @@
 	}
 	offer.orphan, offer.adopting = o, nil
 	j.begun = true
+	complete, noneLeft := len(j.unfinished) == 0, len(offer.tasks) == 0
+	if noneLeft {
+		delete(j.offers, offer.number) // only its end was lost
+	}
 	j.mu.Unlock()
+	switch {
+	case complete:
+		j.settle(Completed, "")
+		return
+	case noneLeft:
+		j.offerUnassigned()
+	}
 	j.reviewOrphans(j.coordinator.owners.Loads())
 }
 
--- a/ingress/orphan_test.go
+++ b/ingress/orphan_test.go
@@ -163,6 +163,22 @@
 			c.wait(2 * maxOrphanWait)
 			c.wantResponse(Unknown, maxOrphanWait) // since the first loss
 		},
+		"a task was done before": func(c *orphanCase) {
+			c.setOwner(9)
+			c.callbacks[0].TasksDone([]int{0})
+			c.callbacks[0].OwnerLost(5)
+			if o := c.offers[1]; o.AdoptFrom != 5 || !slices.Equal(o.Tasks, []int{1}) {
+				c.t.Errorf("offer %+v, want an adopting one of task 1", o)
+			}
+			c.endLast(schedule.Result{Outcome: schedule.Completed, Done: []int{1}, Begun: true})
+			c.wantResponse(Completed, 0)
+		},
+		"all tasks were done before": func(c *orphanCase) {
+			c.callbacks[0].TasksDone([]int{0})
+			c.callbacks[0].TasksDone([]int{1})
+			c.callbacks[0].OwnerLost(5)
+			c.wantResponse(Completed, 0)
+		},
 		"the next owner leaves a task out": func(c *orphanCase) {
 			c.setOwner(9)
 			c.callbacks[0].OwnerLost(5)
--- a/ingress/simowner_test.go
+++ b/ingress/simowner_test.go
@@ -166,6 +166,11 @@
 }
 
 func (o *simOwner) notify(e schedule.Effects) {
+	for _, r := range e.Progress {
+		if c := o.callbacks[r.Key]; c.TasksDone != nil {
+			c.TasksDone(r.Done)
+		}
+	}
 	for _, r := range e.Returns {
 		if c, known := o.callbacks[r.Key]; known {
 			c.TasksReturned(r, o.pool.Load(o.Now()))
@@ -203,6 +208,15 @@
 		TasksReturned: viaLink(func(c owner.OfferCallbacks) func(schedule.Result, schedule.Load) { return c.TasksReturned }),
 		OfferEnded:    viaLink(func(c owner.OfferCallbacks) func(schedule.Result, schedule.Load) { return c.OfferEnded }),
 	}
+	if o.fleet.adoptsRuns {
+		callbacks.TasksDone = func(tasks []int) {
+			l.sendToCoordinator(func() {
+				if c, open := l.offers[key]; open {
+					c.TasksDone(tasks)
+				}
+			})
+		}
+	}
 	if o.pool == nil {
 		callbacks.OfferEnded(schedule.Result{Outcome: schedule.Completed}, schedule.Load{})
 		return
--- a/inner/connection.go
+++ b/inner/connection.go
@@ -338,6 +338,8 @@
 		return "offer_returned"
 	case *Frame_OfferEnded:
 		return "offer_ended"
+	case *Frame_OfferProgress:
+		return "offer_progress"
 	case *Frame_OfferWithdrawn:
 		return "offer_withdrawn"
 	case *Frame_ConfigRequest, *Frame_ConfigReply:
--- a/node/adopt.go
+++ b/node/adopt.go
@@ -33,3 +33,23 @@
 		n.metrics.Add("adoptions_failed: "+d.Reason, 1)
 	}
 }
+
+// sendProgress tells the coordinator of an offer that arrived on a connection which tasks are done.
+func (r *router) sendProgress(conn inner.Connection, m *inner.Offer, tasks []int) {
+	r.node.metrics.CountSent("offer_progress")
+	// An error means that the connection is closed, which withdraws the offer.
+	_ = conn.Send(&inner.Frame{Body: &inner.Frame_OfferProgress{OfferProgress: &inner.OfferProgress{
+		Group: m.GetGroup(), Job: m.GetJob(), Part: m.GetPart(), Done: toUint32s(tasks),
+	}}})
+}
+
+// handleProgress passes the tasks that are done, of an offer that goes on, to the coordinator.
+func (r *router) handleProgress(m *inner.OfferProgress) {
+	k := offerKey{m.GetGroup(), schedule.JobKey{ID: m.GetJob(), Part: int(m.GetPart())}}
+	r.mu.Lock()
+	offer := r.openOffers[k]
+	r.mu.Unlock()
+	if offer != nil {
+		offer.TasksDone(toInts(m.GetDone()))
+	}
+}
--- a/node/adopt_test.go
+++ b/node/adopt_test.go
@@ -44,6 +44,35 @@
 	cluster.mustComplete(cluster.owner("a/0"), 4, 20)
 }
 
+// runWhileOwnerIsKilledLate is like runWhileOwnerIsKilled with a job of six tasks of which the group runs
+// four at a time. The owner is killed when the first four are done.
+func runWhileOwnerIsKilledLate(t *testing.T) int {
+	t.Helper()
+	cluster, status := runWhileOwnerIsKilled(t, 6, 200)
+	if starts := cluster.runs.Starts(); starts != 6 {
+		t.Errorf("6 tasks were started %d times", starts)
+	}
+	return status
+}
+
+// TestProgressAdopted kills the owner of a group when some tasks of a job are done and their ends
+// acknowledged. The job must be completed, because the owner has told the coordinator of them.
+func TestProgressAdopted(t *testing.T) {
+	if status := runWhileOwnerIsKilledLate(t); status != http.StatusOK {
+		t.Errorf("the job got status %d, want 200", status)
+	}
+}
+
+// TestProgressOff checks that the job of TestProgressAdopted is not completed if owners tell nothing.
+func TestProgressOff(t *testing.T) {
+	former := schedule.DefaultConfig
+	t.Cleanup(func() { schedule.DefaultConfig = former })
+	schedule.DefaultConfig.Policy.TellProgress = false
+	if status := runWhileOwnerIsKilledLate(t); status != http.StatusGatewayTimeout {
+		t.Errorf("the job got status %d, want 504", status)
+	}
+}
+
 // TestAdoptionOff checks that the job of TestNextOwnerAdopts is not completed if the owners or the
 // coordinators have the rule switched off.
 func TestAdoptionOff(t *testing.T) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -176,6 +176,8 @@
 		n.router.handleOffer(conn, from, body.Offer, reply)
 	case *inner.Frame_OfferReturned:
 		n.router.handleReturned(body.OfferReturned)
+	case *inner.Frame_OfferProgress:
+		n.router.handleProgress(body.OfferProgress)
 	case *inner.Frame_OfferWithdrawn:
 		n.router.handleWithdrawal(conn, from, body.OfferWithdrawn)
 	case *inner.Frame_Renewal:
--- a/node/router.go
+++ b/node/router.go
@@ -169,6 +169,7 @@
 	}
 	if g, open := r.findGroup(group); open {
 		o.Key.Coordinator = string(r.node.self)
+		callbacks.TasksDone = nil // this instance is not lost without its own group
 		return g.Offer(o, callbacks)
 	}
 	r.mu.Lock()
@@ -311,6 +312,7 @@
 		TasksReturned: func(res schedule.Result, l schedule.Load) {
 			_ = conn.Send(offerReturnedFrame(g, res, l)) // it fails if the connection is closed, which withdraws the offer
 		},
+		TasksDone:  func(tasks []int) { r.sendProgress(conn, m, tasks) },
 		OfferEnded: func(res schedule.Result, l schedule.Load) { reply(offerEndedFrame(g, res, l)) },
 	})
 	if err != nil {
--- a/owner/group.go
+++ b/owner/group.go
@@ -69,20 +69,6 @@
 	tickInterval = 25 * time.Millisecond
 )
 
-// OfferCallbacks holds the functions to which the results of an offer are passed, with the load
-// of the group at that time.
-type OfferCallbacks struct {
-	// TasksReturned is called for tasks that do not run in the group and never will. It may be
-	// called several times during an offer.
-	TasksReturned func(schedule.Result, schedule.Load)
-	// OfferEnded is called once, when the offer has ended. It is not called for a withdrawn
-	// offer.
-	OfferEnded func(schedule.Result, schedule.Load)
-	// OwnerLost is called instead of OfferEnded if the connection to the owner, which has the
-	// given fencing token, was lost while the offer was open. It may be nil.
-	OwnerLost func(token uint64)
-}
-
 // Group carries out the decisions of a schedule.Pool for one group of upstreams.
 type Group struct {
 	Name  string
@@ -147,11 +133,16 @@
 // callbacks of its offer. It removes the callbacks of offers that have ended. The lock must be
 // held, but not when the returned functions are called.
 func (g *Group) takeNotifications(effects *schedule.Effects) []func() {
-	if len(effects.Returns) == 0 && len(effects.Results) == 0 {
+	if len(effects.Returns) == 0 && len(effects.Results) == 0 && len(effects.Progress) == 0 {
 		return nil
 	}
 	load := g.pool.Load(clock.Now())
 	var notify []func()
+	for _, r := range effects.Progress {
+		if c := g.callbacks[r.Key]; c.TasksDone != nil {
+			notify = append(notify, func() { c.TasksDone(r.Done) })
+		}
+	}
 	for _, r := range effects.Returns {
 		if c, ok := g.callbacks[r.Key]; ok {
 			notify = append(notify, func() { c.TasksReturned(r, load) })
--- a/owner/offer.go
+++ b/owner/offer.go
@@ -7,6 +7,23 @@
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
+// OfferCallbacks holds the functions to which the results of an offer are passed, with the load
+// of the group at that time.
+type OfferCallbacks struct {
+	// TasksReturned is called for tasks that do not run in the group and never will. It may be
+	// called several times during an offer.
+	TasksReturned func(schedule.Result, schedule.Load)
+	// OfferEnded is called once, when the offer has ended. It is not called for a withdrawn
+	// offer.
+	OfferEnded func(schedule.Result, schedule.Load)
+	// TasksDone is called with tasks that are done while others of the offer are not; it may be
+	// nil. OfferEnded names these tasks again.
+	TasksDone func(tasks []int)
+	// OwnerLost is called instead of OfferEnded if the connection to the owner, which has the
+	// given fencing token, was lost while the offer was open. It may be nil.
+	OwnerLost func(token uint64)
+}
+
 // Offer hands tasks of a job to the group, which passes the results to callbacks. If the group is
 // closed, Offer returns a Stopping error, and none of the tasks has begun or will begin.
 func (g *Group) Offer(o schedule.Offer, callbacks OfferCallbacks) error {
--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -121,7 +121,9 @@
 	if j.unfinished == 0 {
 		p.removeJob(j)
 		p.addResult(j, Completed, nil)
+		return
 	}
+	p.tellProgress(j, t)
 }
 
 // takeOverRuns takes over the runs of the adopting offers that may be taken over.
@@ -174,6 +176,20 @@
 	})
 }
 
+// tellProgress tells the coordinator of an offer that goes on that a task is done. The upstream
+// forgets the end once it is acknowledged, and the next owner could not learn of it.
+func (p *Pool) tellProgress(j *job, t *task) {
+	if !p.cfg.Policy.TellProgress {
+		return
+	}
+	if n := len(p.effects.Progress); n > 0 && p.effects.Progress[n-1].Key == j.Key {
+		last := &p.effects.Progress[n-1]
+		last.Done = append(last.Done, t.index)
+		return
+	}
+	p.effects.Progress = append(p.effects.Progress, Result{Key: j.Key, Done: []int{t.index}})
+}
+
 // recordFoundEnd handles the end of a run that this pool has not ordered or no longer tracks.
 func (p *Pool) recordFoundEnd(u *upstream, e fleet.EndedRun) {
 	if !p.cfg.Policy.AdoptRuns || e.End != fleet.EndDone {
--- a/schedule/adopt_test.go
+++ b/schedule/adopt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,9 +172,27 @@
 	o.MayQueue = o.AdoptFrom == 0
 	o.AdoptFrom = lostToken
 	o.Key.Part++
+	o.Tasks = slices.DeleteFunc(slices.Clone(o.Tasks), func(index int) bool { return j.done[index] })
+	if len(o.Tasks) == 0 {
+		return // only the result was lost
+	}
 	w.AfterFunc(w.RandMillis(0, maxAdoptDelayMillis), func() { w.offerAdopting(o) })
 }
 
+// recordProgress records the tasks that are done. One message in four is lost with its owner.
+func (w *testCluster) recordProgress(r Result) {
+	j := w.openJobs[r.Key]
+	if j == nil || !w.mayAdopt {
+		return
+	}
+	for _, index := range r.Done {
+		if !w.doneTasks[fleet.TaskRef{Job: r.Key.ID, Index: index}] {
+			w.t.Fatalf("task %d of %s is told as done, but no run of it was", index, r.Key.ID)
+		}
+		j.done[index] = j.done[index] || w.Rand.IntN(4) > 0
+	}
+}
+
 // offerAdopting makes an adopting offer to the pool, unless the job was submitted again.
 func (w *testCluster) offerAdopting(o Offer) {
 	for _, key := range w.openKeys() {
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -310,7 +310,9 @@
 	if j.unfinished == 0 {
 		p.removeJob(j)
 		p.addResult(j, Completed, nil)
+		return
 	}
+	p.tellProgress(j, t)
 }
 
 // learnFromDone updates the expected durations from that of a run that is done.
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -67,6 +67,9 @@
 			w.sendHold(u, o, func(bool) {})
 		}
 	}
+	for _, r := range e.Progress {
+		w.recordProgress(r)
+	}
 	for _, r := range append(e.Returns, e.Results...) {
 		w.checkResult(r)
 	}
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -47,6 +47,9 @@
 	// AdoptRuns lets runs that a former owner has started go on for a moment, and counts
 	// those that are done for the offers that were lost with that owner.
 	AdoptRuns bool
+	// TellProgress tells coordinators which tasks of an offer are done while others are not, so
+	// that they need not ask the next owner for these if this one is lost.
+	TellProgress bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
@@ -54,5 +57,5 @@
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
 	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true,
-	AdoptRuns: true,
+	AdoptRuns: true, TellProgress: true,
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -239,6 +239,7 @@
 	Starts    []Start
 	Stops     []Stop
 	Polls     []string // upstreams to ask for a report at once
+	Progress  []Result // tasks that are done, of offers that go on
 	Returns   []Result // returned tasks of offers that go on; their coordinators offer them to other pools
 	Results   []Result // results of offers that have ended
 	Decisions []Decision
