--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -113,6 +113,7 @@
 	// may not have sent the message to the owner yet.
 	sendsInFlight atomic.Int32
 	lastResume    resumeTracker
+	orphans       orphanedJobs
 	shards        [shardCount]jobShard
 }
 
@@ -131,6 +132,7 @@
 // random numbers instead of the system's clock, DefaultPolicy and rand.Float64.
 func NewSimulatedCoordinator(zone string, owners Owners, clock Clock, policy Policy, random func() float64) *Coordinator {
 	c := &Coordinator{zone: zone, owners: owners, clock: clock, policy: policy, queues: queueChooser{policy: policy, zone: zone, random: random}}
+	c.orphans = orphanedJobs{coordinator: c, jobs: map[*openJob]struct{}{}}
 	for i := range c.shards {
 		c.shards[i].jobs = map[string]*openJob{}
 	}
--- a/ingress/policy.go
+++ b/ingress/policy.go
@@ -27,6 +27,8 @@
 	Waiting  int            // number of tasks in the owner's queue
 	Capacity int64          // total capacity of the upstreams, in thousandths of a core
 	Closed   bool           // no task may start on any upstream of the group
+	Token    uint64         // fencing token of the owner; 0 if unknown
+	Relayed  bool           // another instance has relayed the report
 	Age      time.Duration  // time since the owner reported the load
 	Waits    schedule.Waits // zero if the owner does not report them
 	Offered  int            // number of tasks that this instance has offered to the owner since the report
@@ -84,6 +86,9 @@
 	// RejectKnown rejects a job that has not begun once the reported waits of all groups show that
 	// it would be late, and does not offer it to groups that would start it late.
 	RejectKnown bool
+	// AdoptRuns lets jobs go on when the owner of an offer is lost: the next owner of the
+	// group is asked for the ends of the tasks (see orphan.go). Without it, they end Unknown.
+	AdoptRuns bool
 }
 
 // maxOwnersWithoutCapacity is how many owners must expect no free capacity in time before a
@@ -94,7 +99,7 @@
 const maxOwnersWithoutCapacity = 3
 
 // DefaultPolicy enables all rules.
-var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true, BoundAsks: true, KnowWaits: true, RejectKnown: true}
+var DefaultPolicy = Policy{OwnZoneFirst: true, Spill: true, ShortestQueue: true, WholeJobs: true, SpreadReturns: true, BoundAsks: true, KnowWaits: true, RejectKnown: true, AdoptRuns: true}
 
 // choose picks an owner for the given number of tasks of a job whose coordinator is in the
 // given zone. Begun reports whether other tasks of the job may have begun, so that there is
--- a/ingress/simfleet_test.go
+++ b/ingress/simfleet_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
@@ -161,10 +163,12 @@
 // simCoordinator is a process that coordinates the jobs of customers.
 type simCoordinator struct {
 	simProcess
-	coordinator   *Coordinator
-	links         map[*simOwner]*simLink
-	loads         map[string]OwnerLoad    // by zone
-	lastHeartbeat map[*simOwner]time.Time // when each owner sent the latest heartbeat that has been received
+	coordinator *Coordinator
+	links       map[*simOwner]*simLink
+	loads       map[string]OwnerLoad // by zone
+	// loadsReportedAt is when the loads were recorded.
+	loadsReportedAt map[string]time.Time
+	lastHeartbeat   map[*simOwner]time.Time // when each owner sent the latest heartbeat that has been received
 	// pauseBeforeOffer makes the next offer pause the process after the decision to make the
 	// offer and before sending it. The offer is sent as soon as the pause ends.
 	pauseBeforeOffer bool
@@ -220,6 +224,9 @@
 	var list []OwnerLoad
 	for _, zone := range c.fleet.zones {
 		if v, known := c.loads[zone]; known {
+			if c.fleet.adoptsRuns {
+				v.Age = c.Now().Sub(c.loadsReportedAt[zone])
+			}
 			list = append(list, v)
 		}
 	}
@@ -232,7 +239,7 @@
 	c.AfterFunc(simZoneHeartbeat, func() {
 		for _, o := range c.fleet.owners {
 			if o.pool != nil && !o.paused {
-				c.loads[o.zone] = c.fleet.loadAt(o.zone, o.pool.Load(o.Now()))
+				c.recordLoad(o, o.pool.Load(o.Now()))
 			}
 		}
 		c.receiveLoads()
@@ -263,6 +270,12 @@
 		l = c.fleet.connect(c, o)
 	}
 	l.offers[offer.Key] = callbacks
+	if j := c.fleet.jobs[offer.Key.ID]; offer.AdoptFrom > 0 {
+		j.adopting, j.adoptingSend = true, j.sendCount
+	}
+	if c.fleet.adoptsRuns {
+		l.tokens[offer.Key] = o.pool.Token()
+	}
 	offer.AliveAt = c.lastHeartbeat[o].Add(-c.Now().Sub(offer.AliveAt))
 	c.fleet.record(offer.Key.ID, "%s offers to %s on %s, part %d", c.name, o.name, l.name(), offer.Key.Part)
 	send := func() { l.sendToOwner(func() { o.handleOffer(l, offer) }) }
@@ -329,6 +342,8 @@
 	// losesResets makes a suspended machine never notice that a customer has reset a
 	// connection, because a reset is not retransmitted.
 	losesResets bool
+	adoptsRuns  bool                   // lost offers are adopted
+	doneTasks   map[fleet.TaskRef]bool // tasks of which a run was done
 	// reportsWaits makes the owners report their waits. Seeds from before they did so reproduce
 	// their simulations only without.
 	reportsWaits bool
@@ -354,10 +369,33 @@
 
 func (f *simFleet) connect(c *simCoordinator, o *simOwner) *simLink {
 	f.linkCount++
-	l := &simLink{number: f.linkCount, coordinator: c, owner: o, coordinatorOpen: true, ownerOpen: true, coordinatorLastReceived: f.Now(), ownerLastReceived: f.Now(), offers: map[schedule.JobKey]owner.OfferCallbacks{}, afterSend: map[schedule.JobKey][]func(){}}
+	l := &simLink{number: f.linkCount, coordinator: c, owner: o, coordinatorOpen: true, ownerOpen: true, coordinatorLastReceived: f.Now(), ownerLastReceived: f.Now(), offers: map[schedule.JobKey]owner.OfferCallbacks{}, tokens: map[schedule.JobKey]uint64{}, afterSend: map[schedule.JobKey][]func(){}}
 	c.links[o] = l
 	c.lastHeartbeat[o] = f.Now() // on connecting, both ends send the time of their clocks
 	l.coordinatorHeartbeats()
 	l.ownerHeartbeats()
 	return l
 }
+
+// traceEvent is an event of a simulation. The events are printed if two runs of a task are found.
+type traceEvent struct {
+	at   time.Duration // since simEpoch
+	job  string        // "" if the event is not about a particular job
+	text string
+}
+
+// record adds an event to the trace. Job is "" if the event is not about a particular job.
+func (f *simFleet) record(job, format string, args ...any) {
+	f.trace = append(f.trace, traceEvent{f.Now().Sub(simEpoch), job, fmt.Sprintf(format, args...)})
+}
+
+// traceOf formats the events about a job and those that are not about a particular job.
+func (f *simFleet) traceOf(job string) string {
+	var b strings.Builder
+	for _, e := range f.trace {
+		if e.job == job || e.job == "" {
+			fmt.Fprintf(&b, "\n%9.3f s  %s", e.at.Seconds(), e.text)
+		}
+	}
+	return b.String()
+}
--- a/node/failure_test.go
+++ b/node/failure_test.go
@@ -15,8 +15,9 @@
 
 // TestOwnerKilled kills the owner of the only group while a job runs, and submits the job again.
 // The other instance must take over the upstreams and complete the job, and no task may have two
-// runs at once, which the cluster checks when it is closed.
+// runs at once, which the cluster checks when it is closed. Its runs are not adopted.
 func TestOwnerKilled(t *testing.T) {
+	withoutAdoption(t, true, true)
 	cluster := newTestCluster(t, []string{"a"}, 2, "a-1", "a-2")
 	owner := cluster.owner("a/0")
 	id := cluster.newJobID()
--- a/node/log.go
+++ b/node/log.go
@@ -14,18 +14,20 @@
 
 // decisionEvents maps each kind of decision to its log event.
 var decisionEvents = map[schedule.DecisionKind]event.Event{
-	schedule.DecidedStart:      event.TaskStarted,
-	schedule.DecidedRetry:      event.TaskRetried,
-	schedule.DecidedStop:       event.TaskStopped,
-	schedule.DecidedReturn:     event.TasksReturned,
-	schedule.DecidedResult:     event.OfferResult,
-	schedule.DecidedEject:      event.UpstreamDoubted,
-	schedule.DecidedReadmit:    event.UpstreamTrusted,
-	schedule.DecidedSilent:     event.UpstreamSilent,
-	schedule.DecidedResponding: event.UpstreamHeard,
-	schedule.DecidedGone:       event.UpstreamGone,
-	schedule.DecidedFenced:     event.UpstreamFenced,
-	schedule.DecidedSuspect:    event.TaskSuspected,
+	schedule.DecidedStart:       event.TaskStarted,
+	schedule.DecidedRetry:       event.TaskRetried,
+	schedule.DecidedStop:        event.TaskStopped,
+	schedule.DecidedReturn:      event.TasksReturned,
+	schedule.DecidedResult:      event.OfferResult,
+	schedule.DecidedEject:       event.UpstreamDoubted,
+	schedule.DecidedReadmit:     event.UpstreamTrusted,
+	schedule.DecidedSilent:      event.UpstreamSilent,
+	schedule.DecidedResponding:  event.UpstreamHeard,
+	schedule.DecidedGone:        event.UpstreamGone,
+	schedule.DecidedFenced:      event.UpstreamFenced,
+	schedule.DecidedSuspect:     event.TaskSuspected,
+	schedule.DecidedAdopt:       event.RunAdopted,
+	schedule.DecidedAdoptFailed: event.AdoptionFailed,
 }
 
 const (
@@ -100,11 +102,12 @@
 	return append(write, pending...), sampleInterval
 }
 
-// endedNormally reports whether an offer was completed in time, without a retry or a stop.
+// endedNormally reports whether an offer was completed in time, without a retry, a stop or an
+// adopted run.
 func endedNormally(decisions []pendingDecision) bool {
 	for _, p := range decisions {
 		switch p.Kind {
-		case schedule.DecidedRetry, schedule.DecidedStop:
+		case schedule.DecidedRetry, schedule.DecidedStop, schedule.DecidedAdopt, schedule.DecidedAdoptFailed:
 			return false
 		case schedule.DecidedResult:
 			if p.Late || p.Reason != string(schedule.Completed) {
@@ -153,6 +156,7 @@
 // DecisionMade implements owner.Observer.
 func (n *Node) DecisionMade(group string, token uint64, d schedule.Decision) {
 	n.decisions.record(group, token, d)
+	n.countAdoption(d)
 	if d.Kind == schedule.DecidedStop && d.Reason == schedule.ReasonLeaving {
 		n.metrics.Add("runs_moved_leaving", 1)
 	}
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -70,6 +70,9 @@
 			w.sendHold(u, o, func(bool) {})
 		}
 	}
+	for _, r := range e.Progress {
+		w.recordProgress(r)
+	}
 	for _, r := range append(e.Returns, e.Results...) {
 		w.checkResult(r)
 	}
@@ -103,6 +106,9 @@
 	}
 	delete(w.openJobs, r.Key)
 	w.results++
+	if j.offer.AdoptFrom > 0 {
+		w.checkAdopted(r, j.offer)
+	}
 }
 
 // requestReports requests the reports of one upstream, each as soon as the one before has come,
@@ -129,39 +135,20 @@
 	next()
 }
 
-// lostJob is a job whose owner was lost. Its customer resubmits it.
-type lostJob struct {
-	id string
-	at time.Time
-}
-
-// minResubmitDelay is the least time after which the customer of a lost job resubmits it. By
-// then the leases that the lost owner granted have lapsed.
-const minResubmitDelay = 1300 * time.Millisecond
-
-// takeResubmittable removes the first lost job from lostJobs and returns its ID, if its customer
-// may resubmit it by now.
-func (w *testCluster) takeResubmittable() (string, bool) {
-	if len(w.lostJobs) == 0 || w.Now().Sub(w.lostJobs[0].at) < minResubmitDelay {
-		return "", false
-	}
-	id := w.lostJobs[0].id
-	w.lostJobs = w.lostJobs[1:]
-	return id, true
-}
-
 // takeOver replaces the pool by a new one with a higher fencing token. The open jobs of the former
 // pool are lost.
 func (w *testCluster) takeOver() {
+	lostToken := uint64(w.poolToken)
+	cfg := DefaultConfig
+	cfg.EndedOwner = w.keepFormerOwner()
 	w.poolToken++
 	for ref := range w.crashesByTask {
 		w.crashesByTask[ref] = 0 // a new owner does not know of earlier crashes
 	}
-	w.pool = NewPool(DefaultConfig, uint64(w.poolToken))
+	w.pool = NewPool(cfg, uint64(w.poolToken))
 	clear(w.listedCapacity)
 	for _, key := range w.openKeys() {
-		w.lostJobs = append(w.lostJobs, lostJob{key.ID, w.Now()})
-		delete(w.openJobs, key)
+		w.loseJob(key, lostToken)
 	}
 	w.listUpstreams()
 	w.scheduleTicks(w.poolToken)
@@ -240,7 +227,7 @@
 // another coordinator. A resubmitted job is still open or was lost with its owner.
 func (w *testCluster) offerJob(n int) {
 	key := JobKey{"home", fmt.Sprintf("%016x", n), 1}
-	if other, found := w.drawOpenJob(); found && w.Rand.IntN(10) == 0 {
+	if other, found := w.drawOpenJob(); found && w.Rand.IntN(10) == 0 && !w.isAdopting(other) {
 		key = JobKey{fmt.Sprintf("home-%d", n), other.ID, 1}
 	}
 	if id, found := w.takeResubmittable(); found && w.Rand.IntN(2) == 0 {
@@ -290,6 +277,7 @@
 			steps:     rapid.IntRange(20, 80).Draw(t, "jobs"), mayEvacuate: rapid.Bool().Draw(t, "evacuates"),
 			mayRestart: rapid.Bool().Draw(t, "restarts"), mayResize: rapid.Bool().Draw(t, "resizes"), mayCrash: rapid.Bool().Draw(t, "crashes"),
 			mayLeave: rapid.Bool().Draw(t, "leaves"),
+			mayAdopt: rapid.Bool().Draw(t, "adopts"),
 		}.run(t)
 	})
 }
@@ -319,11 +307,14 @@
 	// upstream that starts them.
 	mayResize, mayCrash bool
 	mayLeave            bool // upstreams drain, most of them saying how long they stay, and leave
+	// mayAdopt lets coordinators make adopting offers after a takeover; see adopt_test.go.
+	mayAdopt bool
 }
 
-func (c modelCase) run(t failer) {
+func (c modelCase) run(t failer) *testCluster {
 	w := newTestCluster(t, c.seed)
 	w.mayEvacuate, w.mayRestart, w.mayResize, w.mayCrash, w.mayLeave = c.mayEvacuate, c.mayRestart, c.mayResize, c.mayCrash, c.mayLeave
+	w.mayAdopt = c.mayAdopt
 	w.takeOver()
 	w.Run(startTime.Add(300 * time.Millisecond))
 	w.setFaults(c.lossShare, c.lateShare)
@@ -331,6 +322,7 @@
 		w.step(i)
 	}
 	w.setFaults(0, 0)
+	clear(w.cutOff)
 	for _, u := range w.upstreams {
 		u.Partitioned, u.RunsStalled, u.Failing = false, false, false
 	}
@@ -347,6 +339,7 @@
 	if len(w.openJobs) > 0 || !w.pool.Idle() {
 		t.Fatalf("the pool is not idle 15 s after the faults ended: %d jobs are still open, Idle returns %v", len(w.openJobs), w.pool.Idle())
 	}
+	return w
 }
 
 // step lets one randomly drawn event happen, and then some time pass.
@@ -354,12 +347,20 @@
 	u := w.upstreams[w.Rand.IntN(len(w.upstreams))]
 	switch w.Rand.IntN(12) {
 	case 0:
+		if w.mayAdopt && w.Rand.IntN(2) == 0 {
+			w.cutOff[u.ID] = !w.cutOff[u.ID]
+			break
+		}
 		u.Partitioned = !u.Partitioned
 	case 1:
 		u.RunsStalled = !u.RunsStalled
 	case 2:
 		u.Failing = !u.Failing
 	case 3:
+		if w.mayAdopt && w.Rand.IntN(2) == 0 {
+			w.isolateOwner()
+			break
+		}
 		w.takeOver()
 	case 5:
 		w.drain()
