--- a/owner/group.go
+++ b/owner/group.go
@@ -51,6 +51,9 @@
 	// CallOverdue is called when a call has taken longer than recent calls lead to expect and
 	// is treated as lost (see await.go). CallEnded follows when the call ends or times out.
 	CallOverdue(kind string)
+	// RoomUsed is called regularly while a group is crowded, with how its capacity was used
+	// since the last call.
+	RoomUsed(use schedule.RoomUse)
 }
 
 const (
@@ -178,6 +181,9 @@
 	for _, d := range effects.Decisions {
 		g.observer.DecisionMade(g.Name, g.Token, d)
 	}
+	if effects.Room != (schedule.RoomUse{}) {
+		g.observer.RoomUsed(effects.Room)
+	}
 }
 
 // startResponse is the response to a start.
--- a/owner/link_test.go
+++ b/owner/link_test.go
@@ -179,6 +179,7 @@
 func (noopObserver) DecisionMade(string, uint64, schedule.Decision) {}
 func (noopObserver) CallEnded(string, error, time.Duration)         {}
 func (noopObserver) CallOverdue(string)                             {}
+func (noopObserver) RoomUsed(schedule.RoomUse)                      {}
 
 // testOwner is a Group whose upstreams are behind a slow link. It counts the outcomes of its jobs.
 type testOwner struct {
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -37,6 +37,7 @@
 	everAccepted      bool            // some upstream has accepted the fencing token
 	upstreamsListed   bool            // SetUpstreams has been called
 	draining          bool
+	account           account
 	effects           *Effects // of the input that is being handled
 	now               time.Time
 }
@@ -348,6 +349,9 @@
 	if !j.begun {
 		returned = j.Tasks
 	}
+	if outcome == Expired {
+		p.account.refusedAt = p.now
+	}
 	p.addResult(j, outcome, returned)
 }
 
--- a/schedule/return.go
+++ b/schedule/return.go
@@ -11,6 +11,7 @@
 // returnUnstarted returns to the coordinator those waiting tasks of a job that have never
 // started.
 func (p *Pool) returnUnstarted(j *job, reason string) {
+	p.account.refusedAt = p.now
 	p.returnTasks(j, reason, func(t *task) bool { return t.lastRun == 0 })
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -232,6 +232,8 @@
 	Returns   []Result // returned tasks of offers that go on; their coordinators offer them to other pools
 	Results   []Result // results of offers that have ended
 	Decisions []Decision
+	// Room is how the capacity was used since the last tick, if the pool is crowded.
+	Room RoomUse
 }
 
 // Decision records one scheduling decision for the log.
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -8,7 +8,7 @@
 // Tick does the work that is due because time has passed, such as handling leases that have
 // lapsed and ending jobs that have expired. It must be called regularly.
 func (p *Pool) Tick(now time.Time) Effects {
-	return p.handle(now, func() {
+	effects := p.handle(now, func() {
 		for _, u := range slices.Clone(p.sortedUpstreams) {
 			p.tickUpstream(u)
 		}
@@ -23,6 +23,8 @@
 			p.endIfExpired(j)
 		}
 	})
+	effects.Room = p.sampleRoom()
+	return effects
 }
 
 func (p *Pool) tickUpstream(u *upstream) {
