--- a/cli/lab.go
+++ b/cli/lab.go
@@ -26,6 +26,7 @@
 			&cli.StringFlag{Name: "trouble", Usage: "fault to inject: " + faultNames(), Value: string(lab.MixedFaults)},
 			&cli.FloatFlag{Name: "share", Usage: "share of upstreams that the fault affects, or twice the share of calls; 0 is random"},
 			&cli.FloatFlag{Name: "size", Usage: "mean CPU demand of a task as a share of the smaller upstreams; 0 is random"},
+			&cli.FloatFlag{Name: "largest", Usage: "limit of the CPU demand of a task as a share of the smaller upstreams; 0 is 1"},
 			&cli.IntFlag{Name: "returns", Usage: "maximum number of times that a customer resubmits a refused job"},
 			&cli.IntFlag{Name: "zones", Usage: "number of availability zones, each with one group of upstreams; 0 is random from 2 to 4"},
 			&cli.IntFlag{Name: "coordinators", Usage: "number of coordinators in each availability zone", Value: 1},
@@ -47,7 +48,7 @@
 
 func runLab(_ context.Context, c *cli.Command) error {
 	setup := lab.Setup{
-		Load: c.Float("load"), Fault: lab.Fault(c.String("trouble")), FaultShare: c.Float("share"), MaxResubmissions: c.Int("returns"), Zones: c.Int("zones"), TaskSize: c.Float("size"),
+		Load: c.Float("load"), Fault: lab.Fault(c.String("trouble")), FaultShare: c.Float("share"), MaxResubmissions: c.Int("returns"), Zones: c.Int("zones"), TaskSize: c.Float("size"), MaxTaskSize: c.Float("largest"),
 		CoordinatorsPerZone: c.Int("coordinators"), LoadReportInterval: c.Duration("views"), ShiftedShare: c.Float("shift"), AddedShare: c.Float("added"),
 	}
 	switch {
@@ -67,6 +68,8 @@
 		return failure.Field(failure.InvalidInput, "added", "must be at least 0 and less than 1")
 	case setup.TaskSize < 0 || setup.TaskSize > 1:
 		return failure.Field(failure.InvalidInput, "size", "must lie between 0 and 1")
+	case setup.MaxTaskSize < 0 || setup.MaxTaskSize > 1:
+		return failure.Field(failure.InvalidInput, "largest", "must lie between 0 and 1")
 	case setup.Load < 0:
 		return failure.Field(failure.InvalidInput, "load", "must not be negative")
 	case setup.FaultShare < 0 || setup.FaultShare > 1:
@@ -114,14 +117,15 @@
 //   - kind, large, zone: WorstKind, WorstLarge, WorstZone
 //   - later, later s: ServedLater, ServedLaterSeconds
 //   - doubts, silences: FalseEjections, FalseSilences
+//   - held, out: HeldBack, OutOfUse
 func printLabTable(out io.Writer, rows []lab.Row) error {
 	t := tabwriter.NewWriter(out, 2, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "rules\tworth\tgain\t±\tcrowded\tbound\tin time\tlate\trefused\troom\tgiven up\tfailed\twasted\ttell p50\tp90\tp99 ms\tkind\tlarge\tzone\tlater\tlater s\tdoubts\tsilences\t")
+	fmt.Fprintln(t, "rules\tworth\tgain\t±\tcrowded\tbound\tin time\tlate\trefused\troom\tgiven up\tfailed\twasted\ttell p50\tp90\tp99 ms\tkind\tlarge\tzone\tlater\tlater s\tdoubts\tsilences\tbusy\tfragments\theld\tvacant\tout\t")
 	for _, r := range rows {
 		m := r.Metrics
-		fmt.Fprintf(t, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.2f\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.1f\t%.1f\t\n",
+		fmt.Fprintf(t, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.2f\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
 			r.Name, m.Worth, r.Gain, r.HalfInterval, m.PeakWorth, m.Bound, m.InTime, m.Late, m.Refused, m.RefusedWithRoom, m.GivenUp, m.Failed, m.Wasted,
-			m.UnservedResponseP50, m.UnservedResponseP90, m.UnservedResponseP99Ms, m.WorstKind, m.WorstLarge, m.WorstZone, m.ServedLater, m.ServedLaterSeconds, m.FalseEjections, m.FalseSilences)
+			m.UnservedResponseP50, m.UnservedResponseP90, m.UnservedResponseP99Ms, m.WorstKind, m.WorstLarge, m.WorstZone, m.ServedLater, m.ServedLaterSeconds, m.FalseEjections, m.FalseSilences, m.Busy, m.Fragments, m.HeldBack, m.Vacant, m.OutOfUse)
 	}
 	return t.Flush()
 }
--- a/lab/deployment.go
+++ b/lab/deployment.go
@@ -52,6 +52,9 @@
 	// TaskSize is the mean CPU demand of a task as a share of the capacity of the smaller
 	// upstreams. If it is 0, a random value between 0.15 and 0.45 is used.
 	TaskSize float64
+	// MaxTaskSize limits the CPU demand of a task, as a share of the capacity of the smaller
+	// upstreams; 0 means 1.
+	MaxTaskSize float64
 	// Zones is the number of availability zones. If it is 0, a random number from 2 to 4 is
 	// used. The upstreams of each zone form one group, which one owner schedules.
 	Zones int
@@ -269,7 +272,7 @@
 	k := &d.kinds[kind]
 	j := &customerJob{
 		id: fmt.Sprintf("%016x", len(d.jobs)+1), kind: kind, zone: d.zoneAt(d.randomZone(rng), at, rng), sentAt: at,
-		demand:      fleet.Resources{MilliCPU: int64(min(lognormal(rng, k.milliCPU, 0.2), smallUpstreamCPU)), MemoryMB: 64},
+		demand:      fleet.Resources{MilliCPU: int64(min(lognormal(rng, k.milliCPU, 0.2), smallUpstreamCPU*cmp.Or(d.setup.MaxTaskSize, 1))), MemoryMB: 64},
 		alwaysFails: rng.Float64() < alwaysFailingShare,
 	}
 	meanDuration := lognormal(rng, k.taskDuration.Seconds(), jobSigma)
--- a/lab/metrics.go
+++ b/lab/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/ingress"
+	"github.com/sedgehatch/sedgehatch/schedule"
 
 	"github.com/samber/lo"
 )
@@ -43,6 +44,13 @@
 	ServedLaterSeconds    float64 `json:"later_s"`           // mean time of these jobs from the first submission to the response, in seconds
 	FalseEjections        float64 `json:"doubts_of_sound"`   // number of ejections of upstreams without a fault, per deployment
 	FalseSilences         float64 `json:"silences_of_sound"` // number of times that an upstream without a fault was treated as silent, per deployment
+	// The next fields are shares of the CPU capacity in the peak period while pools are crowded, see
+	// schedule.RoomUse. They are 0 if no pool was.
+	Busy      float64 `json:"busy"`       // executing runs, or starting them
+	Fragments float64 `json:"fragments"`  // idle, and no waiting task is small enough
+	HeldBack  float64 `json:"held_back"`  // idle, although a waiting task would fit
+	Vacant    float64 `json:"vacant"`     // idle, and nothing waits, although a job was refused lately
+	OutOfUse  float64 `json:"out_of_use"` // idle on upstreams where nothing may start
 }
 
 // earned returns the worth that a job has earned. A job whose tasks always fail cannot complete;
@@ -116,10 +124,24 @@
 	if refused := m.Refused * n; refused > 0 && sim.servedLater > 0 {
 		m.ServedLater, m.ServedLaterSeconds = float64(sim.servedLater)/refused, sim.servedLaterSeconds/float64(sim.servedLater)
 	}
+	m.setRoom(sim.room)
 	m.FalseEjections, m.FalseSilences = float64(sim.falseEjections), float64(sim.falseSilences)
 	return m
 }
 
+// setRoom sets the fields about the use of the capacity.
+func (m *Metrics) setRoom(use schedule.RoomUse) {
+	total := float64(use.Total())
+	if total == 0 {
+		return
+	}
+	m.Busy = float64(use[schedule.RoomBusy]+use[schedule.RoomStarting]) / total
+	m.Fragments = float64(use[schedule.RoomFragments]) / total
+	m.HeldBack = float64(use[schedule.RoomUnbegun]+use[schedule.RoomHeld]) / total
+	m.Vacant = float64(use[schedule.RoomVacant]) / total
+	m.OutOfUse = float64(use[schedule.RoomEjected]+use[schedule.RoomSilent]+use[schedule.RoomUnusable]) / total
+}
+
 // count counts a job in the fields for its response. While jobs are being counted, these fields
 // hold numbers of jobs; afterwards, metrics turns them into shares.
 func (m *Metrics) count(o firstResponse, objective time.Duration) {
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -66,6 +66,7 @@
 	// the response.
 	servedLater        int
 	servedLaterSeconds float64
+	room               schedule.RoomUse // how the capacity was used in the peak period, while the pools were crowded
 }
 
 // firstResponse is the response to the first submission of a job.
@@ -269,8 +270,11 @@
 
 // apply carries out the effects that the pool has returned: it makes the calls to upstreams and
 // passes results to the callbacks of offers. It also counts the pool's wrong decisions about
-// upstreams without a fault.
+// upstreams without a fault, and adds up the use of the capacity.
 func (g *group) apply(e schedule.Effects) {
+	if at := g.sim.Now().Sub(g.sim.startTime) - time.Second; at >= peakStart && at < peakEnd {
+		g.sim.room = g.sim.room.Plus(e.Room)
+	}
 	for _, d := range e.Decisions {
 		switch {
 		case g.sim.hasFault(d.Upstream): // the decision is right
