--- a/cli/lab.go
+++ b/cli/lab.go
@@ -112,6 +112,7 @@
 // printLabTable prints a line for each row. These headings differ from the fields of lab.Metrics
 // below them:
 //   - crowded: PeakWorth
+//   - packed: PackedBound
 //   - room: RefusedWithRoom
 //   - tell p50, p90, p99 ms: UnservedP50, UnservedP90, UnservedP99Ms
 //   - kind, large, zone: WorstKind, WorstLarge, WorstZone
@@ -120,11 +121,11 @@
 //   - held, out: HeldBack, OutOfUse
 func printLabTable(out io.Writer, rows []lab.Row) error {
 	t := tabwriter.NewWriter(out, 2, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "rules\tworth\tgain\t±\tcrowded\tbound\tin time\tlate\trefused\troom\tgiven up\tfailed\twasted\ttell p50\tp90\tp99 ms\tkind\tlarge\tzone\tlater\tlater s\tdoubts\tsilences\tbusy\tfragments\theld\tvacant\tout\t")
+	fmt.Fprintln(t, "rules\tworth\tgain\t±\tcrowded\tbound\tpacked\tin time\tlate\trefused\troom\tgiven up\tfailed\twasted\ttell p50\tp90\tp99 ms\tkind\tlarge\tzone\tlater\tlater s\tdoubts\tsilences\tbusy\tfragments\theld\tvacant\tout\t")
 	for _, r := range rows {
 		m := r.Metrics
-		fmt.Fprintf(t, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.2f\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
-			r.Name, m.Worth, r.Gain, r.HalfInterval, m.PeakWorth, m.Bound, m.InTime, m.Late, m.Refused, m.RefusedWithRoom, m.GivenUp, m.Failed, m.Wasted,
+		fmt.Fprintf(t, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.2f\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n",
+			r.Name, m.Worth, r.Gain, r.HalfInterval, m.PeakWorth, m.Bound, m.PackedBound, m.InTime, m.Late, m.Refused, m.RefusedWithRoom, m.GivenUp, m.Failed, m.Wasted,
 			m.UnservedResponseP50, m.UnservedResponseP90, m.UnservedResponseP99Ms, m.WorstKind, m.WorstLarge, m.WorstZone, m.ServedLater, m.ServedLaterSeconds, m.FalseEjections, m.FalseSilences, m.Busy, m.Fragments, m.HeldBack, m.Vacant, m.OutOfUse)
 	}
 	return t.Flush()
--- a/fleet/job.go
+++ b/fleet/job.go
@@ -32,6 +32,11 @@
 	return Resources{max(d.MilliCPU, o.MilliCPU), max(d.MemoryMB, o.MemoryMB), max(d.GPUs, o.GPUs)}
 }
 
+// Min returns the minimum of d and o for each resource separately.
+func (d Resources) Min(o Resources) Resources {
+	return Resources{min(d.MilliCPU, o.MilliCPU), min(d.MemoryMB, o.MemoryMB), min(d.GPUs, o.GPUs)}
+}
+
 // Within reports whether d fits into the available resources.
 func (d Resources) Within(available Resources) bool {
 	return d.MilliCPU <= available.MilliCPU && d.MemoryMB <= available.MemoryMB && d.GPUs <= available.GPUs
--- a/lab/bound.go
+++ b/lab/bound.go
@@ -43,8 +43,12 @@
 // surplus of a job is its worth less the price of its work, in whichever period this is largest,
 // but at least 0. Since the bound is valid for all prices, a simple search for prices that make
 // it low is sufficient.
-func (d *deployment) worthBound() float64 {
-	capacity := d.periodCapacities()
+//
+// Of the CPU capacity, only the given share can be used. With the share 1 the result is a bound
+// that counts cores only; with that of packedShare it shows what sizes cost that do not go
+// together.
+func (d *deployment) worthBound(usable float64) float64 {
+	capacity := lo.Map(d.periodCapacities(), func(c float64, _ int) float64 { return usable * c })
 	scale := d.worthPerCoreSecond()
 	bound := math.Inf(1)
 	var prices []float64
--- a/lab/compare.go
+++ b/lab/compare.go
@@ -89,10 +89,12 @@
 		go func() {
 			defer running.Done()
 			seed := firstSeed + uint64(n)
-			bound := generate(seed, setup).worthBound()
+			generated := generate(seed, setup)
+			share := generated.packedShare()
+			bound, packedBound := generated.worthBound(1), generated.worthBound(share)
 			for i, v := range variants {
 				metrics[i][n] = simulate(generate(seed, setup), seed, v.Policies).metrics()
-				metrics[i][n].Bound = bound
+				metrics[i][n].Bound, metrics[i][n].PackedBound, metrics[i][n].PackedShare = bound, packedBound, share
 			}
 			<-semaphore
 		}()
--- a/lab/metrics.go
+++ b/lab/metrics.go
@@ -24,9 +24,13 @@
 // counted by the response to their first submission. An objective is the latency objective of a
 // job.
 type Metrics struct {
-	Worth                 float64 `json:"worth"`             // worth earned, as a share of the worth of all jobs
-	PeakWorth             float64 `json:"worth_crowded"`     // as Worth, but only for jobs sent in the peak period
-	Bound                 float64 `json:"bound"`             // upper bound of Worth that no policy can exceed
+	Worth     float64 `json:"worth"`         // worth earned, as a share of the worth of all jobs
+	PeakWorth float64 `json:"worth_crowded"` // as Worth, but only for jobs sent in the peak period
+	Bound     float64 `json:"bound"`         // upper bound of Worth that no policy can exceed
+	// PackedBound is Bound for upstreams of which only PackedShare can be used, the share that the
+	// best packing known keeps busy (see packedShare).
+	PackedBound           float64 `json:"packed_bound"`
+	PackedShare           float64 `json:"packed_share"`
 	InTime                float64 `json:"in_time"`           // jobs that completed within their objective
 	Late                  float64 `json:"late"`              // jobs that completed after their objective
 	Refused               float64 `json:"refused"`           // jobs that were rejected before any task started
@@ -87,7 +91,7 @@
 
 func sentInPeak(j *customerJob) bool { return j.sentAt >= peakStart && j.sentAt < peakEnd }
 
-// metrics returns the metrics of a completed simulation. Bound is not set.
+// metrics returns the metrics of a completed simulation. The bounds are not set.
 func (sim *simulation) metrics() Metrics {
 	var m Metrics
 	var total, peak worthSum
--- a/schedule/account_test.go
+++ b/schedule/account_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 	p := NewPool(cfg, 1)
 	var list []fleet.Upstream
 	for i, cpu := range milliCPU {
-		list = append(list, fleet.Upstream{ID: "u" + string(rune('0'+i)), Service: "s", Capacity: fleet.Resources{MilliCPU: cpu}})
+		list = append(list, fleet.Upstream{ID: fmt.Sprintf("u%d", i), Service: "s", Capacity: fleet.Resources{MilliCPU: cpu}})
 	}
 	p.SetUpstreams(startTime, list)
 	for _, u := range list {
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -114,7 +114,12 @@
 // finishesInTime reports whether a job would meet its objective if a task of it started now on
 // an upstream where tasks take factor times as long as expected.
 func (p *Pool) finishesInTime(j *job, factor float64) bool {
-	end := p.now.Add(time.Duration(factor * longestTaskFactor * float64(j.expectedTaskDuration)))
+	return p.finishesInTimeFrom(p.now, j, factor)
+}
+
+// finishesInTimeFrom is like finishesInTime for a task that starts at the given time.
+func (p *Pool) finishesInTimeFrom(start time.Time, j *job, factor float64) bool {
+	end := start.Add(time.Duration(factor * longestTaskFactor * float64(j.expectedTaskDuration)))
 	return end.Before(j.submittedAt().Add(j.objective()))
 }
 
--- a/schedule/cost_test.go
+++ b/schedule/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -26,6 +27,19 @@
 	return p
 }
 
+// mixedPool is like fullPool, but the sizes and durations of the tasks differ.
+func mixedPool(upstreams, jobs int) *Pool {
+	p := fullPool(upstreams, 0)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range jobs {
+		o := largeOffer(fmt.Sprintf("%015xm", i))
+		o.Demand.MilliCPU = 20000 + rng.Int64N(28000)
+		o.Estimate = time.Duration(100+rng.IntN(300)) * time.Millisecond
+		p.Offer(startTime, o)
+	}
+	return p
+}
+
 func largeOffer(id string) Offer {
 	return Offer{
 		Key: JobKey{"home", id, 1}, Service: "s", Route: "r", Demand: fleet.Resources{MilliCPU: 27000, MemoryMB: 64},
@@ -42,6 +56,12 @@
 				p.Tick(startTime.Add(time.Millisecond))
 			}
 		})
+		b.Run(fmt.Sprintf("%d_upstreams_%d_waiting_mixed", size.upstreams, size.jobs), func(b *testing.B) {
+			p := mixedPool(size.upstreams, size.jobs)
+			for b.Loop() {
+				p.Tick(startTime.Add(time.Millisecond))
+			}
+		})
 	}
 }
 
@@ -61,6 +81,34 @@
 	}
 }
 
+// BenchmarkEnd measures a report of the end of a run, after which a waiting task starts. The
+// sizes of the tasks differ.
+func BenchmarkEnd(b *testing.B) {
+	for _, size := range []struct{ upstreams, jobs int }{{16, 50}, {96, 100}, {96, 1000}} {
+		b.Run(fmt.Sprintf("%d_upstreams_%d_waiting", size.upstreams, size.jobs), func(b *testing.B) {
+			p := mixedPool(size.upstreams, size.jobs)
+			sequence, offered := uint64(0), 0
+			for b.Loop() {
+				b.StopTimer()
+				for p.Waiting() < size.jobs {
+					offered++
+					o := largeOffer(fmt.Sprintf("%015xo", offered))
+					o.Demand.MilliCPU = 20000 + int64(offered*7919%28000)
+					p.Offer(startTime, o)
+				}
+				sequence++
+				runs := sortedRuns(p.upstreams["u000"])
+				report := fleet.Report{Ended: []fleet.EndedRun{{Sequence: sequence, Run: runs[0].id, End: fleet.EndDone}}}
+				for _, r := range runs[1:] {
+					report.Running = append(report.Running, fleet.RunningTask{Run: r.id})
+				}
+				b.StartTimer()
+				p.HandleHoldResponse(startTime, fleet.UpstreamIncarnation{ID: "u000"}, startTime, report, nil)
+			}
+		})
+	}
+}
+
 // BenchmarkOffer measures offering a job and withdrawing it again.
 func BenchmarkOffer(b *testing.B) {
 	for _, size := range []struct{ upstreams, jobs int }{{16, 50}, {96, 100}, {96, 1000}} {
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -1,8 +1,9 @@
 package schedule
 
 import (
-	"container/heap"
 	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
 )
 
 // admissionShare is the fraction of its latency objective within which a job that has not
@@ -11,29 +12,42 @@
 // others for nothing.
 const admissionShare = 0.9
 
-// forecast predicts from the current runs when tasks can start: each run that ends frees
-// capacity for one task. Waiting tasks reserve that capacity in the order in which they would
-// start.
+// forecast predicts from the current runs when tasks can start. Waiting tasks reserve capacity in
+// the order in which they would start.
 type forecast struct {
-	now    time.Time
-	freeAt timeHeap // has an element per task that can run at a time: when its capacity becomes free
+	capacityModel
+	now time.Time
 	// linkDelay is how long the owner's network link takes to transmit the orders that are
 	// queued on it, and then those of the tasks that have reserved capacity.
 	linkDelay time.Duration
 }
 
-// timeHeap is a min-heap of times.
-type timeHeap []time.Time
-
-func (h timeHeap) Len() int           { return len(h) }
-func (h timeHeap) Less(i, j int) bool { return h[i].Before(h[j]) }
-func (h timeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timeHeap) Push(v any)        { *h = append(*h, v.(time.Time)) }
-func (h *timeHeap) Pop() any {
-	old := *h
-	v := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return v
+// capacityModel predicts when capacity becomes free.
+type capacityModel interface {
+	// reserve reserves capacity for a set of tasks, and returns when the last of them is expected
+	// to start. It returns false if there is no capacity for one of them, neither now nor later.
+	reserve(set taskSet) (time.Time, bool)
+	// addFree adds capacity for a number of tasks that is free now, if the model does not contain
+	// the free capacity already.
+	addFree(tasks int)
+	// undo cancels everything since the last call of mark.
+	mark()
+	undo()
+}
+
+// taskSet is a number of tasks with the same demand and expected duration.
+type taskSet struct {
+	job      *job // nil if the tasks belong to no job
+	tasks    int
+	demand   fleet.Resources
+	duration time.Duration
+}
+
+func (s *taskSet) limitsPerUpstream() bool { return s.job != nil && s.job.MaxPerUpstream > 0 }
+
+// waitingSet returns the waiting tasks of a job.
+func (j *job) waitingSet() taskSet {
+	return taskSet{j, j.countWaiting(), j.Demand, j.expectedTaskDuration}
 }
 
 // overdueExtraShare is how much longer a run is expected to take if its expected duration has
@@ -44,18 +58,22 @@
 // newForecast returns the forecast for the tasks of one service.
 func (p *Pool) newForecast(service string) *forecast {
 	f := &forecast{now: p.now, linkDelay: p.link.queueDelay(p.now)}
-	for _, u := range p.sortedUpstreams {
-		if u.Service != service || !p.usable(u, p.now) || !u.used.Within(u.Capacity) {
-			continue // the last condition: after its capacity shrank below its use, the end of one run frees nothing yet
-		}
-		for _, r := range u.runs {
-			f.freeAt = append(f.freeAt, r.expectedEnd(p.now))
-		}
+	if p.cfg.Policy.FitBySize {
+		f.capacityModel = p.newTimelines(service)
+	} else {
+		f.capacityModel = p.newSlots(service)
 	}
-	heap.Init(&f.freeAt)
 	return f
 }
 
+// earliest returns when the last of a number of tasks could start, without reserving capacity for
+// them. It returns false if there is no capacity for one of them, neither now nor later.
+func (f *forecast) earliest(tasks int, demand fleet.Resources, duration time.Duration) (time.Time, bool) {
+	f.mark()
+	defer f.undo()
+	return f.reserve(taskSet{tasks: tasks, demand: demand, duration: duration})
+}
+
 // expectedEnd returns when a run is expected to end. It extrapolates from the progress of the
 // run, if that is known.
 func (r *run) expectedEnd(now time.Time) time.Time {
@@ -83,43 +101,14 @@
 	return r.remoteDuration(r.job.expectedTaskDuration)
 }
 
-// addFree adds capacity for a number of tasks that is free now.
-func (f *forecast) addFree(slots int) {
-	for range slots {
-		heap.Push(&f.freeAt, f.now)
-	}
-}
-
 // reserveBegun reserves capacity for the waiting tasks of the jobs in the queue that have
 // begun, because these go first. It leaves out the job except.
 func (f *forecast) reserveBegun(queue []*job, except *job) {
 	for _, j := range queue {
 		if j != except && j.hasBegun() {
-			f.reserve(j.countWaiting(), j.expectedTaskDuration)
-		}
-	}
-}
-
-// reserve reserves capacity for a number of tasks of the given duration, and returns when
-// the last of them is expected to start. It returns false if the forecast has no capacity,
-// neither now nor later.
-func (f *forecast) reserve(tasks int, duration time.Duration) (time.Time, bool) {
-	last := f.now
-	for range tasks {
-		if len(f.freeAt) == 0 {
-			return time.Time{}, false
-		}
-		at := f.freeAt[0]
-		if at.Before(f.now) {
-			at = f.now
-		}
-		if at.After(last) {
-			last = at
+			f.reserve(j.waitingSet())
 		}
-		f.freeAt[0] = at.Add(duration)
-		heap.Fix(&f.freeAt, 0)
 	}
-	return last, true
 }
 
 // countWaiting returns the number of waiting tasks of a job.
@@ -185,15 +174,15 @@
 	if !j.hasBegun() && !p.fitsCurrentCapacity(j) {
 		return true
 	}
-	tasks := j.countWaiting()
-	linkDelay := f.linkDelay + p.link.transmitTime(float64(tasks)*orderBytes(j))
+	tasks := j.waitingSet()
+	linkDelay := f.linkDelay + p.link.transmitTime(float64(tasks.tasks)*orderBytes(j))
 	if j.hasBegun() {
-		f.reserve(tasks, j.expectedTaskDuration)
+		f.reserve(tasks)
 		f.linkDelay = linkDelay
 		return false
 	}
-	freeBefore := append(timeHeap(nil), f.freeAt...)
-	start, hasCapacity := f.reserve(tasks, j.expectedTaskDuration)
+	f.mark()
+	start, hasCapacity := f.reserve(tasks)
 	if arrives := p.now.Add(linkDelay); arrives.After(start) {
 		start = arrives
 	}
@@ -201,7 +190,7 @@
 		f.linkDelay = linkDelay
 		return false
 	}
-	f.freeAt = freeBefore
+	f.undo()
 	return true
 }
 
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -6,10 +6,14 @@
 	"time"
 )
 
-// maxForecastsPerPlacement limits how many forecasts one call of placeWaiting makes. A forecast
-// goes through all runs, so that without a limit the cost of every input would grow with the
-// number of queued jobs. A job that would need a further forecast does not start in this call.
-const maxForecastsPerPlacement = 16
+const (
+	// maxForecastsPerPlacement limits how many forecasts one call of placeWaiting makes, and
+	// maxQueriesPerPlacement for how many jobs it uses them. A forecast goes through all runs, so
+	// that without limits the cost of every input would grow with the number of queued jobs. A job
+	// beyond these limits does not start in this call.
+	maxForecastsPerPlacement = 16
+	maxQueriesPerPlacement   = 64
+)
 
 // placeWaiting starts waiting tasks while there is capacity. It goes through the queue once, or
 // not at all if no upstream has free CPU capacity.
@@ -18,26 +22,51 @@
 		return
 	}
 	p.refreshRenewalCheck()
-	freeMilliCPU := p.maxFreeMilliCPU()
-	if freeMilliCPU <= 0 {
+	pass := &placement{pool: p, freeMilliCPU: p.maxFreeMilliCPU()}
+	if pass.freeMilliCPU <= 0 {
 		return
 	}
 	p.sortQueue()
-	forecasts, started := 0, false
-	for _, j := range p.queue {
-		if j.Demand.MilliCPU > freeMilliCPU {
-			continue
-		}
-		if !p.isCoordinatorFresh(j) || !p.canStartNow(j, &forecasts) {
-			continue
-		}
-		if p.placeJob(j) {
-			started = true
-			freeMilliCPU = p.maxFreeMilliCPU()
+	if p.cfg.Policy.ChoosePartners {
+		pass.placeByFit()
+	} else {
+		pass.placeInOrder()
+	}
+	if pass.started {
+		p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return !j.hasWaiting() })
+	}
+}
+
+// placement is one call of placeWaiting.
+type placement struct {
+	pool          *Pool
+	freeMilliCPU  int64 // largest free CPU capacity of an upstream, in thousandths of a core
+	started       bool
+	forecasts     map[string]*forecast // by service, until a task is started
+	made, queries int                  // numbers of forecasts made and of their uses
+}
+
+// placeInOrder starts tasks in the order of the queue.
+func (b *placement) placeInOrder() {
+	for _, j := range b.pool.queue {
+		if b.mayStart(j) && b.canStartNow(j) {
+			b.record(b.pool.placeJob(j))
 		}
 	}
+}
+
+// mayStart reports whether any upstream may have enough free capacity for a task of a job, and
+// whether the lease of its coordinator lets it start.
+func (b *placement) mayStart(j *job) bool {
+	return j.Demand.MilliCPU <= b.freeMilliCPU && b.pool.isCoordinatorFresh(j)
+}
+
+// record updates the placement after tasks of a job were to be started.
+func (b *placement) record(started bool) {
 	if started {
-		p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return !j.hasWaiting() })
+		b.started = true
+		b.freeMilliCPU = b.pool.maxFreeMilliCPU()
+		clear(b.forecasts)
 	}
 }
 
@@ -122,8 +151,8 @@
 // canStartNow reports whether tasks of a job may start now: either the job has begun, or all of
 // its tasks are expected to start in time. If the rest of the job could not follow, its first
 // tasks would run for nothing and take capacity from the jobs behind it in the queue.
-// canStartNow adds the number of forecasts that it makes to *forecasts.
-func (p *Pool) canStartNow(j *job, forecasts *int) bool {
+func (b *placement) canStartNow(j *job) bool {
+	p := b.pool
 	if j.hasBegun() {
 		return true
 	}
@@ -133,24 +162,51 @@
 	if !p.cfg.Policy.WholeJobs {
 		return true
 	}
-	tasks := j.countWaiting()
-	free := p.countFitting(j, tasks)
+	tasks := j.waitingSet()
+	free := p.countFitting(j, tasks.tasks)
 	switch {
 	case free == 0:
 		return false
-	case free >= tasks:
+	case free >= tasks.tasks:
 		return true
-	case j.AllOrNothing, *forecasts >= maxForecastsPerPlacement:
+	case j.AllOrNothing:
+		return false
+	}
+	f := b.forecast(j.Service)
+	if f == nil {
 		return false
 	}
-	*forecasts++
-	f := p.newForecast(j.Service)
-	f.reserveBegun(p.queue, j)
+	f.mark()
+	defer f.undo()
 	f.addFree(free)
-	start, hasCapacity := f.reserve(tasks, j.expectedTaskDuration)
+	start, hasCapacity := f.reserve(tasks)
 	limit := j.latestStart()
 	if limit.Before(p.now) {
 		limit = j.expiry().Add(-j.expectedTaskDuration)
 	}
 	return !hasCapacity || !start.After(limit)
 }
+
+// forecast returns a forecast in which the waiting tasks of the jobs that have begun have
+// reserved capacity. It returns nil if too many forecasts have been made
+// or used.
+func (b *placement) forecast(service string) *forecast {
+	b.queries++
+	if b.queries > maxQueriesPerPlacement {
+		return nil
+	}
+	if f := b.forecasts[service]; f != nil {
+		return f
+	}
+	if b.made >= maxForecastsPerPlacement {
+		return nil
+	}
+	b.made++
+	f := b.pool.newForecast(service)
+	f.reserveBegun(b.pool.queue, nil)
+	if b.forecasts == nil {
+		b.forecasts = map[string]*forecast{}
+	}
+	b.forecasts[service] = f
+	return f
+}
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -44,6 +44,12 @@
 	LookOverdue bool
 	// LearnSpeed avoids upstreams on which tasks take longer than on the others.
 	LearnSpeed bool
+	// FitBySize forecasts when tasks can start from the free resources of each upstream and the
+	// demands of the tasks. Without this rule, the end of each run is capacity for one task.
+	FitBySize bool
+	// ChoosePartners chooses among several waiting tasks those that leave the least capacity of
+	// an upstream free. Without this rule, tasks start strictly in the order of the queue.
+	ChoosePartners bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
@@ -51,4 +57,5 @@
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
 	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true,
+	FitBySize: true, ChoosePartners: true,
 }
