--- a/schedule/timeline.go
+++ b/schedule/timeline.go
@@ -17,18 +17,25 @@
 	upstreams []*timeline
 	// smallest is at most the demand of any waiting task, for each resource separately.
 	smallest fleet.Resources
-	reserved []reservation // since the last call of mark
+	// fits is at most the capacity of any of the upstreams, for each resource separately.
+	fits     fleet.Resources
+	lower    []time.Duration // by upstream: the time of the step timeline.first
+	reserved []reservation   // since the last call of mark
+
 	// The following fields are about the set of tasks that is being reserved. Bounds holds, by
 	// upstream, when its next task ends at the earliest, expressed as the start of a task without
-	// slowdown that ends then. It is a lower bound unless the entry of starts is known.
+	// slowdown that ends then. It is a lower bound unless the start is known.
 	bounds []time.Duration
+	known  []bool
 	starts []taskStart
+	limits []upstreamLimit // only if the set limits its tasks per upstream
 	// fast is set if one of the upstreams that are large enough is first choice (see Pool.choose).
 	fast bool
 }
 
 // timeline is the forecast for one upstream.
 type timeline struct {
+	index    int // in timelines.upstreams
 	upstream *upstream
 	slowdown float64
 	steps    []timelineStep // in strict order of time; the first is at 0, the last has no end
@@ -49,14 +56,18 @@
 	demand     fleet.Resources
 }
 
-// taskStart is the earliest start of the next task of a set on one upstream.
+// taskStart is the earliest start of the next task of a set on one upstream, if it is known.
 type taskStart struct {
-	known     bool
 	at        time.Duration
-	leftAfter int64         // CPU capacity that the task leaves free, in thousandths of a core
-	factor    float64       // how many times longer the task takes there
-	notBefore time.Duration // because of MaxPerUpstream
-	remaining int           // tasks that may run there at the same time because of it
+	leftAfter int64   // CPU capacity that the task leaves free, in thousandths of a core
+	factor    float64 // how many times longer the task takes there
+}
+
+// upstreamLimit says how many more tasks of a set may run on one upstream at the same time. Once
+// that is 0, the next one starts only at notBefore.
+type upstreamLimit struct {
+	remaining int
+	notBefore time.Duration
 }
 
 // never is later than any time in a forecast.
@@ -68,10 +79,11 @@
 	f := &timelines{pool: p, smallest: p.smallestWaiting(service)}
 	for _, u := range p.sortedUpstreams {
 		if u.Service == service && p.usable(u, p.now) && !(u.health.ejected && p.cfg.Policy.SingleTrial) {
-			f.upstreams = append(f.upstreams, f.newTimeline(u))
+			f.addTimeline(u)
 		}
 	}
-	f.starts, f.bounds = make([]taskStart, len(f.upstreams)), make([]time.Duration, len(f.upstreams))
+	n := len(f.upstreams)
+	f.bounds, f.known, f.starts = make([]time.Duration, n), make([]bool, n), make([]taskStart, n)
 	return f
 }
 
@@ -95,9 +107,10 @@
 // minRemaining is the shortest time after which a run is expected to end.
 const minRemaining = time.Millisecond
 
-func (f *timelines) newTimeline(u *upstream) *timeline {
+// addTimeline adds the timeline of an upstream.
+func (f *timelines) addTimeline(u *upstream) {
 	now := f.pool.now
-	l := &timeline{upstream: u, slowdown: f.pool.slowdownFactor(u), steps: make([]timelineStep, 1, 2*len(u.runs)+4)}
+	l := &timeline{index: len(f.upstreams), upstream: u, slowdown: f.pool.slowdownFactor(u), steps: make([]timelineStep, 1, 2*len(u.runs)+4)}
 	l.steps[0].free = u.Capacity.Minus(u.used)
 	ends := make([]timelineStep, 0, len(u.runs))
 	for _, r := range u.runs {
@@ -112,16 +125,22 @@
 		}
 		l.steps = append(l.steps, timelineStep{e.at, last.free.Plus(e.free)})
 	}
-	l.setFirst(0, f.smallest)
-	return l
+	if l.index == 0 {
+		f.fits = u.Capacity
+	}
+	f.fits = f.fits.Min(u.Capacity)
+	f.upstreams, f.lower = append(f.upstreams, l), append(f.lower, 0)
+	f.setFirst(l, 0)
 }
 
-// setFirst sets first. No step before the index from has enough free resources.
-func (l *timeline) setFirst(from int, smallest fleet.Resources) {
+// setFirst sets the first step of a timeline. No step before the index from has enough free
+// resources.
+func (f *timelines) setFirst(l *timeline, from int) {
 	l.first = from
-	for l.first < len(l.steps)-1 && !smallest.Within(l.steps[l.first].free) {
+	for l.first < len(l.steps)-1 && !f.smallest.Within(l.steps[l.first].free) {
 		l.first++
 	}
+	f.lower[l.index] = l.steps[l.first].at
 }
 
 // earliest returns when a task can start at the earliest, but not before notBefore, and the CPU
@@ -176,7 +195,7 @@
 				s.free = s.free.Plus(r.demand)
 			}
 		}
-		r.on.setFirst(0, f.smallest)
+		f.setFirst(r.on, 0)
 	}
 	f.reserved = f.reserved[:0]
 }
@@ -188,7 +207,7 @@
 // on which it can start now without slowdown, it takes the one on which it leaves the least CPU
 // capacity free.
 func (f *timelines) reserve(set taskSet) (time.Time, bool) {
-	f.initStarts(set)
+	f.initStarts(&set)
 	last := time.Duration(0)
 	for range set.tasks {
 		i := f.first(&set)
@@ -202,29 +221,48 @@
 }
 
 // initStarts sets the lower bounds for the first task of a set.
-func (f *timelines) initStarts(set taskSet) {
-	f.fast = false
-	hasRack := set.job != nil && set.job.Rack != ""
-	for i, l := range f.upstreams {
-		if !set.demand.Within(l.upstream.Capacity) {
-			f.starts[i], f.bounds[i] = taskStart{known: true, at: never}, never
-			continue
-		}
-		s := taskStart{factor: l.slowdown}
-		if hasRack {
-			s.factor *= f.pool.remoteFactor(set.job, l.upstream)
-		}
-		if set.limitsPerUpstream() {
-			s.remaining = remainingPerUpstream(set.job, l.upstream, set.tasks)
-			if s.remaining == 0 {
-				s.notBefore = set.duration
+func (f *timelines) initStarts(set *taskSet) {
+	copy(f.bounds, f.lower)
+	clear(f.known)
+	f.fast = slices.ContainsFunc(f.upstreams, func(l *timeline) bool {
+		return set.demand.Within(l.upstream.Capacity) && f.factorOn(l, set) == 1
+	})
+	if !f.smallest.Within(set.demand) {
+		clear(f.bounds)
+	}
+	if !set.demand.Within(f.fits) {
+		for i, l := range f.upstreams {
+			if !set.demand.Within(l.upstream.Capacity) {
+				f.bounds[i] = never
 			}
 		}
-		f.starts[i], f.bounds[i] = s, max(l.steps[f.firstFor(l, &set)].at, s.notBefore)
-		f.fast = f.fast || s.factor == 1
+	}
+	if set.limitsPerUpstream() {
+		f.initLimits(set)
+	}
+}
+
+// initLimits sets the limits for a set that limits its tasks per upstream.
+func (f *timelines) initLimits(set *taskSet) {
+	f.limits = f.limits[:0]
+	for i, l := range f.upstreams {
+		limit := upstreamLimit{remaining: remainingPerUpstream(set.job, l.upstream, set.tasks)}
+		if limit.remaining == 0 {
+			limit.notBefore = set.duration
+			f.bounds[i] = max(f.bounds[i], limit.notBefore)
+		}
+		f.limits = append(f.limits, limit)
 	}
 }
 
+// factorOn returns how many times longer the tasks of a set take on an upstream.
+func (f *timelines) factorOn(l *timeline, set *taskSet) float64 {
+	if set.job == nil || set.job.Rack == "" {
+		return l.slowdown
+	}
+	return l.slowdown * f.pool.remoteFactor(set.job, l.upstream)
+}
+
 // firstFor returns the index of the first step of a timeline in which a task of the set may start.
 func (f *timelines) firstFor(l *timeline, set *taskSet) int {
 	if f.smallest.Within(set.demand) {
@@ -276,12 +314,17 @@
 
 // compute replaces the lower bound of an upstream by the value itself.
 func (f *timelines) compute(i int, set *taskSet) {
-	s, l := &f.starts[i], f.upstreams[i]
-	if s.known {
+	if f.known[i] || f.bounds[i] == never {
 		return
 	}
-	s.known = true
-	s.at, s.leftAfter = l.earliest(f.firstFor(l, set), set.demand, s.duration(set), s.notBefore)
+	s, l := &f.starts[i], f.upstreams[i]
+	f.known[i] = true
+	s.factor = f.factorOn(l, set)
+	notBefore := time.Duration(0)
+	if set.limitsPerUpstream() {
+		notBefore = f.limits[i].notBefore
+	}
+	s.at, s.leftAfter = l.earliest(f.firstFor(l, set), set.demand, s.duration(set), notBefore)
 	f.bounds[i] = f.endsLike(s, set)
 }
 
@@ -315,11 +358,14 @@
 	for k := from; k < to; k++ {
 		l.steps[k].free = l.steps[k].free.Minus(set.demand)
 	}
-	l.setFirst(min(l.first, from), f.smallest)
+	f.setFirst(l, min(l.first, from))
 	f.reserved = append(f.reserved, reservation{l, s.at, end, set.demand})
-	if s.remaining--; set.limitsPerUpstream() && s.remaining <= 0 {
-		s.notBefore = end
+	f.known[i], f.bounds[i] = false, s.at
+	if set.limitsPerUpstream() {
+		limit := &f.limits[i]
+		if limit.remaining--; limit.remaining <= 0 {
+			limit.notBefore = end
+			f.bounds[i] = end
+		}
 	}
-	s.known = false
-	f.bounds[i] = max(s.at, s.notBefore)
 }
