--- a/schedule/timeline_test.go
+++ b/schedule/timeline_test.go
@@ -97,6 +97,9 @@
 			u.accepted = true
 		}
 		model := randomRuns(rng, p)
+		for range rng.IntN(4) { // their sizes set the size classes
+			p.queue = append(p.queue, &job{Offer: Offer{Service: "s", Demand: fleet.Resources{MilliCPU: 1000 + 1000*rng.Int64N(8), MemoryMB: 1 + rng.Int64N(6)}}})
+		}
 		f := p.newForecast("s")
 		for range 1 + rng.IntN(12) {
 			demand := fleet.Resources{MilliCPU: 1000 + 1000*rng.Int64N(8), MemoryMB: 1 + rng.Int64N(6)}
