--- a/schedule/partners.go
+++ b/schedule/partners.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// startBest starts a task of the job first, or the one of a job behind it that leaves the least CPU
+// startBest starts a task of the job first or of a job behind it, whichever leaves the least CPU
 // capacity free. It returns false if first has no task that fits.
 func (b *placement) startBest(first *job, behind []*job) bool {
 	best := b.fitOf(first)
@@ -50,11 +50,21 @@
 			best = f
 		}
 	}
-	b.pool.startTask(best.job, best.task, best.on)
-	b.record(true)
+	b.start(best)
 	return true
 }
 
+// start starts a task. Of a job that has not begun, it starts all tasks that fit, because they are
+// to start together.
+func (b *placement) start(f fit) {
+	if f.job.hasBegun() {
+		b.pool.startTask(f.job, f.task, f.on)
+	} else {
+		b.pool.placeJob(f.job)
+	}
+	b.record(true)
+}
+
 // isUrgent reports whether the latest start of a job has passed. It is not overtaken any more.
 func (b *placement) isUrgent(j *job) bool { return j.latestStart().Before(b.pool.now) }
 
