--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -78,6 +78,23 @@
 	}
 }
 
+// TestPackedBound checks that the best packing known loses more capacity to large tasks than to
+// small ones, and that the bound with its share of the capacity is the lower one.
+func TestPackedBound(t *testing.T) {
+	share := func(size float64) float64 {
+		d := generate(7, Setup{Fault: NoFault, Load: 1.6, TaskSize: size, MaxTaskSize: 0.75})
+		share := d.packedShare()
+		if packed, bound := d.worthBound(share), d.worthBound(1); packed > bound {
+			t.Errorf("size %.2f: the bound for %.3f of the capacity is %.4f, more than the %.4f for all of it", size, share, packed, bound)
+		}
+		return share
+	}
+	half, fifth := share(0.5), share(0.2)
+	if half < 0.9 || half >= fifth || fifth >= 1 {
+		t.Errorf("%.3f of the capacity is busy with tasks of half an upstream, %.3f with those of a fifth", half, fifth)
+	}
+}
+
 // TestCrowdedDays checks the behaviour under overload:
 //   - Jobs that are not served get their responses early.
 //   - Few jobs are given up after they have started.
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -177,11 +177,15 @@
 	end := s.at + max(s.duration(set), 1)
 	from := l.split(s.at)
 	to := l.split(end)
+	taken := set.demand
+	if l.oneTask {
+		taken = l.upstream.Capacity
+	}
 	for k := from; k < to; k++ {
-		l.steps[k].free = l.steps[k].free.Minus(set.demand)
+		l.steps[k].free = l.steps[k].free.Minus(taken)
 	}
 	f.setFirst(l, from)
-	f.reserved = append(f.reserved, reservation{l, s.at, end, set.demand})
+	f.reserved = append(f.reserved, reservation{l, s.at, end, taken})
 	f.known[i], f.bounds[i] = false, s.at
 	if set.limitsPerUpstream() {
 		limit := &f.limits[i]
--- a/schedule/timeline.go
+++ b/schedule/timeline.go
@@ -37,6 +37,7 @@
 	index    int // in timelines.upstreams
 	upstream *upstream
 	slowdown float64
+	oneTask  bool // a trial task must have ended before another task starts there
 	steps    []timelineStep // in strict order of time; the first is at 0, the last has no end
 	// first is, by size class, the first step with enough free resources for timelines.smallest.
 	first [sizeClasses]int
@@ -77,12 +78,11 @@
 // never is later than any time in a forecast.
 const never = time.Duration(math.MaxInt64 / 4)
 
-// newTimelines returns the timelines of the usable upstreams of one service. Upstreams that get
-// only a trial task are left out.
+// newTimelines returns the timelines of the usable upstreams of one service.
 func (p *Pool) newTimelines(service string) *timelines {
 	f := &timelines{pool: p, smallest: p.smallestWaiting(service)}
 	for _, u := range p.sortedUpstreams {
-		if u.Service == service && p.usable(u, p.now) && !(u.health.ejected && p.cfg.Policy.SingleTrial) {
+		if u.Service == service && p.usable(u, p.now) {
 			f.addTimeline(u)
 		}
 	}
@@ -134,7 +134,7 @@
 // addTimeline adds the timeline of an upstream.
 func (f *timelines) addTimeline(u *upstream) {
 	now := f.pool.now
-	l := &timeline{index: len(f.upstreams), upstream: u, slowdown: f.pool.slowdownFactor(u), steps: make([]timelineStep, 1, 2*len(u.runs)+4)}
+	l := &timeline{index: len(f.upstreams), upstream: u, slowdown: f.pool.slowdownFactor(u), oneTask: u.health.ejected && f.pool.cfg.Policy.SingleTrial, steps: make([]timelineStep, 1, 2*len(u.runs)+4)}
 	l.steps[0].free = u.Capacity.Minus(u.used)
 	ends := make([]timelineStep, 0, len(u.runs))
 	for _, r := range u.runs {
--- a/schedule/timeline_test.go
+++ b/schedule/timeline_test.go
@@ -156,3 +156,14 @@
 		t.Errorf("%d tasks fit and %d wait although both upstreams are full, want 0 and 6", n, p.Waiting())
 	}
 }
+
+// TestForecastOfTrial checks that an upstream whose ejection is over counts with one task at a time.
+func TestForecastOfTrial(t *testing.T) {
+	p := poolOf(DefaultConfig, 16000)
+	p.now = startTime.Add(time.Second)
+	p.upstreams["u0"].health = health{ejected: true, ejectedUntil: startTime}
+	at, found := p.newForecast("s").earliest(3, fleet.Resources{MilliCPU: 4000}, 100*time.Millisecond)
+	if !found || at.Sub(p.now) != 200*time.Millisecond {
+		t.Errorf("the last of three tasks is expected to start after %v (found: %v), want 200ms", at.Sub(p.now), found)
+	}
+}
