--- a/schedule/timeline.go
+++ b/schedule/timeline.go
@@ -37,7 +37,7 @@
 	index    int // in timelines.upstreams
 	upstream *upstream
 	slowdown float64
-	oneTask  bool // a trial task must have ended before another task starts there
+	oneTask  bool           // a trial task must have ended before another task starts there
 	steps    []timelineStep // in strict order of time; the first is at 0, the last has no end
 	// first is, by size class, the first step with enough free resources for timelines.smallest.
 	first [sizeClasses]int
