--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -56,11 +56,17 @@
 	// TellProgress tells coordinators which tasks of an offer are done while others are not, so
 	// that they need not ask the next owner for these if this one is lost.
 	TellProgress bool
+	// FitBySize forecasts when tasks can start from the free resources of each upstream and the
+	// demands of the tasks. Without this rule, the end of each run is capacity for one task.
+	FitBySize bool
+	// ChoosePartners chooses among several waiting tasks those that leave the least capacity of
+	// an upstream free. Without this rule, tasks start strictly in the order of the queue.
+	ChoosePartners bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
 var DefaultPolicy = Policy{
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
-	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, PlaceWhenDue: true, MoveLeaving: true, AdoptRuns: true, TellProgress: true,
+	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, PlaceWhenDue: true, MoveLeaving: true, AdoptRuns: true, TellProgress: true, FitBySize: true, ChoosePartners: true,
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -41,7 +41,8 @@
 	everAccepted      bool            // some upstream has accepted the fencing token
 	upstreamsListed   bool            // SetUpstreams has been called
 	draining          bool
-	placementDue      bool     // an input may have made room for a waiting task, or added one
+	placementDue      bool // an input may have made room for a waiting task, or added one
+	account           account
 	effects           *Effects // of the input that is being handled
 	now               time.Time
 }
@@ -383,6 +384,9 @@
 	if !j.begun {
 		returned = j.Tasks
 	}
+	if outcome == Expired {
+		p.account.refusedAt = p.now
+	}
 	p.addResult(j, outcome, returned)
 }
 
--- a/schedule/waits.go
+++ b/schedule/waits.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/sedgehatch/sedgehatch/fleet"
 )
 
 // WaitSteps is the number of task counts for which a pool forecasts waits: 1, 2, 4, 8, 16 and 32.
@@ -62,7 +64,7 @@
 	f.reserveBegun(p.queue, nil)
 	reserved := 0
 	for i := range WaitSteps {
-		start, hasCapacity := f.reserve(1<<i-reserved, w.TaskDuration)
+		start, hasCapacity := f.reserve(taskSet{tasks: 1<<i - reserved, demand: fleet.Resources{MilliCPU: w.TaskMilliCPU}, duration: w.TaskDuration})
 		if !hasCapacity {
 			return w
 		}
