schedule: lasting speed of upstreams

The factors of upstreams that are slower or faster for good enter expected durations, the check of progress and the choice of upstreams. lab: uneven upstreams (--speeds), a time to learn (--lead) and the share of runs that are stopped as slow on sound upstreams.

--- a/cli/lab.go
+++ b/cli/lab.go
@@ -32,6 +32,8 @@
 			&cli.DurationFlag{Name: "views", Usage: "interval at which owners report their load to coordinators; 0 is that of the product"},
 			&cli.FloatFlag{Name: "shift", Usage: "share of the first zone's jobs that are sent to the second zone in the peak period"},
 			&cli.FloatFlag{Name: "added", Usage: "share of each zone's upstreams that are added only in the peak period"},
+			&cli.FloatSliceFlag{Name: "speeds", Usage: "factors by which tasks take longer on the upstreams at all times, by turns"},
+			&cli.DurationFlag{Name: "lead", Usage: "how long the base load lasts before the workload"},
 			&cli.StringSliceFlag{Name: "without", Usage: "also run without these `RULES`, separated by +; may be repeated"},
 			&cli.BoolFlag{Name: "ablate", Usage: "also run without each single rule"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
@@ -49,6 +51,7 @@
 	setup := lab.Setup{
 		Load: c.Float("load"), Fault: lab.Fault(c.String("trouble")), FaultShare: c.Float("share"), MaxResubmissions: c.Int("returns"), Zones: c.Int("zones"), TaskSize: c.Float("size"),
 		CoordinatorsPerZone: c.Int("coordinators"), LoadReportInterval: c.Duration("views"), ShiftedShare: c.Float("shift"), AddedShare: c.Float("added"),
+		SpeedFactors: c.FloatSlice("speeds"), Lead: c.Duration("lead"),
 	}
 	switch {
 	case c.Int("seeds") < 1:
@@ -67,6 +70,10 @@
 		return failure.Field(failure.InvalidInput, "added", "must be at least 0 and less than 1")
 	case setup.TaskSize < 0 || setup.TaskSize > 1:
 		return failure.Field(failure.InvalidInput, "size", "must lie between 0 and 1")
+	case setup.Lead < 0:
+		return failure.Field(failure.InvalidInput, "lead", "must not be negative")
+	case lo.SomeBy(setup.SpeedFactors, func(f float64) bool { return f <= 0 }):
+		return failure.Field(failure.InvalidInput, "speeds", "must be above 0")
 	case setup.Load < 0:
 		return failure.Field(failure.InvalidInput, "load", "must not be negative")
 	case setup.FaultShare < 0 || setup.FaultShare > 1:
@@ -114,14 +121,15 @@
 //   - kind, large, zone: WorstKind, WorstLarge, WorstZone
 //   - later, later s: ServedLater, ServedLaterSeconds
 //   - doubts, silences: FalseEjections, FalseSilences
+//   - slow: SlowStops
 func printLabTable(out io.Writer, rows []lab.Row) error {
 	t := tabwriter.NewWriter(out, 2, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "rules\tworth\tgain\t±\tcrowded\tbound\tin time\tlate\trefused\troom\tgiven up\tfailed\twasted\ttell p50\tp90\tp99 ms\tkind\tlarge\tzone\tlater\tlater s\tdoubts\tsilences\t")
+	fmt.Fprintln(t, "rules\tworth\tgain\t±\tcrowded\tbound\tin time\tlate\trefused\troom\tgiven up\tfailed\twasted\ttell p50\tp90\tp99 ms\tkind\tlarge\tzone\tlater\tlater s\tdoubts\tsilences\tslow\t")
 	for _, r := range rows {
 		m := r.Metrics
-		fmt.Fprintf(t, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.2f\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.1f\t%.1f\t\n",
+		fmt.Fprintf(t, "%s\t%.4f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.4f\t%.3f\t%.2f\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.1f\t%.1f\t%.5f\t\n",
 			r.Name, m.Worth, r.Gain, r.HalfInterval, m.PeakWorth, m.Bound, m.InTime, m.Late, m.Refused, m.RefusedWithRoom, m.GivenUp, m.Failed, m.Wasted,
-			m.UnservedResponseP50, m.UnservedResponseP90, m.UnservedResponseP99Ms, m.WorstKind, m.WorstLarge, m.WorstZone, m.ServedLater, m.ServedLaterSeconds, m.FalseEjections, m.FalseSilences)
+			m.UnservedResponseP50, m.UnservedResponseP90, m.UnservedResponseP99Ms, m.WorstKind, m.WorstLarge, m.WorstZone, m.ServedLater, m.ServedLaterSeconds, m.FalseEjections, m.FalseSilences, m.SlowStops)
 	}
 	return t.Flush()
 }
--- a/lab/deployment.go
+++ b/lab/deployment.go
@@ -73,6 +73,11 @@
 	// AddedShare is the share of each zone's upstreams that are missing at first and added at
 	// faultStart.
 	AddedShare float64
+	// SpeedFactors are factors by which tasks take longer on the upstreams of each zone at all
+	// times, by turns. Without any, all upstreams are equally fast.
+	SpeedFactors []float64
+	// Lead is how long the base load lasts before the workload. It is not measured.
+	Lead time.Duration
 }
 
 // The workload of all deployments starts with a base load, continues with a peak period, and
@@ -115,6 +120,7 @@
 	slowdown    float64 // factor by which tasks on slow upstreams take longer
 	setup       Setup
 	jobs        []*customerJob
+	leadJobs    []*customerJob // sent before the workload
 }
 
 // customerJob is a job that a customer sends.
@@ -122,7 +128,7 @@
 	id            string
 	kind          int             // index in deployment.kinds
 	zone          int             // index in deployment.zones of the zone that the job is sent to
-	sentAt        time.Duration   // since the start of the workload
+	sentAt        time.Duration   // since the start of the workload; negative during the lead
 	demand        fleet.Resources // of each task
 	taskDurations []time.Duration // duration of each task on an upstream without a fault
 	estimate      time.Duration   // duration of a task as declared by the customer
@@ -263,12 +269,23 @@
 	}
 	slices.SortStableFunc(d.jobs, func(a, b *customerJob) int { return int(a.sentAt - b.sentAt) })
 	d.markLarge()
+	d.generateLead(rng)
+}
+
+// generateLead generates the jobs that are sent before the workload.
+func (d *deployment) generateLead(rng *rand.Rand) {
+	for i, k := range d.kinds {
+		for at := -d.setup.Lead; at < 0; {
+			d.leadJobs = append(d.leadJobs, d.generateJob(rng, i, at))
+			at += time.Duration(rng.ExpFloat64() / (k.arrivalRate * baseLoad) * float64(time.Second))
+		}
+	}
 }
 
 func (d *deployment) generateJob(rng *rand.Rand, kind int, at time.Duration) *customerJob {
 	k := &d.kinds[kind]
 	j := &customerJob{
-		id: fmt.Sprintf("%016x", len(d.jobs)+1), kind: kind, zone: d.zoneAt(d.randomZone(rng), at, rng), sentAt: at,
+		id: fmt.Sprintf("%016x", len(d.jobs)+len(d.leadJobs)+1), kind: kind, zone: d.zoneAt(d.randomZone(rng), at, rng), sentAt: at,
 		demand:      fleet.Resources{MilliCPU: int64(min(lognormal(rng, k.milliCPU, 0.2), smallUpstreamCPU)), MemoryMB: 64},
 		alwaysFails: rng.Float64() < alwaysFailingShare,
 	}
@@ -315,6 +332,14 @@
 	return float64(index) >= (1-d.setup.AddedShare)*float64(count)
 }
 
+// speedFactor returns the factor by which tasks take longer on the upstream with the given index.
+func (d *deployment) speedFactor(i int) float64 {
+	if len(d.setup.SpeedFactors) == 0 {
+		return 1
+	}
+	return d.setup.SpeedFactors[i%len(d.setup.SpeedFactors)]
+}
+
 // markLarge marks, for each kind, the tenth of the jobs with the most work as large.
 func (d *deployment) markLarge() {
 	for i := range d.kinds {
--- a/lab/metrics.go
+++ b/lab/metrics.go
@@ -43,6 +43,7 @@
 	ServedLaterSeconds    float64 `json:"later_s"`           // mean time of these jobs from the first submission to the response, in seconds
 	FalseEjections        float64 `json:"doubts_of_sound"`   // number of ejections of upstreams without a fault, per deployment
 	FalseSilences         float64 `json:"silences_of_sound"` // number of times that an upstream without a fault was treated as silent, per deployment
+	SlowStops             float64 `json:"slow_of_sound"`     // runs that were stopped as slow on upstreams without a fault, as a share of all runs
 }
 
 // earned returns the worth that a job has earned. A job whose tasks always fail cannot complete;
@@ -117,6 +118,7 @@
 		m.ServedLater, m.ServedLaterSeconds = float64(sim.servedLater)/refused, sim.servedLaterSeconds/float64(sim.servedLater)
 	}
 	m.FalseEjections, m.FalseSilences = float64(sim.falseEjections), float64(sim.falseSilences)
+	m.SlowStops = float64(sim.slowStops) / float64(max(sim.starts, 1))
 	return m
 }
 
--- a/lab/simulation.go
+++ b/lab/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -57,6 +58,8 @@
 	instances         [][]*instance // by zone
 	firstResponses    []firstResponse
 	wastedCoreSeconds float64 // CPU time of runs that were stopped, failed or lost their lease
+	slowStops         int     // runs that were stopped because they were slow or stalled, on upstreams that the fault does not affect
+	starts            int     // runs that were ordered
 	// falseEjections and falseSilences are the numbers of wrong decisions of the pools about
 	// upstreams that the fault does not affect: to eject one (give it no work for a while), and
 	// to treat one as silent (not responding).
@@ -91,7 +94,7 @@
 	Ingress  ingress.Policy
 }
 
-// simulate runs the simulation of a deployment. The workload starts after one second, when the
+// simulate runs the simulation of a deployment. The lead, or else the workload, starts after one second, when the
 // pools have received the first reports of the upstreams. The simulation goes on after the end
 // of the workload, to cover the time in which customers wait for responses and resubmit refused
 // jobs.
@@ -99,11 +102,11 @@
 	start := time.Unix(1_000_000, 0)
 	sim := &simulation{Simulation: standin.NewSimulation(start, seed), deployment: d, startTime: start, upstreams: map[string]*standin.SimulatedUpstream{}}
 	jobs := map[string]*customerJob{}
-	for _, j := range d.jobs {
+	for _, j := range slices.Concat(d.jobs, d.leadJobs) {
 		jobs[j.id] = j
 	}
-	for _, u := range d.upstreams {
-		sim.upstreams[u.ID] = sim.newUpstream(u, jobs)
+	for i, u := range d.upstreams {
+		sim.upstreams[u.ID] = sim.newUpstream(u, d.speedFactor(i), jobs)
 	}
 	for _, zone := range d.zones {
 		sim.groups = append(sim.groups, sim.newGroup(zone, p))
@@ -113,25 +116,38 @@
 	}
 	sim.reportLoads(true, cmp.Or(d.setup.LoadReportInterval, zoneReportInterval))
 	sim.reportLoads(false, cmp.Or(d.setup.LoadReportInterval, remoteReportInterval))
+	workloadStart := time.Second + d.setup.Lead
 	for i, j := range d.jobs {
 		to := sim.instances[j.zone][i%len(sim.instances[j.zone])]
-		sim.AfterFunc(time.Second+j.sentAt, func() { sim.submit(j, to) })
+		sim.AfterFunc(workloadStart+j.sentAt, func() { sim.submit(j, to) })
 	}
-	sim.AfterFunc(time.Second+faultStart, func() { sim.setFault(true) })
-	sim.AfterFunc(time.Second+faultStart, sim.addUpstreams)
-	sim.AfterFunc(time.Second+faultEnd, func() { sim.setFault(false) })
-	sim.Run(start.Add(time.Second + workloadLength + customerTimeout + time.Duration(d.setup.MaxResubmissions)*maxResubmitDelay))
+	sim.startLead(workloadStart)
+	sim.AfterFunc(workloadStart+faultStart, func() { sim.setFault(true) })
+	sim.AfterFunc(workloadStart+faultStart, sim.addUpstreams)
+	sim.AfterFunc(workloadStart+faultEnd, func() { sim.setFault(false) })
+	sim.Run(start.Add(workloadStart + workloadLength + customerTimeout + time.Duration(d.setup.MaxResubmissions)*maxResubmitDelay))
 	return sim
 }
 
-// newUpstream returns a simulated upstream on which tasks take the time and resources given in
+// startLead submits the jobs that are sent before the workload, and measures nothing until then.
+func (sim *simulation) startLead(workloadStart time.Duration) {
+	for i, j := range sim.deployment.leadJobs {
+		to := sim.instances[j.zone][i%len(sim.instances[j.zone])]
+		sim.AfterFunc(workloadStart+j.sentAt, func() { sim.send(j, to, func(ingress.Response) {}) })
+	}
+	sim.AfterFunc(workloadStart, func() {
+		sim.wastedCoreSeconds, sim.slowStops, sim.starts, sim.falseEjections, sim.falseSilences = 0, 0, 0, 0, 0
+	})
+}
+
+// newUpstream returns a simulated upstream on which tasks take speedFactor times the time given in
 // jobs, which is indexed by job ID. CPU time of runs that do not end as done is added to
 // wastedCoreSeconds.
-func (sim *simulation) newUpstream(u fleet.Upstream, jobs map[string]*customerJob) *standin.SimulatedUpstream {
+func (sim *simulation) newUpstream(u fleet.Upstream, speedFactor float64, jobs map[string]*customerJob) *standin.SimulatedUpstream {
 	startTimes := map[fleet.Run]time.Time{}
 	s := sim.NewUpstream(u, func(r fleet.Run) (time.Duration, fleet.Resources) {
 		j := jobs[r.Task.Job]
-		return j.taskDurations[r.Task.Index], j.demand
+		return time.Duration(speedFactor * float64(j.taskDurations[r.Task.Index])), j.demand
 	})
 	s.StopTime = func() time.Duration { return sim.RandMillis(0, maxStopMs) }
 	s.OnStart = func(r fleet.Run) { startTimes[r] = sim.Now() }
@@ -278,8 +294,11 @@
 			g.sim.falseEjections++
 		case d.Kind == schedule.DecidedSilent:
 			g.sim.falseSilences++
+		case d.Kind == schedule.DecidedStop && d.Reason == "slow":
+			g.sim.slowStops++
 		}
 	}
+	g.sim.starts += len(e.Starts)
 	for _, start := range e.Starts {
 		g.sim.upstreams[start.Upstream.ID].CallStart(start.Order, startTimeout, func(r fleet.Refusal, err error) {
 			g.apply(g.pool.HandleStartResponse(g.sim.Now(), start.Upstream.Incarnation(), start.Order.Run, r, err))
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -22,13 +23,17 @@
 // first choice is large enough.
 func (p *Pool) countFitting(j *job, limit int) int {
 	n, slow, fast := 0, 0, false
+	maxSpeed := p.maxSpeedFactor(j)
 	for _, u := range p.sortedUpstreams {
 		if u.Service != j.Service || !p.usable(u, p.now) {
 			continue
 		}
 		fitting := p.countFittingOn(j, u, limit)
 		factor := p.slowdownFactorFor(j, u)
-		if factor > 1 && !p.finishesInTime(j, factor) {
+		if factor == 1 && u.speed.factor() > maxSpeed {
+			continue
+		}
+		if factor > 1 && !p.finishesInTime(j, factor*u.speed.factor()) {
 			slow += fitting
 			continue
 		}
@@ -73,10 +78,12 @@
 }
 
 // choose returns the upstream on which a task of j is to start, or nil if it may start on none.
-// An upstream is second choice if the task takes longer there, because the upstream is slow or
-// not in the rack of the data. All others are first choice.
+// An upstream is second choice if the task takes longer there, because the upstream is slow at the
+// moment or not in the rack of the data. All others are first choice, unless the job would be late
+// on them because of their lasting speed (see maxSpeedFactor).
 //   - Of the first choices with enough free capacity, choose returns the one on which the task
-//     would leave the least CPU capacity free.
+//     would leave the least CPU capacity free. For a job that is late anyway it returns the
+//     fastest.
 //   - If there is none, choose returns the fastest second choice with enough free capacity,
 //     but only if the job would still finish in time there or no first choice is large enough.
 func (p *Pool) choose(j *job) *upstream { return p.chooseExcept(j, "") }
@@ -85,12 +92,12 @@
 func (p *Pool) chooseExcept(j *job, except string) *upstream {
 	var best, slow *upstream
 	var leastLeft int64
-	lowestFactor, fast := 0.0, false
+	lowestFactor, fast, maxSpeed := 0.0, false, p.maxSpeedFactor(j)
 	for _, u := range p.sortedUpstreams {
 		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == except {
 			continue
 		}
-		factor := p.slowdownFactorFor(j, u)
+		factor, speed := p.slowdownFactorFor(j, u), u.speed.factor()
 		fast = fast || factor == 1 && j.Demand.Within(u.Capacity)
 		left := u.Capacity.Minus(u.used)
 		if !j.Demand.Within(left) || remainingPerUpstream(j, u, 1) == 0 {
@@ -98,10 +105,12 @@
 		}
 		leftAfter := left.MilliCPU - j.Demand.MilliCPU
 		switch {
-		case factor > 1 && (slow == nil || factor < lowestFactor):
-			slow, lowestFactor = u, factor
-		case factor > 1:
-		case best == nil || leftAfter < leastLeft:
+		case factor > 1 && (slow == nil || factor*speed < lowestFactor):
+			slow, lowestFactor = u, factor*speed
+		case factor > 1 || speed > maxSpeed:
+		case best == nil,
+			speed < best.speed.factor(),
+			speed == best.speed.factor() && leftAfter < leastLeft:
 			best, leastLeft = u, leftAfter
 		}
 	}
@@ -111,6 +120,46 @@
 	return best
 }
 
+// speedMargin is the share of the time until its deadline within which a task must be expected to
+// finish on an upstream of lasting speed. It is below 1 because expected durations are off by about
+// 30%.
+const speedMargin = 0.8
+
+// anySpeed is the result of maxSpeedFactor if a task may start on upstreams of any speed.
+const anySpeed = math.MaxFloat64
+
+// maxSpeedFactor returns the largest lasting factor of an upstream on which a job would still meet
+// its latency objective, if a task of it started there now. It returns anySpeed if no upstream on
+// which the job would meet it is going to have capacity in time: then the job does not wait.
+func (p *Pool) maxSpeedFactor(j *job) float64 {
+	if !p.unevenSpeeds {
+		return anySpeed
+	}
+	untilDeadline := j.submittedAt().Add(j.objective()).Sub(p.now)
+	duration := longestTaskFactor * float64(j.expectedTaskDuration)
+	largest := speedMargin * float64(untilDeadline) / duration
+	for _, u := range p.sortedUpstreams {
+		if u.Service != j.Service || u.speed.factor() > largest || !p.usable(u, p.now) || !j.Demand.Within(u.Capacity) || p.slowdownFactorFor(j, u) > 1 {
+			continue
+		}
+		wait := time.Duration(float64(untilDeadline) - u.speed.factor()*duration)
+		if p.countFittingOn(j, u, 1) > 0 || p.freesWithin(u, wait) {
+			return largest
+		}
+	}
+	return anySpeed
+}
+
+// freesWithin reports whether a run on an upstream is expected to end within a time from now.
+func (p *Pool) freesWithin(u *upstream, wait time.Duration) bool {
+	for _, r := range u.runs {
+		if r.expectedEnd(p.now).Sub(p.now) < wait {
+			return true
+		}
+	}
+	return false
+}
+
 // finishesInTime reports whether a job would meet its objective if a task of it started now on
 // an upstream where tasks take factor times as long as expected.
 func (p *Pool) finishesInTime(j *job, factor float64) bool {
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -80,7 +80,7 @@
 	if r.job == nil {
 		return 0
 	}
-	return r.remoteDuration(r.job.expectedTaskDuration)
+	return r.durationHere(r.job.expectedTaskDuration)
 }
 
 // addFree adds capacity for a number of tasks that is free now.
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -154,12 +154,16 @@
 	if !stalled && age+remaining < slowFactor*expected {
 		return
 	}
-	if remaining < expected*3/2+max(minMoveTime, responsesPerMove*p.responseTimeout) {
-		return
-	}
-	if !stalled && p.chooseExcept(j, r.upstream.ID) == nil {
+	other, elsewhere := p.chooseExcept(j, r.upstream.ID), expected
+	switch {
+	case other != nil && p.unevenSpeeds:
+		elsewhere = p.durationOn(j, other)
+	case other == nil && !stalled:
 		return // no other upstream has capacity, and a slow run is better than waiting
 	}
+	if remaining < elsewhere*3/2+max(minMoveTime, responsesPerMove*p.responseTimeout) {
+		return
+	}
 	t.moves++
 	if p.cfg.Policy.DoubtSlow {
 		p.eject(r.upstream, "slow")
--- a/schedule/incarnations.go
+++ b/schedule/incarnations.go
@@ -108,6 +108,7 @@
 // report.
 func (p *Pool) insertUpstream(entry fleet.Upstream) *upstream {
 	u := &upstream{Upstream: entry, listed: true, runs: map[fleet.Run]*run{}}
+	p.applyImportedSpeed(u)
 	p.upstreams[u.ID] = u
 	p.sortedUpstreams = append(p.sortedUpstreams, u)
 	slices.SortFunc(p.sortedUpstreams, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -299,11 +299,12 @@
 	j.done = append(j.done, t.index)
 	took := p.now.Sub(r.orderedAt)
 	p.learnSlowdown(r, p.now.Sub(r.startedAt()))
+	p.learnSpeed(r, p.now.Sub(r.startedAt()))
 	if p.cfg.Policy.LearnTimes {
-		p.durationsOf(j.Route).add(r.localDuration(took))
+		p.durationsOf(j.Route).add(r.nominalDuration(took))
 	}
 	if p.cfg.Policy.LearnJob {
-		j.learnDuration(r.localDuration(took))
+		j.learnDuration(r.nominalDuration(took))
 	}
 	p.resetHealth(r.upstream)
 	if j.unfinished == 0 {
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -44,11 +44,15 @@
 	LookOverdue bool
 	// LearnSpeed avoids upstreams on which tasks take longer than on the others.
 	LearnSpeed bool
+	// LastingSpeed takes into account that tasks always take longer or shorter on some
+	// upstreams than on others: in expected durations, in what counts as slow, and in the
+	// choice of upstreams for jobs that would be late on the slower ones.
+	LastingSpeed bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
 var DefaultPolicy = Policy{
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
-	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true,
+	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, LastingSpeed: true,
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -30,6 +30,10 @@
 	crashHistory      crashHistory
 	missRate          missRate // over all upstreams
 	meanSlowdown      float64  // moving average, over the runs on all upstreams, of log(actual duration / expected duration)
+	biasByRoute       map[string]*routeBias
+	importedSpeeds    map[fleet.UpstreamIncarnation]UpstreamSpeed // of a former owner, for upstreams that the pool does not have yet
+	speedsRefreshedAt time.Time                                   // when refreshSpeeds last computed the factors in use
+	unevenSpeeds      bool                                        // the factor in use of some upstream is not 1
 	link              link
 	responseTimeout   time.Duration   // after which the response to a call is overdue
 	fencedIDs         map[string]bool // upstreams that have seen a higher fencing token
@@ -46,6 +50,7 @@
 	return &Pool{
 		cfg: cfg, token: token, link: link{rate: linkShare * cfg.LinkRate}, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{}, jobsByID: map[string][]*job{},
 		runByTask: map[fleet.TaskRef]*run{}, coordinatorLeases: map[string]*coordinatorLease{}, durationsByRoute: map[string]*taskDurations{},
+		biasByRoute: map[string]*routeBias{}, importedSpeeds: map[fleet.UpstreamIncarnation]UpstreamSpeed{},
 		fencedIDs: map[string]bool{}, crashHistory: crashHistory{tasks: map[fleet.TaskRef]crashRecord{}},
 	}
 }
--- a/schedule/rack.go
+++ b/schedule/rack.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // A job may name the rack that holds the data of its tasks; on upstreams in other racks the
 // tasks take longer. It may also limit how many of its tasks run on the same upstream.
@@ -14,21 +17,26 @@
 	return max(p.cfg.RemoteFactor, 1)
 }
 
-// slowdownFactorFor returns how many times longer a task of a job takes on an upstream than
-// on one that is not slow and is in the rack of the data.
+// slowdownFactorFor returns how many times longer a task of a job takes on an upstream than in the
+// rack of its data on the same upstream without passing slowness.
 func (p *Pool) slowdownFactorFor(j *job, u *upstream) float64 {
 	return p.slowdownFactor(u) * p.remoteFactor(j, u)
 }
 
-// remoteDuration converts the duration that a task takes in the rack of its data to the one
-// that it takes on the upstream of the run.
-func (r *run) remoteDuration(local time.Duration) time.Duration {
-	return time.Duration(max(r.remoteFactor, 1) * float64(local))
+// durationHere converts the nominal duration of a task, which it takes in the rack of its data on
+// an upstream of mean speed, to the one that it takes on the upstream of the run.
+func (r *run) durationHere(nominal time.Duration) time.Duration {
+	return time.Duration(max(r.remoteFactor, 1) * math.Exp(r.speedLog) * float64(nominal))
 }
 
-// localDuration is the inverse of remoteDuration.
-func (r *run) localDuration(took time.Duration) time.Duration {
-	return time.Duration(float64(took) / max(r.remoteFactor, 1))
+// durationOn returns how long a task of a job is expected to take on an upstream in normal times.
+func (p *Pool) durationOn(j *job, u *upstream) time.Duration {
+	return time.Duration(p.remoteFactor(j, u) * u.speed.factor() * float64(j.expectedTaskDuration))
+}
+
+// nominalDuration is the inverse of durationHere.
+func (r *run) nominalDuration(took time.Duration) time.Duration {
+	return time.Duration(float64(took) / (max(r.remoteFactor, 1) * math.Exp(r.speedLog)))
 }
 
 // remainingPerUpstream returns how many more tasks of a job may start on an upstream without
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -16,8 +16,9 @@
 	r := &run{
 		id: fleet.Run{Task: p.taskRef(j, t), Number: t.lastRun}, job: j, upstream: u, demand: j.Demand,
 		state: starting, orderedAt: sentAt, percentRoseAt: sentAt, percentAt: sentAt, remoteFactor: p.remoteFactor(j, u),
+		speedLog: u.speed.log,
 	}
-	r.expectedDuration = r.remoteDuration(j.expectedTaskDuration)
+	r.expectedDuration = r.durationHere(j.expectedTaskDuration)
 	p.trackRun(r)
 	p.effects.Starts = append(p.effects.Starts, Start{
 		Upstream:  u.Upstream,
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -274,6 +274,7 @@
 	DecidedGone                           // an upstream is removed: it has ended, restarted or lost its entry in the store
 	DecidedFenced                         // an upstream has seen a higher fencing token: another instance owns it
 	DecidedSuspect                        // a task is suspected of crashing upstreams
+	DecidedSpeed                          // an upstream counts as faster or slower than the others for good, or no longer does
 )
 
 type runState int
@@ -300,6 +301,7 @@
 	stopAckedAt      time.Time
 	expectedDuration time.Duration // as estimated when the run was ordered
 	remoteFactor     float64       // how many times longer the task takes because its data is in another rack; 1 in the same rack
+	speedLog         float64       // logarithm of how many times longer the task takes because of the lasting speed of the upstream; 0 on most
 	slowdownLearned  bool          // its pace has been used to estimate the upstream's speed
 	polledAt         time.Time     // when the upstream was last polled because of this run
 	reported         bool          // a report has listed the run
@@ -376,4 +378,5 @@
 	renewalBlocked    bool // its leases must not be renewed, according to the last call of checkRenewals
 	health            health
 	slowdown          slowdown
+	speed             lastingSpeed
 }
--- a/schedule/slowdown.go
+++ b/schedule/slowdown.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// slowdown estimates how many times longer tasks take on one upstream than on the others of
-// its pool. The estimate decays with time, because a slow upstream gets few tasks that could
-// show that it has recovered.
+// slowdown estimates how many times longer tasks take on one upstream than its lasting speed
+// lets expect (see lastingSpeed), relative to the other upstreams of its pool. The estimate decays
+// with time, because a slow upstream gets few tasks that could show that it has recovered.
 type slowdown struct {
 	log       float64 // logarithm of the factor at updatedAt; 0 means as fast as the other upstreams
 	updatedAt time.Time
@@ -22,8 +22,8 @@
 	meanSlowdownWeight = 0.02
 	// slowdownHalfLife is the time in which the logarithm of a slowdown decays to one half.
 	slowdownHalfLife = 1500 * time.Millisecond
-	// minSlowdownFactor is how many times longer than on the other upstreams tasks must take
-	// on an upstream for it to count as slow.
+	// minSlowdownFactor is how many times longer than expected there tasks must take on an
+	// upstream for it to count as slow.
 	minSlowdownFactor = 1.6
 )
 
@@ -55,8 +55,8 @@
 	u.slowdown.updatedAt = p.now
 }
 
-// slowdownFactor returns how many times longer tasks take on an upstream than on the others of
-// the pool. It returns 1 for an upstream that does not count as slow.
+// slowdownFactor returns how many times longer tasks take on an upstream at the moment than its
+// lasting speed lets expect. It returns 1 for an upstream that does not count as slow.
 func (p *Pool) slowdownFactor(u *upstream) float64 {
 	if !p.cfg.Policy.LearnSpeed {
 		return 1
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -13,6 +13,7 @@
 			p.tickUpstream(u)
 		}
 		p.crashHistory.dropOld(now)
+		p.refreshSpeeds()
 		p.abandonExpiredCoordinators()
 		p.checkRenewals()
 		p.placeWaiting()
