--- a/event/event.go
+++ b/event/event.go
@@ -78,6 +78,7 @@
 	UpstreamFenced  = add(806, "upstream_fenced", slog.LevelWarn, "An upstream has seen a higher fencing token than that of this instance: another instance owns it.")
 	ZoneEvacuated   = add(807, "zone_evacuated", slog.LevelWarn, "Operators evacuated an availability zone: no new tasks start on its upstreams.")
 	ZoneReturned    = add(808, "zone_returned", slog.LevelInfo, "Operators ended the evacuation of an availability zone: its upstreams may be used again.")
+	UpstreamSpeed   = add(809, "upstream_speed", slog.LevelInfo, "Tasks always take longer or shorter on an upstream than on the others of its group, or do so no longer; the attribute reason tells which.")
 	GroupTaken      = add(811, "group_taken", slog.LevelInfo, "This instance now owns a group of upstreams.")
 	GroupLost       = add(812, "group_lost", slog.LevelWarn, "This instance gave up a group of upstreams, because another instance owns it under a higher fencing token or its upstreams do not accept this instance.")
 	GroupReleased   = add(813, "group_released", slog.LevelInfo, "This instance released a group after draining it, in a planned shutdown or to hand it over to another owner.")
--- a/node/log.go
+++ b/node/log.go
@@ -26,6 +26,7 @@
 	schedule.DecidedGone:       event.UpstreamGone,
 	schedule.DecidedFenced:     event.UpstreamFenced,
 	schedule.DecidedSuspect:    event.TaskSuspected,
+	schedule.DecidedSpeed:      event.UpstreamSpeed,
 }
 
 const (
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -107,6 +107,7 @@
 type heartbeatVariant struct {
 	unwanted bool // this instance does not need heartbeats of the receiver
 	relayed  bool // the heartbeat also reports the owners in other zones, because the receiver is a spoke
+	speeds   bool // the heartbeat also reports the speeds of upstreams, because the receiver is a hub of the own zone
 }
 
 // heartbeatFrames encodes the heartbeats of one tick. Each variant is encoded once, when it
@@ -114,11 +115,12 @@
 type heartbeatFrames struct {
 	heartbeat *inner.Presence
 	relayed   []*inner.RemoteOwner
+	speeds    []*inner.UpstreamSpeed // nil if no report is due
 	encoded   map[heartbeatVariant]inner.EncodedFrame
 }
 
 func (n *Node) newHeartbeatFrames() *heartbeatFrames {
-	return &heartbeatFrames{heartbeat: n.heartbeat(), relayed: n.ownersToRelay(), encoded: map[heartbeatVariant]inner.EncodedFrame{}}
+	return &heartbeatFrames{heartbeat: n.heartbeat(), relayed: n.ownersToRelay(), speeds: n.speedsToReport(), encoded: map[heartbeatVariant]inner.EncodedFrame{}}
 }
 
 // encode returns the encoded heartbeat of a variant.
@@ -131,6 +133,10 @@
 	if v.relayed {
 		f.heartbeat.Relayed = f.relayed
 	}
+	f.heartbeat.Speeds = nil
+	if v.speeds {
+		f.heartbeat.Speeds = f.speeds
+	}
 	e, err := inner.EncodeFrame(heartbeatFrame(f.heartbeat))
 	f.encoded[v] = e
 	return e, err
@@ -215,7 +221,9 @@
 	if final && finalSent {
 		return
 	}
-	e, err := frames.encode(heartbeatVariant{unwanted: !wanted, relayed: neighbours.Spokes[p.Instance] && len(frames.relayed) > 0})
+	e, err := frames.encode(heartbeatVariant{
+		unwanted: !wanted, relayed: neighbours.Spokes[p.Instance] && len(frames.relayed) > 0, speeds: neighbours.Near[p.Instance] && len(frames.speeds) > 0,
+	})
 	if err != nil {
 		event.PeerUnsent.Log(n.log, slog.String("what", "presence"), slog.String("error", err.Error()))
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -71,6 +71,7 @@
 	mesh                   *inner.Mesh
 	directory              *directory.Directory // of upstreams and zones; its lock is taken after all others
 	invalidEntries         invalidEntries
+	speeds                 *speedTable
 	router                 *router
 	ingress                *ingress.Coordinator
 	server                 *ingress.Server
@@ -156,7 +157,7 @@
 	settings := do.MustInvoke[fleet.Instance](i)
 	n := &Node{
 		settings: settings, self: fate.Incarnation(settings.Name + "." + uuid.NewString()[:8]), log: do.MustInvoke[*slog.Logger](i),
-		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), upstreamClient: platform.NewUpstreamClient(), directory: directory.New(),
+		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), upstreamClient: platform.NewUpstreamClient(), directory: directory.New(), speeds: newSpeedTable(),
 		startedAt: clock.Now(), peerListReady: make(chan struct{}),
 		peers: membership.NewTable(silenceLimits), neighbours: &membership.Neighbours{IsHub: true, HubCount: 1}, neighboursIfAllAlive: &membership.Neighbours{}, finalHeartbeatSent: map[string]bool{}, lastHeartbeat: map[string]*inner.Presence{},
 		groups: map[string]*ownedGroup{}, dialing: map[string]bool{}, refusedAt: map[string]time.Time{}, dialOutcomes: map[string]dialOutcome{}, registeredZones: map[string]string{}, emptySince: map[string]time.Time{}, orphanRetryAt: map[string]time.Time{}, groupCounts: map[string]int{},
@@ -283,6 +284,7 @@
 	}
 	n.writeZoneGauges(w)
 	n.writeTrafficGauges(w)
+	n.writeSpeedGauges(w)
 	if n.logSink != nil {
 		dropped, refused := n.logSink.Dropped()
 		for _, class := range slices.Sorted(maps.Keys(dropped)) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -247,6 +247,7 @@
 	draining := n.directory.MarkDraining(clock.Now(), incarnationsFromProto(p.GetDraining()))
 	n.logDrains(draining, from.Instance())
 	resized := n.directory.ApplyCapacityReports(clock.Now(), capacityReportsFromProto(p.GetRooms()))
+	n.speeds.record(clock.Now(), speedsFromProto(p.GetSpeeds()))
 	n.applyPeerZones(from.Instance(), p)
 	n.router.handlePeerClock(conn, from, p.GetClockMs())
 	n.router.handleClaims(from, p)
