--- a/node/speeds.go
+++ b/node/speeds.go
@@ -160,8 +160,8 @@
 	})
 }
 
-// writeSpeedGauges writes, for each owned group, how many upstreams are faster or slower than the
-// mean for good, and how many times longer tasks take on the fastest and on the slowest one.
+// writeSpeedGauges writes, for each owned group, how many upstreams are faster or slower than most
+// for good, and how many times longer tasks take on the fastest and on the slowest one.
 func (n *Node) writeSpeedGauges(w io.Writer) {
 	for _, g := range n.ownedGroups() {
 		fastest, slowest := 1.0, 1.0
--- a/owner/speeds.go
+++ b/owner/speeds.go
@@ -7,7 +7,7 @@
 )
 
 // Speeds returns the lasting speeds of those upstreams of the group that are faster or slower than
-// the mean.
+// most.
 func (g *Group) Speeds() []schedule.UpstreamSpeed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/schedule/rack.go
+++ b/schedule/rack.go
@@ -24,7 +24,7 @@
 }
 
 // durationHere converts the nominal duration of a task, which it takes in the rack of its data on
-// an upstream of mean speed, to the one that it takes on the upstream of the run.
+// an upstream with lasting factor 1, to the one that it takes on the upstream of the run.
 func (r *run) durationHere(nominal time.Duration) time.Duration {
 	return time.Duration(max(r.remoteFactor, 1) * math.Exp(r.speedLog) * float64(nominal))
 }
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -2,13 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
 )
 
 // lastingSpeed estimates how many times longer tasks take on one incarnation of an upstream than
-// on the upstreams of its service in the pool on average, apart from passing slowness (see
+// on most upstreams of its service in the pool (see speedCentres), apart from passing slowness (see
 // slowdown). Consecutive runs are averaged in blocks, each of which counts as one observation,
 // because the errors of runs at about the same time depend on each other.
 type lastingSpeed struct {
@@ -57,7 +58,7 @@
 	priorVarianceWeight = 4
 	// maxSpeedWeight bounds the weight of the past, in blocks, so that old blocks are forgotten.
 	maxSpeedWeight = 400
-	// An upstream counts as faster or slower than the mean once its estimate, as a logarithm,
+	// An upstream counts as faster or slower than most once its estimate, as a logarithm,
 	// exceeds minSpeedLog by speedErrors standard errors, until it falls below half of that.
 	minSpeedLog = 0.07
 	speedErrors = 2.5
@@ -175,15 +176,20 @@
 	}
 }
 
-// speedCentres returns, by service, the mean of the estimates of the upstreams.
+// speedCentres returns, by service, the mean of the middle half of the upstreams' estimates. Few
+// fast or slow upstreams therefore do not make all others seem slow or fast.
 func (p *Pool) speedCentres() map[string]float64 {
-	centres, count := map[string]float64{}, map[string]int{}
+	estimates := map[string][]float64{}
 	for _, u := range p.sortedUpstreams {
-		centres[u.Service] += u.speed.meanLog
-		count[u.Service]++
+		estimates[u.Service] = append(estimates[u.Service], u.speed.meanLog)
 	}
-	for service := range centres {
-		centres[service] /= float64(count[service])
+	centres := make(map[string]float64, len(estimates))
+	for service, list := range estimates {
+		slices.Sort(list)
+		middle := list[len(list)/4 : len(list)-len(list)/4]
+		for _, log := range middle {
+			centres[service] += log / float64(len(middle))
+		}
 	}
 	return centres
 }
@@ -217,12 +223,12 @@
 // UpstreamSpeed is what an owner has learned of the lasting speed of an upstream.
 type UpstreamSpeed struct {
 	Incarnation fleet.UpstreamIncarnation
-	Log         float64 // logarithm of how many times longer tasks take there than on the mean of its group
+	Log         float64 // logarithm of how many times longer tasks take there than on most upstreams of its group
 	Runs        int     // that this rests on, at least
 }
 
-// Speeds returns the lasting speeds of those upstreams that are faster or slower than the mean of
-// the pool, ordered by ID.
+// Speeds returns the lasting speeds of those upstreams that are faster or slower than most of the
+// pool, ordered by ID.
 func (p *Pool) Speeds() []UpstreamSpeed {
 	var list []UpstreamSpeed
 	for _, u := range p.sortedUpstreams {
--- a/schedule/speed_test.go
+++ b/schedule/speed_test.go
@@ -167,7 +167,7 @@
 }
 
 // TestForecastKnowsSpeed checks that the expected end of a run is that on its upstream, and that a
-// route's durations are those on an upstream of mean speed.
+// route's durations are those on an upstream with factor 1.
 func TestForecastKnowsSpeed(t *testing.T) {
 	s := newSpeedSim(t, DefaultPolicy, 2, repeat(4, 0.6, 1, 1.6)...)
 	s.runFor(30 * time.Second)
@@ -176,7 +176,7 @@
 		r := &run{job: &job{expectedTaskDuration: speedTaskDuration}, upstream: u, orderedAt: s.Now(), speedLog: u.speed.log}
 		got := r.expectedEnd(s.Now()).Sub(s.Now()).Seconds() / speedTaskDuration.Seconds()
 		if math.Abs(math.Log(got/want)) > 0.15 {
-			t.Errorf("%s: a run is expected to take %.2f times the mean, want about %.1f", id, got, want)
+			t.Errorf("%s: a run is expected to take %.2f times the nominal duration, want about %.1f", id, got, want)
 		}
 	}
 	if mean := math.Exp(s.pool.durationsOf("r").meanLog); mean < 0.17 || mean > 0.24 {
