--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -61,7 +61,7 @@
 	// An upstream counts as faster or slower than most once its estimate, as a logarithm,
 	// exceeds minSpeedLog by speedErrors standard errors, until it falls below half of that.
 	minSpeedLog = 0.07
-	speedErrors = 2.5
+	speedErrors = 3
 	// maxSpeedLog bounds the factor: more than that is a fault rather than a speed.
 	maxSpeedLog = 1.1
 	// speedLogStep is the resolution of the factors in use, as logarithms. Upstreams that are
