--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -23,7 +23,7 @@
 // first choice is large enough.
 func (p *Pool) countFitting(j *job, limit int) int {
 	n, slow, fast := 0, 0, false
-	maxSpeed := p.maxSpeedFactor(j)
+	maxSpeed := p.maxSpeedFactor(j, "")
 	for _, u := range p.sortedUpstreams {
 		if u.Service != j.Service || !p.usable(u, p.now) {
 			continue
@@ -81,9 +81,8 @@
 // An upstream is second choice if the task takes longer there, because the upstream is slow at the
 // moment or not in the rack of the data. All others are first choice, unless the job would be late
 // on them because of their lasting speed (see maxSpeedFactor).
-//   - Of the first choices with enough free capacity, choose returns the one on which the task
-//     would leave the least CPU capacity free. For a job that is late anyway it returns the
-//     fastest.
+//   - Of the first choices with enough free capacity, choose returns the fastest for good, and of
+//     equally fast ones the one on which the task would leave the least CPU capacity free.
 //   - If there is none, choose returns the fastest second choice with enough free capacity,
 //     but only if the job would still finish in time there or no first choice is large enough.
 func (p *Pool) choose(j *job) *upstream { return p.chooseExcept(j, "") }
@@ -92,7 +91,7 @@
 func (p *Pool) chooseExcept(j *job, except string) *upstream {
 	var best, slow *upstream
 	var leastLeft int64
-	lowestFactor, fast, maxSpeed := 0.0, false, p.maxSpeedFactor(j)
+	lowestFactor, fast, maxSpeed := 0.0, false, p.maxSpeedFactor(j, except)
 	for _, u := range p.sortedUpstreams {
 		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == except {
 			continue
@@ -130,8 +129,9 @@
 
 // maxSpeedFactor returns the largest lasting factor of an upstream on which a job would still meet
 // its latency objective, if a task of it started there now. It returns anySpeed if no upstream on
-// which the job would meet it is going to have capacity in time: then the job does not wait.
-func (p *Pool) maxSpeedFactor(j *job) float64 {
+// which the job would meet it is going to have capacity in time: then the job does not wait. It
+// does not consider the upstream except.
+func (p *Pool) maxSpeedFactor(j *job, except string) float64 {
 	if !p.unevenSpeeds {
 		return anySpeed
 	}
@@ -139,7 +139,7 @@
 	duration := longestTaskFactor * float64(j.expectedTaskDuration)
 	largest := speedMargin * float64(untilDeadline) / duration
 	for _, u := range p.sortedUpstreams {
-		if u.Service != j.Service || u.speed.factor() > largest || !p.usable(u, p.now) || !j.Demand.Within(u.Capacity) || p.slowdownFactorFor(j, u) > 1 {
+		if u.ID == except || u.Service != j.Service || u.speed.factor() > largest || !p.usable(u, p.now) || !j.Demand.Within(u.Capacity) || p.slowdownFactorFor(j, u) > 1 {
 			continue
 		}
 		wait := time.Duration(float64(untilDeadline) - u.speed.factor()*duration)
