Merge: lasting speed of upstreams

The forecast by size counts the time that a task takes on each upstream with its lasting speed; a task that is taken over from a former owner has the speed of its upstream.

--- a/lab/metrics.go
+++ b/lab/metrics.go
@@ -52,11 +52,12 @@
 	FalseSilences         float64 `json:"silences_of_sound"` // number of times that an upstream without a fault was treated as silent, per deployment
 	// The next fields are shares of the CPU capacity in the peak period while pools are crowded, see
 	// schedule.RoomUse. They are 0 if no pool was.
-	Busy      float64 `json:"busy"`       // executing runs, or starting them
-	Fragments float64 `json:"fragments"`  // idle, and no waiting task is small enough
-	HeldBack  float64 `json:"held_back"`  // idle, although a waiting task would fit
-	Vacant    float64 `json:"vacant"`     // idle, and nothing waits, although a job was refused lately
-	OutOfUse  float64 `json:"out_of_use"` // idle on upstreams where nothing may start
+	Busy      float64 `json:"busy"`          // executing runs, or starting them
+	Fragments float64 `json:"fragments"`     // idle, and no waiting task is small enough
+	HeldBack  float64 `json:"held_back"`     // idle, although a waiting task would fit
+	Vacant    float64 `json:"vacant"`        // idle, and nothing waits, although a job was refused lately
+	OutOfUse  float64 `json:"out_of_use"`    // idle on upstreams where nothing may start
+	SlowStops float64 `json:"slow_of_sound"` // runs that were stopped as slow on upstreams without a fault, as a share of all runs
 }
 
 // earned returns the worth that a job has earned. A job whose tasks always fail cannot complete;
@@ -135,6 +136,7 @@
 	}
 	m.setRoom(sim.room)
 	m.FalseEjections, m.FalseSilences = float64(sim.falseEjections), float64(sim.falseSilences)
+	m.SlowStops = float64(sim.slowStops) / float64(max(sim.starts, 1))
 	return m
 }
 
--- a/node/log.go
+++ b/node/log.go
@@ -28,6 +28,7 @@
 	schedule.DecidedSuspect:     event.TaskSuspected,
 	schedule.DecidedAdopt:       event.RunAdopted,
 	schedule.DecidedAdoptFailed: event.AdoptionFailed,
+	schedule.DecidedSpeed:       event.UpstreamSpeed,
 }
 
 const (
--- a/schedule/forecast.go
+++ b/schedule/forecast.go
@@ -98,7 +98,7 @@
 	if r.job == nil {
 		return 0
 	}
-	return r.remoteDuration(r.job.expectedTaskDuration)
+	return r.durationHere(r.job.expectedTaskDuration)
 }
 
 // reserveBegun reserves capacity for the waiting tasks of the jobs in the queue that have
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -322,11 +322,12 @@
 func (p *Pool) learnFromDone(r *run) {
 	took := p.now.Sub(r.orderedAt)
 	p.learnSlowdown(r, p.now.Sub(r.startedAt()))
+	p.learnSpeed(r, p.now.Sub(r.startedAt()))
 	if p.cfg.Policy.LearnTimes {
-		p.durationsOf(r.job.Route).add(r.localDuration(took))
+		p.durationsOf(r.job.Route).add(r.nominalDuration(took))
 	}
 	if p.cfg.Policy.LearnJob {
-		r.job.learnDuration(r.localDuration(took))
+		r.job.learnDuration(r.nominalDuration(took))
 	}
 }
 
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -62,11 +62,15 @@
 	// ChoosePartners chooses among several waiting tasks those that leave the least capacity of
 	// an upstream free. Without this rule, tasks start strictly in the order of the queue.
 	ChoosePartners bool
+	// LastingSpeed takes into account that tasks always take longer or shorter on some
+	// upstreams than on others: in expected durations, in what counts as slow, and in the
+	// choice of upstreams for jobs that would be late on the slower ones.
+	LastingSpeed bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
 var DefaultPolicy = Policy{
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
-	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, PlaceWhenDue: true, MoveLeaving: true, AdoptRuns: true, TellProgress: true, FitBySize: true, ChoosePartners: true,
+	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, PlaceWhenDue: true, MoveLeaving: true, AdoptRuns: true, TellProgress: true, FitBySize: true, ChoosePartners: true, LastingSpeed: true,
 }
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -141,7 +141,7 @@
 	}
 	s, l := &f.starts[i], f.upstreams[i]
 	f.known[i] = true
-	s.factor = f.factorOn(l, set)
+	s.factor, s.speed = f.factorOn(l, set), l.speed
 	notBefore := time.Duration(0)
 	if set.limitsPerUpstream() {
 		notBefore = f.limits[i].notBefore
@@ -151,24 +151,26 @@
 }
 
 // endsLike returns the start of a task without slowdown that ends at the same time as one with the
-// start s. It returns never if the task is not to start there.
+// start s. It returns never if the task is not to start there. That a task ends earlier on a fast
+// upstream is not counted, because the result must not be below the start.
 func (f *timelines) endsLike(s *taskStart, set *taskSet) time.Duration {
+	factor := s.factor * max(s.speed, 1)
 	switch {
-	case s.at == never || s.factor == 1:
+	case s.at == never || factor == 1:
 		return s.at
-	case f.fast && set.job != nil && !f.pool.finishesInTimeFrom(f.pool.now.Add(s.at), set.job, s.factor):
+	case f.fast && s.factor > 1 && set.job != nil && !f.pool.finishesInTimeFrom(f.pool.now.Add(s.at), set.job, s.factor):
 		return never
 	default:
-		return s.at + time.Duration((s.factor-1)*longestTaskFactor*float64(set.duration))
+		return s.at + time.Duration((factor-1)*longestTaskFactor*float64(set.duration))
 	}
 }
 
 // duration returns how long a task of the set takes on the upstream of s.
 func (s *taskStart) duration(set *taskSet) time.Duration {
-	if s.factor == 1 {
+	if s.factor == 1 && s.speed == 1 {
 		return set.duration
 	}
-	return time.Duration(s.factor * float64(set.duration))
+	return time.Duration(s.factor * s.speed * float64(set.duration))
 }
 
 // take reserves the earliest start on an upstream for the next task of a set.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -289,6 +289,7 @@
 	DecidedSuspect                         // a task is suspected of crashing upstreams
 	DecidedAdopt                           // a run of a former owner counts for an adopting offer
 	DecidedAdoptFailed                     // an adopting offer ends because a task has no run that goes on or was done
+	DecidedSpeed                           // an upstream counts as faster or slower than the others for good, or no longer does
 )
 
 type runState int
@@ -316,6 +317,7 @@
 	stopAckedAt      time.Time
 	expectedDuration time.Duration // as estimated when the run was ordered
 	remoteFactor     float64       // how many times longer the task takes because its data is in another rack; 1 in the same rack
+	speedLog         float64       // logarithm of how many times longer the task takes because of the lasting speed of the upstream; 0 on most
 	slowdownLearned  bool          // its pace has been used to estimate the upstream's speed
 	polledAt         time.Time     // when the upstream was last polled because of this run
 	reported         bool          // a report has listed the run
@@ -397,4 +399,5 @@
 	renewalBlocked    bool // its leases must not be renewed, according to the last call of checkRenewals
 	health            health
 	slowdown          slowdown
+	speed             lastingSpeed
 }
--- a/schedule/timeline.go
+++ b/schedule/timeline.go
@@ -37,6 +37,7 @@
 	index    int // in timelines.upstreams
 	upstream *upstream
 	slowdown float64
+	speed    float64        // factor of the lasting speed, see lastingSpeed
 	oneTask  bool           // a trial task must have ended before another task starts there
 	steps    []timelineStep // in strict order of time; the first is at 0, the last has no end
 	// first is, by size class, the first step with enough free resources for timelines.smallest.
@@ -65,7 +66,8 @@
 type taskStart struct {
 	at        time.Duration
 	leftAfter int64   // CPU capacity that the task leaves free, in thousandths of a core
-	factor    float64 // how many times longer the task takes there
+	factor    float64 // how many times longer the task takes there, apart from the lasting speed
+	speed     float64 // factor of the lasting speed
 }
 
 // upstreamLimit says how many more tasks of a set may run on one upstream at the same time. Once
@@ -134,7 +136,7 @@
 // addTimeline adds the timeline of an upstream.
 func (f *timelines) addTimeline(u *upstream) {
 	now := f.pool.now
-	l := &timeline{index: len(f.upstreams), upstream: u, slowdown: f.pool.slowdownFactor(u), oneTask: u.health.ejected && f.pool.cfg.Policy.SingleTrial, steps: make([]timelineStep, 1, 2*len(u.runs)+4)}
+	l := &timeline{index: len(f.upstreams), upstream: u, slowdown: f.pool.slowdownFactor(u), speed: u.speed.factor(), oneTask: u.health.ejected && f.pool.cfg.Policy.SingleTrial, steps: make([]timelineStep, 1, 2*len(u.runs)+4)}
 	l.steps[0].free = u.Capacity.Minus(u.used)
 	ends := make([]timelineStep, 0, len(u.runs))
 	for _, r := range u.runs {
