--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -21,8 +21,8 @@
 	// estimate, as in package schedule.
 	longestTaskFactor = 1.1
 	// minAllowedWait is the least wait that a job is assumed to tolerate. It avoids ratios to
-	// waits that are shorter than the accuracy of the reports.
-	minAllowedWait = 10 * time.Millisecond
+	// waits that are shorter than the accuracy of the reports: an owner forecasts every 25 ms.
+	minAllowedWait = 25 * time.Millisecond
 	// remoteZoneWait is added to the wait in groups of other zones, because running a job there
 	// costs a round trip and traffic between zones.
 	remoteZoneWait = 5 * time.Millisecond
