--- a/ingress/queuechoice.go
+++ b/ingress/queuechoice.go
@@ -34,7 +34,7 @@
 func (c *queueChooser) choose(s *ownerSearch, loads []OwnerLoad, j waitingJob, now time.Time) (Choice, bool) {
 	c.recordRefusal(s, now)
 	list := estimateWaits(loads, c.zone, j)
-	if c.policy.RejectKnown && len(list) > 0 && s.allReported && len(s.unreachable) == 0 {
+	if c.policy.RejectKnown && len(list) > 0 && s.allReported && len(s.unreachable) == 0 && s.free < j.tasks {
 		possible := c.withChance(list, j, now)
 		if len(possible) == 0 {
 			s.waits = formatWaits(list)
--- a/ingress/search.go
+++ b/ingress/search.go
@@ -17,6 +17,7 @@
 	ownerCount  int             // number of loads passed to the last refresh
 	loadAge     time.Duration   // age of the oldest of these loads
 	allClosed   bool            // at the last refresh, no task could start in any group
+	free        int             // number of tasks of average size that fitted at the last refresh
 	queueSearch
 }
 
@@ -33,6 +34,7 @@
 func (s *ownerSearch) refresh(loads []OwnerLoad) []OwnerLoad {
 	s.ownerCount = len(loads)
 	s.allClosed = len(loads) > 0 && lo.EveryBy(loads, func(l OwnerLoad) bool { return l.Closed })
+	s.free = lo.SumBy(loads, func(l OwnerLoad) int { return max(l.Free, 0) })
 	s.loadAge = lo.MaxBy(loads, func(a, b OwnerLoad) bool { return a.Age > b.Age }).Age
 	return lo.Filter(loads, func(l OwnerLoad, _ int) bool {
 		return !s.neverFits[l.Group] && !s.unreachable[l.Group] && !s.noCapacity[l.Group]
