schedule: a taken-over run makes room at once

An upstream becomes usable when its last run of the former owner is taken over. Waiting tasks started there at the next tick only, up to 25 ms later (scenario adopt_makes_room, which fails without the change). The adopting offer of a task is looked up by its job and not by going through all adopting offers, for each run and tick.

--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -100,7 +100,7 @@
 
 // adoptingTask returns the task ref of an adopting offer, if its end is not known yet.
 func (p *Pool) adoptingTask(ref fleet.TaskRef) (*job, *task) {
-	for _, j := range p.adoptions {
+	for _, j := range p.jobsByID[ref.Job] {
 		if t := j.tasks[ref.Index]; t != nil && t.state == adopting && p.taskRef(j, t) == ref {
 			return j, t
 		}
@@ -159,6 +159,7 @@
 // takeOverRun makes a run of a former owner an ordinary run of an adopting offer.
 func (p *Pool) takeOverRun(j *job, t *task, r *run) {
 	u := r.upstream
+	p.placementDue = true
 	u.formerOwnerRuns--
 	r.fromFormerOwner, r.takenOver, r.reported = false, true, true
 	r.job, r.demand = j, j.Demand
