--- a/node/adopt_test.go
+++ b/node/adopt_test.go
@@ -4,8 +4,12 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/sedgehatch/sedgehatch/fate"
 	"github.com/sedgehatch/sedgehatch/ingress"
+	"github.com/sedgehatch/sedgehatch/inner"
+	"github.com/sedgehatch/sedgehatch/membership"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
@@ -137,3 +141,32 @@
 		t.Errorf("2 tasks were started %d times", starts)
 	}
 }
+
+// TestEndedOwner checks which former owner of a group counts as ended: the one with the highest token
+// that instances have claimed, and only if its process has certainly ended and is not just silent.
+func TestEndedOwner(t *testing.T) {
+	n := &Node{peers: membership.NewTable(silenceLimits), lastHeartbeat: map[string]*inner.Presence{}}
+	check := func(what string, want uint64) {
+		t.Helper()
+		if got := n.endedOwner("a/0"); got != want {
+			t.Errorf("%s: the ended owner is %d, want %d", what, got, want)
+		}
+	}
+	claim := func(peer fate.Incarnation, group string, token uint64) {
+		n.peers.RecordHeartbeat(peer, membership.Heartbeat{}, 0)
+		n.lastHeartbeat[peer.Instance()] = &inner.Presence{Claims: []*inner.Claim{{Group: group, Token: token}}}
+	}
+	check("no owner is known", 0)
+	claim("a-1.1", "a/0", 5)
+	claim("a-2.1", "a/1", 9)
+	n.peers.Tick(int64(time.Hour / time.Millisecond))
+	check("the owner is silent", 0)
+	n.peers.MarkEnded("a-2.1")
+	check("the owner of another group has ended", 0)
+	n.peers.MarkEnded("a-1.1")
+	check("the owner has ended", 5)
+	claim("a-3.1", "a/0", 7)
+	check("a later owner is alive", 0)
+	n.peers.MarkEnded("a-3.1")
+	check("the later owner has ended too", 7)
+}
