--- a/schedule/modelcheck_test.go
+++ b/schedule/modelcheck_test.go
@@ -40,6 +40,32 @@
 	if w.pool.Waiting() != count {
 		w.t.Fatalf("the pool counts %d waiting tasks, but has %d", w.pool.Waiting(), count)
 	}
+	w.checkRunDemands()
+}
+
+// checkRunDemands checks the sums that the pool keeps of the runs that it tracks: the demands of all
+// runs, and for each upstream the room that is used and the number of runs of former owners.
+func (w *testCluster) checkRunDemands() {
+	var demands demandSum
+	for _, r := range w.pool.runByTask {
+		demands.add(r, 1)
+	}
+	if demands != w.pool.runDemands {
+		w.t.Fatalf("the pool counts %+v as the demands of its runs, but they are %+v", w.pool.runDemands, demands)
+	}
+	for _, u := range w.pool.sortedUpstreams {
+		var used fleet.Resources
+		former := 0
+		for _, r := range u.runs {
+			used = used.Plus(r.demand)
+			if r.fromFormerOwner {
+				former++
+			}
+		}
+		if used != u.used || former != u.formerOwnerRuns {
+			w.t.Fatalf("the pool counts %+v as used on %s, with %d runs of former owners, but it is %+v, with %d", u.used, u.ID, u.formerOwnerRuns, used, former)
+		}
+	}
 }
 
 // checkNeverStarted checks a task that was returned as never started: no run that was ordered
