Cheaper inputs of a crowded pool, with the same decisions

The exponentials of lasting speeds are computed once, the sorted runs of an upstream are kept until they change, the choice of an upstream looks first at its free capacity and at speeds only for those that fit, and forecasts allocate less.

--- a/schedule/account.go
+++ b/schedule/account.go
@@ -109,7 +109,7 @@
 		return
 	}
 	left := u.Capacity.MilliCPU
-	for _, r := range u.runs {
+	for _, r := range sortedRuns(u) {
 		amount := min(r.demand.MilliCPU, left) // runs may use more than a capacity that has shrunk
 		use[r.roomCause()] += amount
 		left -= amount
--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -22,30 +22,48 @@
 // tasks on second choices (see choose) only if the job would still finish in time there or no
 // first choice is large enough.
 func (p *Pool) countFitting(j *job, limit int) int {
-	n, slow, fast := 0, 0, false
-	maxSpeed := p.maxSpeedFactor(j, "")
+	n, slow := 0, 0
+	maxSpeed := 0.0 // not computed yet
 	for _, u := range p.sortedUpstreams {
-		if u.Service != j.Service || !p.usable(u, p.now) {
+		if !p.hasFree(j, u) {
 			continue
 		}
 		fitting := p.countFittingOn(j, u, limit)
-		factor := p.slowdownFactorFor(j, u)
-		if factor == 1 && u.speed.factor() > maxSpeed {
-			continue
-		}
-		if factor > 1 && !p.finishesInTime(j, factor*u.speed.factor()) {
+		factor, speed := p.slowdownFactorFor(j, u), u.speed.factor()
+		switch {
+		case factor > 1 && p.finishesInTime(j, factor*speed):
+			n += fitting
+		case factor > 1:
 			slow += fitting
-			continue
+		default:
+			if maxSpeed == 0 {
+				maxSpeed = p.maxSpeedFactor(j, "")
+			}
+			if speed <= maxSpeed {
+				n += fitting
+			}
 		}
-		fast = fast || factor == 1 && j.Demand.Within(u.Capacity)
-		n += fitting
 	}
-	if !fast {
+	if slow > 0 && n < limit && !p.hasFirstChoice(j, "") {
 		n += slow
 	}
 	return min(n, limit)
 }
 
+// hasFree reports whether a task of a job fits into the free capacity of an upstream on which it
+// may start now.
+func (p *Pool) hasFree(j *job, u *upstream) bool {
+	return u.Service == j.Service && j.Demand.Within(u.Capacity.Minus(u.used)) && p.usable(u, p.now)
+}
+
+// hasFirstChoice reports whether any usable upstream other than except that is large enough for a
+// task of j is first choice (see choose).
+func (p *Pool) hasFirstChoice(j *job, except string) bool {
+	return slices.ContainsFunc(p.sortedUpstreams, func(u *upstream) bool {
+		return u.ID != except && u.Service == j.Service && j.Demand.Within(u.Capacity) && p.usable(u, p.now) && p.slowdownFactorFor(j, u) == 1
+	})
+}
+
 // countFittingOn returns how many tasks of a job could start on an upstream now, but at most
 // limit.
 func (p *Pool) countFittingOn(j *job, u *upstream, limit int) int {
@@ -91,29 +109,27 @@
 func (p *Pool) chooseExcept(j *job, except string) *upstream {
 	var best, slow *upstream
 	var leastLeft int64
-	lowestFactor, fast, maxSpeed := 0.0, false, p.maxSpeedFactor(j, except)
+	lowestFactor := 0.0
 	for _, u := range p.sortedUpstreams {
-		if u.Service != j.Service || !p.usable(u, p.now) || u.ID == except {
+		if !p.hasFree(j, u) || u.ID == except || remainingPerUpstream(j, u, 1) == 0 {
 			continue
 		}
 		factor, speed := p.slowdownFactorFor(j, u), u.speed.factor()
-		fast = fast || factor == 1 && j.Demand.Within(u.Capacity)
-		left := u.Capacity.Minus(u.used)
-		if !j.Demand.Within(left) || remainingPerUpstream(j, u, 1) == 0 {
-			continue
-		}
-		leftAfter := left.MilliCPU - j.Demand.MilliCPU
+		leftAfter := u.Capacity.MilliCPU - u.used.MilliCPU - j.Demand.MilliCPU
 		switch {
 		case factor > 1 && (slow == nil || factor*speed < lowestFactor):
 			slow, lowestFactor = u, factor*speed
-		case factor > 1 || speed > maxSpeed:
+		case factor > 1:
 		case best == nil,
 			speed < best.speed.factor(),
 			speed == best.speed.factor() && leftAfter < leastLeft:
 			best, leastLeft = u, leftAfter
 		}
 	}
-	if best == nil && slow != nil && (!fast || p.finishesInTime(j, lowestFactor)) {
+	if best != nil && best.speed.factor() > p.maxSpeedFactor(j, except) {
+		best = nil // and all others with enough free capacity are no faster
+	}
+	if best == nil && slow != nil && (p.finishesInTime(j, lowestFactor) || !p.hasFirstChoice(j, except)) {
 		return slow
 	}
 	return best
@@ -152,7 +168,7 @@
 
 // freesWithin reports whether a run on an upstream is expected to end within a time from now.
 func (p *Pool) freesWithin(u *upstream, wait time.Duration) bool {
-	for _, r := range u.runs {
+	for _, r := range sortedRuns(u) {
 		if r.expectedEnd(p.now).Sub(p.now) < wait {
 			return true
 		}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -210,7 +210,7 @@
 // being stopped.
 func (p *Pool) reportWait(u *upstream) time.Duration {
 	wait := p.cfg.ReportWait
-	for _, r := range u.runs {
+	for _, r := range sortedRuns(u) {
 		if r.job == nil {
 			wait = minReportWait
 			continue
--- a/schedule/incarnations.go
+++ b/schedule/incarnations.go
@@ -79,8 +79,8 @@
 
 // moveToSuccessor moves a run to the next incarnation of its upstream and stops it there.
 func (p *Pool) moveToSuccessor(r *run, successor *upstream) {
-	delete(r.upstream.runs, r.id)
-	successor.runs[r.id] = r
+	r.upstream.removeRun(r)
+	successor.addRun(r)
 	successor.used = successor.used.Plus(r.demand)
 	r.upstream, r.state = successor, starting
 	p.stopRun(r, "its upstream has started again, and may run it")
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -251,13 +251,18 @@
 	}
 }
 
-// sortedRuns returns the tracked runs of an upstream in the order of compareRuns.
+// sortedRuns returns the tracked runs of an upstream in the order of compareRuns. The result stays
+// as it is when runs are added or removed, and must not be changed.
 func sortedRuns(u *upstream) []*run {
+	if u.sorted != nil || len(u.runs) == 0 {
+		return u.sorted
+	}
 	list := make([]*run, 0, len(u.runs))
 	for _, r := range u.runs {
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.id, b.id) })
+	u.sorted = list
 	return list
 }
 
--- a/schedule/rack.go
+++ b/schedule/rack.go
@@ -26,7 +26,7 @@
 // durationHere converts the nominal duration of a task, which it takes in the rack of its data on
 // an upstream with lasting factor 1, to the one that it takes on the upstream of the run.
 func (r *run) durationHere(nominal time.Duration) time.Duration {
-	return time.Duration(max(r.remoteFactor, 1) * math.Exp(r.speedLog) * float64(nominal))
+	return time.Duration(r.durationFactor() * float64(nominal))
 }
 
 // durationOn returns how long a task of a job is expected to take on an upstream in normal times.
@@ -36,7 +36,19 @@
 
 // nominalDuration is the inverse of durationHere.
 func (r *run) nominalDuration(took time.Duration) time.Duration {
-	return time.Duration(float64(took) / (max(r.remoteFactor, 1) * math.Exp(r.speedLog)))
+	return time.Duration(float64(took) / r.durationFactor())
+}
+
+// durationFactor returns how many times longer than its nominal duration the task takes on the
+// upstream of the run.
+func (r *run) durationFactor() float64 {
+	if r.speedLog == 0 {
+		return max(r.remoteFactor, 1)
+	}
+	if r.expOfSpeedLog == 0 {
+		r.expOfSpeedLog = math.Exp(r.speedLog)
+	}
+	return max(r.remoteFactor, 1) * r.expOfSpeedLog
 }
 
 // remainingPerUpstream returns how many more tasks of a job may start on an upstream without
@@ -47,8 +59,8 @@
 		return limit
 	}
 	running := 0
-	for id := range u.runs {
-		if id.Task.Job == j.Key.ID {
+	for _, r := range sortedRuns(u) {
+		if r.id.Task.Job == j.Key.ID {
 			running++
 		}
 	}
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -35,7 +35,7 @@
 // trackRun adds a run to those of its upstream. If a former owner ordered the run, its task is
 // blocked until that run is over.
 func (p *Pool) trackRun(r *run) {
-	r.upstream.runs[r.id] = r
+	r.upstream.addRun(r)
 	if replaced := p.runByTask[r.id.Task]; replaced != nil {
 		p.runDemands.add(replaced, -1)
 	}
@@ -48,6 +48,16 @@
 	}
 }
 
+func (u *upstream) addRun(r *run) {
+	u.runs[r.id] = r
+	u.sorted = nil
+}
+
+func (u *upstream) removeRun(r *run) {
+	delete(u.runs, r.id)
+	u.sorted = nil
+}
+
 // untrackRun removes a run that is certainly not executing and cannot start any more. A task
 // that it blocked waits for an upstream again.
 func (p *Pool) untrackRun(r *run) {
@@ -55,7 +65,7 @@
 		return
 	}
 	p.placementDue = true
-	delete(r.upstream.runs, r.id)
+	r.upstream.removeRun(r)
 	if p.runByTask[r.id.Task] == r {
 		delete(p.runByTask, r.id.Task)
 		p.runDemands.add(r, -1)
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -318,6 +318,7 @@
 	expectedDuration time.Duration // as estimated when the run was ordered
 	remoteFactor     float64       // how many times longer the task takes because its data is in another rack; 1 in the same rack
 	speedLog         float64       // logarithm of how many times longer the task takes because of the lasting speed of the upstream; 0 on most
+	expOfSpeedLog    float64       // the factor that belongs to speedLog; 0 until it is needed
 	slowdownLearned  bool          // its pace has been used to estimate the upstream's speed
 	polledAt         time.Time     // when the upstream was last polled because of this run
 	reported         bool          // a report has listed the run
@@ -380,6 +381,7 @@
 	unlistedAt      time.Time // when its entry was found to be missing
 	used            fleet.Resources
 	runs            map[fleet.Run]*run
+	sorted          []*run // the runs in the order of compareRuns, see sortedRuns; nil if not up to date
 	formerOwnerRuns int
 	clockMs         int64       // its clock, as of the last report
 	clockReadAt     time.Time   // when the last report came
--- a/schedule/slots.go
+++ b/schedule/slots.go
@@ -34,7 +34,7 @@
 		if u.Service != service || !p.usable(u, p.now) || !u.used.Within(u.Capacity) {
 			continue // the last condition: after its capacity shrank below its use, the end of one run frees nothing yet
 		}
-		for _, r := range u.runs {
+		for _, r := range sortedRuns(u) {
 			s.freeAt = append(s.freeAt, r.expectedEnd(p.now))
 		}
 	}
--- a/schedule/speed.go
+++ b/schedule/speed.go
@@ -24,6 +24,8 @@
 	// log is the logarithm of the factor that decisions use. It is 0 unless the evidence for
 	// another factor is strong.
 	log float64
+	// expOfLog is the factor that belongs to log, if that is not 0.
+	expOfLog float64
 }
 
 // blockMean is the mean of the runs of one block.
@@ -83,7 +85,7 @@
 	if s.log == 0 {
 		return 1
 	}
-	return math.Exp(s.log)
+	return s.expOfLog
 }
 
 // learnSpeed updates the lasting speed of a run's upstream from the duration of the run. Runs
@@ -201,7 +203,7 @@
 	if log == before {
 		return
 	}
-	u.speed.log = log
+	u.speed.log, u.speed.expOfLog = log, math.Exp(log)
 	passing := u.slowdown.logAt(p.now)
 	if explained := log - before; passing*explained > 0 {
 		u.slowdown.log = math.Copysign(max(math.Abs(passing)-math.Abs(explained), 0), passing)
--- a/schedule/timeline.go
+++ b/schedule/timeline.go
@@ -20,6 +20,7 @@
 	fits     fleet.Resources
 	lower    [sizeClasses][]time.Duration // by size class and upstream: the time of the step timeline.first
 	reserved []reservation                // since the last call of mark
+	ends     []timelineStep               // of the runs of the upstream that is being added, with their demands
 
 	// The following fields are about the set of tasks that is being reserved. Bounds holds, by
 	// upstream, when its next task ends at the earliest, expressed as the start of a task without
@@ -83,12 +84,18 @@
 // newTimelines returns the timelines of the usable upstreams of one service.
 func (p *Pool) newTimelines(service string) *timelines {
 	f := &timelines{pool: p, smallest: p.smallestWaiting(service)}
-	for _, u := range p.sortedUpstreams {
+	n := len(p.sortedUpstreams)
+	f.upstreams = make([]*timeline, 0, n)
+	for c := range f.lower {
+		f.lower[c] = make([]time.Duration, 0, n)
+	}
+	list := make([]timeline, n)
+	for i, u := range p.sortedUpstreams {
 		if u.Service == service && p.usable(u, p.now) {
-			f.addTimeline(u)
+			f.addTimeline(&list[i], u)
 		}
 	}
-	n := len(f.upstreams)
+	n = len(f.upstreams)
 	f.bounds, f.known, f.starts = make([]time.Duration, n), make([]bool, n), make([]taskStart, n)
 	return f
 }
@@ -133,17 +140,20 @@
 // minRemaining is the shortest time after which a run is expected to end.
 const minRemaining = time.Millisecond
 
-// addTimeline adds the timeline of an upstream.
-func (f *timelines) addTimeline(u *upstream) {
+// addTimeline adds l as the timeline of an upstream.
+func (f *timelines) addTimeline(l *timeline, u *upstream) {
 	now := f.pool.now
-	l := &timeline{index: len(f.upstreams), upstream: u, slowdown: f.pool.slowdownFactor(u), speed: u.speed.factor(), oneTask: u.health.ejected && f.pool.cfg.Policy.SingleTrial, steps: make([]timelineStep, 1, 2*len(u.runs)+4)}
+	*l = timeline{
+		index: len(f.upstreams), upstream: u, slowdown: f.pool.slowdownFactor(u), speed: u.speed.factor(),
+		oneTask: u.health.ejected && f.pool.cfg.Policy.SingleTrial, steps: make([]timelineStep, 1, 2*len(u.runs)+4),
+	}
 	l.steps[0].free = u.Capacity.Minus(u.used)
-	ends := make([]timelineStep, 0, len(u.runs))
-	for _, r := range u.runs {
-		ends = append(ends, timelineStep{max(r.expectedEnd(now).Sub(now), minRemaining), r.demand})
+	f.ends = f.ends[:0]
+	for _, r := range sortedRuns(u) {
+		f.ends = append(f.ends, timelineStep{max(r.expectedEnd(now).Sub(now), minRemaining), r.demand})
 	}
-	slices.SortFunc(ends, func(a, b timelineStep) int { return cmp.Compare(a.at, b.at) })
-	for _, e := range ends {
+	slices.SortFunc(f.ends, func(a, b timelineStep) int { return cmp.Compare(a.at, b.at) })
+	for _, e := range f.ends {
 		last := &l.steps[len(l.steps)-1]
 		if e.at == last.at {
 			last.free = last.free.Plus(e.free)
