Forecast by size: on a slow upstream the job must be in time at its lasting speed too

The placement starts a task there only if it would end in time with both factors; the forecast counted on such starts with the passing one alone.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -39,9 +39,10 @@
 			if maxSpeed == 0 {
 				maxSpeed = p.maxSpeedFactor(j, "")
 			}
-			if speed <= maxSpeed {
-				n += fitting
+			if speed > maxSpeed {
+				continue
 			}
+			n += fitting
 		}
 	}
 	if slow > 0 && n < limit && !p.hasFirstChoice(j, "") {
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -158,7 +158,7 @@
 	switch {
 	case s.at == never || factor == 1:
 		return s.at
-	case f.fast && s.factor > 1 && set.job != nil && !f.pool.finishesInTimeFrom(f.pool.now.Add(s.at), set.job, s.factor):
+	case f.fast && s.factor > 1 && set.job != nil && !f.pool.finishesInTimeFrom(f.pool.now.Add(s.at), set.job, s.factor*s.speed):
 		return never
 	default:
 		return s.at + time.Duration((factor-1)*longestTaskFactor*float64(set.duration))
--- a/schedule/timeline_test.go
+++ b/schedule/timeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -167,3 +168,27 @@
 		t.Errorf("the last of three tasks is expected to start after %v (found: %v), want 200ms", at.Sub(p.now), found)
 	}
 }
+
+// TestForecastOfSlowUpstream checks that the forecast starts a task on a second choice only if the
+// placement does: with both the passing slowness and the lasting speed, the job must be in time.
+func TestForecastOfSlowUpstream(t *testing.T) {
+	const task = 100 * time.Millisecond
+	for speed, want := range map[float64]time.Duration{1: 77 * time.Millisecond, 1.5: 300 * time.Millisecond} {
+		p := poolOf(DefaultConfig, 8000, 8000)
+		p.now = startTime
+		slow, busy := p.upstreams["u0"], p.upstreams["u1"]
+		slow.slowdown = slowdown{log: math.Log(1.7), updatedAt: startTime}
+		slow.speed = lastingSpeed{log: math.Log(speed), expOfLog: speed}
+		p.trackRun(&run{id: fleet.Run{Number: 1}, job: &job{expectedTaskDuration: 3 * task}, upstream: busy, demand: busy.Capacity, state: running, orderedAt: startTime})
+		j := &job{Offer: offerOf("a", 8000, 1, task), expectedTaskDuration: task, offeredAt: startTime}
+		j.Stretch, j.Slack = 2, 0
+		set := taskSet{job: j, tasks: 1, demand: j.Demand, duration: task}
+		at, found := p.newForecast("s").reserve(set)
+		if got := at.Sub(startTime).Round(time.Millisecond); !found || got != want {
+			t.Errorf("lasting factor %.1f: the task is expected to start after %v (found: %v), want %v", speed, got, found, want)
+		}
+		if starts := p.choose(j) != nil; starts != (want < 3*task) {
+			t.Errorf("lasting factor %.1f: the task starts now: %v", speed, starts)
+		}
+	}
+}
