--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -23,6 +23,9 @@
 	// minAllowedWait is the least wait that a job is assumed to tolerate. It avoids ratios to
 	// waits that are shorter than the accuracy of the reports: an owner forecasts every 25 ms.
 	minAllowedWait = 25 * time.Millisecond
+	// minAllowedShare is the same as a share of the objective. The wait that a job tolerates is
+	// computed from its customer's estimate, which is often wrong by that much.
+	minAllowedShare = 0.2
 	// remoteZoneWait is added to the wait in groups of other zones, because running a job there
 	// costs a round trip and traffic between zones.
 	remoteZoneWait = 5 * time.Millisecond
@@ -42,7 +45,8 @@
 	step := r.Job.Steps[0]
 	timeLeft := min(r.Objective(), r.Timeout) - age
 	allowed := timeLeft - time.Duration(longestTaskFactor*float64(step.Estimate))
-	return waitingJob{route: r.Route.Name, tasks: tasks, milliCPU: step.Demand.MilliCPU, allowedWait: max(allowed, minAllowedWait)}
+	least := max(minAllowedWait, time.Duration(minAllowedShare*float64(r.Objective())))
+	return waitingJob{route: r.Route.Name, tasks: tasks, milliCPU: step.Demand.MilliCPU, allowedWait: max(allowed, least)}
 }
 
 // groupWait is the estimated wait of a job in one group.
