--- a/explain/explain.go
+++ b/explain/explain.go
@@ -236,7 +236,11 @@
 // other lines of the job if possible.
 func (e *Explanation) reason(resultLine Line) string {
 	if l, found := e.lastLine("offer_lost"); found {
-		return fmt.Sprintf("; the connection to the owner of %s broke", l.Field("group"))
+		text := fmt.Sprintf("; the connection to the owner of %s broke", l.Field("group"))
+		if failed, found := e.lastLine("adoption_failed"); found {
+			text += fmt.Sprintf(", and the next owner could not complete the job: %s", failed.Field("reason"))
+		}
+		return text
 	}
 	reasons := map[string]int{}
 	for _, l := range e.Lines {
@@ -257,6 +261,8 @@
 		return fmt.Sprintf("; a task was retried: %s (%d times)", mostFrequent, reasons[mostFrequent])
 	case resultLine.Field("owners") == "0":
 		return "; the instance knew no owner of upstreams"
+	case resultLine.Field("waits") != "":
+		return "; the earliest starts were, in ms and with the age of the report, " + resultLine.Field("waits")
 	}
 	if wait := e.longestWait(); wait > 0 {
 		return fmt.Sprintf("; a task waited %.0f ms for capacity", wait)
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -43,7 +43,9 @@
 	group    string
 	tasks    map[int]struct{} // offered tasks that are neither done nor returned
 	mayQueue bool
-	sent     bool // the offer has been sent and can be withdrawn
+	sent     bool    // the offer has been sent and can be withdrawn
+	orphan   *orphan // set if the owner was lost; see orphan.go
+	adopting *orphan // set for an adopting offer: the state of the orphaned offer that it replaces
 }
 
 // ownerRetryDelay is the delay before tasks are offered again when no owner could be reached.
@@ -67,8 +69,8 @@
 		Verdict: v, Reason: reason, Begun: j.begun, Offers: j.offerCount, Groups: strings.Join(j.search.offered, ","),
 		RetryAfter: j.coordinator.retryAfter(v, j.search.outcome(j.begun)), Owners: j.search.ownerCount, OwnersAge: j.search.loadAge,
 	}
-	toWithdraw := lo.Filter(slices.Collect(maps.Values(j.offers)), func(o *openOffer, _ int) bool { return o.sent })
-	slices.SortFunc(toWithdraw, func(a, b *openOffer) int { return a.number - b.number })
+	j.recordSearch()
+	toWithdraw := lo.Filter(j.sortedOffers(), func(o *openOffer, _ int) bool { return o.sent && o.orphan == nil })
 	j.coordinator.sendsInFlight.Add(1)
 	defer j.coordinator.sendsInFlight.Add(-1)
 	j.mu.Unlock()
@@ -82,6 +84,15 @@
 	}
 }
 
+// recordSearch adds to the response what the reported waits showed, and records whether the job
+// was served. The lock must be held.
+func (j *openJob) recordSearch() {
+	s, r := &j.search, &j.response
+	r.RejectedAtOnce = r.Verdict == NotRun && s.knownLate && j.offerCount == 0
+	r.Probe, r.Waits = s.probe, s.waits
+	j.coordinator.queues.recordVerdict(s, j.response.Verdict, j.coordinator.clock.Now())
+}
+
 func (j *openJob) withdraw(offer *openOffer) {
 	j.coordinator.owners.Withdraw(offer.group, schedule.JobKey{ID: j.Job.ID, Part: offer.number}, j.response.Reason)
 }
@@ -93,7 +104,7 @@
 	j.mu.Lock()
 	offer.sent = true
 	_, pending := j.offers[offer.number]
-	unwanted := pending && j.settled
+	unwanted := pending && j.settled && offer.orphan == nil
 	j.mu.Unlock()
 	if unwanted {
 		j.withdraw(offer)
@@ -117,7 +128,8 @@
 			j.handleNoOwner()
 			return
 		}
-		offer, o := j.newOffer(choice, aliveAt)
+		offer, o := j.newOffer(choice, j.unassigned, aliveAt)
+		j.unassigned = nil
 		j.coordinator.sendsInFlight.Add(1)
 		j.mu.Unlock()
 		if j.sendOffer(offer, o) {
@@ -132,6 +144,8 @@
 	err := j.coordinator.owners.Offer(offer.group, o, owner.OfferCallbacks{
 		TasksReturned: func(r schedule.Result, _ schedule.Load) { j.handleReturned(offer, r) },
 		OfferEnded:    func(r schedule.Result, _ schedule.Load) { j.handleEnded(offer, r) },
+		TasksDone:     func(tasks []int) { j.handleDone(offer, tasks) },
+		OwnerLost:     func(token uint64) { j.handleOwnerLost(offer, token) },
 	})
 	if err != nil {
 		j.undoOffer(offer)
@@ -146,17 +160,24 @@
 // maxOwnersWithoutCapacity owners expect no free capacity in time. The lock must be held.
 func (j *openJob) chooseOwner() (Choice, bool) {
 	begun := j.begun || len(j.offers) > 0
-	loads := j.search.refresh(j.coordinator.owners.Loads())
+	now := j.coordinator.clock.Now()
+	loads := j.coordinator.owners.Loads()
+	j.search.allReported = j.coordinator.queues.groups.areComplete(loads, now)
+	loads = j.search.refresh(loads)
 	if j.coordinator.policy.BoundAsks && len(j.search.noCapacity) >= maxOwnersWithoutCapacity && !begun {
 		return Choice{}, false
 	}
-	return j.coordinator.policy.choose(loads, j.coordinator.zone, j.search.tried, len(j.unassigned), begun)
+	choice, found := j.coordinator.policy.choose(loads, j.coordinator.zone, j.search.tried, len(j.unassigned), begun)
+	if !found || !choice.MayQueue || begun {
+		return choice, found
+	}
+	return j.coordinator.queues.choose(&j.search, loads, newWaitingJob(&j.Request, len(j.unassigned), now.Sub(j.acceptedAt)), now)
 }
 
-// newOffer creates an offer of all unassigned tasks to the chosen group and records it as
-// open. AliveAt is the time before the last check of the customer's connection; the owner
-// must not start the tasks when that time is too long ago. The lock must be held.
-func (j *openJob) newOffer(choice Choice, aliveAt time.Time) (*openOffer, schedule.Offer) {
+// newOffer creates an offer of tasks to the chosen group and records it as open. AliveAt is the
+// time before the last check of the customer's connection; the owner must not start the tasks
+// when that time is too long ago. The lock must be held.
+func (j *openJob) newOffer(choice Choice, tasks []int, aliveAt time.Time) (*openOffer, schedule.Offer) {
 	step := j.Job.Steps[0]
 	now := j.coordinator.clock.Now()
 	j.offerCount++
@@ -164,22 +185,25 @@
 	o := schedule.Offer{
 		Key:     schedule.JobKey{ID: j.Job.ID, Part: number},
 		Service: j.Route.Service, Route: j.Route.Name, Spec: j.Job.Spec, Demand: step.Demand, Estimate: step.Estimate,
-		Priority: j.Route.Priority, MaxAttempts: j.Route.MaxAttempts, Tasks: j.unassigned,
+		Priority: j.Route.Priority, MaxAttempts: j.Route.MaxAttempts, Tasks: tasks,
 		Stretch: j.Route.Stretch, Slack: j.Route.Slack, Age: now.Sub(j.acceptedAt), Timeout: j.deadline.Sub(now), AliveAt: aliveAt, MayQueue: choice.MayQueue, AllOrNothing: choice.AllOrNothing, Begun: j.begun,
-		History: lo.PickByKeys(j.history, j.unassigned), Rack: step.Rack, MaxPerUpstream: step.MaxPerUpstream,
+		History: lo.PickByKeys(j.history, tasks), Rack: step.Rack, MaxPerUpstream: step.MaxPerUpstream,
 	}
-	offer := &openOffer{number: number, group: choice.Group, tasks: lo.Keyify(j.unassigned), mayQueue: choice.MayQueue}
-	j.unassigned = nil
+	offer := &openOffer{number: number, group: choice.Group, tasks: lo.Keyify(tasks), mayQueue: choice.MayQueue}
 	j.offers[offer.number] = offer
 	j.search.markOffered(choice.Group)
 	return offer, o
 }
 
 // undoOffer handles an offer that could not be sent: its tasks become unassigned again, and
-// the group counts as unreachable.
+// the group counts as unreachable. The tasks of an adopting offer stay orphaned.
 func (j *openJob) undoOffer(offer *openOffer) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if offer.adopting != nil {
+		j.restoreOrphan(offer)
+		return
+	}
 	j.unassign(offer, lo.Keys(offer.tasks))
 	delete(j.offers, offer.number)
 	j.search.unreachable[offer.group] = true // until handleNoOwner allows retries
@@ -209,6 +233,7 @@
 	otherOffersOpen := len(j.offers) > 0
 	begun := j.begun
 	outcome := j.search.outcome(begun)
+	knownLate := j.search.knownLate
 	j.search.allowRetries()
 	j.mu.Unlock()
 	switch {
@@ -218,6 +243,8 @@
 		return // the unassigned tasks are offered again when one of the open offers ends
 	case outcome == tooLarge:
 		j.settle(Failed, "no upstream is large enough")
+	case outcome == noCapacityInTime && knownLate:
+		j.settle(NotRun, "no room in time, by the owners' reports")
 	case outcome == noCapacityInTime:
 		j.settle(NotRun, "no room in time")
 	case outcome == allGroupsClosed && begun:
@@ -265,6 +292,10 @@
 // handleEnded processes the end of an offer. It settles the job if all tasks are done or the
 // rest cannot be completed, and otherwise offers the remaining tasks to other owners.
 func (j *openJob) handleEnded(offer *openOffer, r schedule.Result) {
+	if offer.adopting != nil && !r.Begun {
+		j.handleNotAdopted(offer)
+		return
+	}
 	j.mu.Lock()
 	delete(j.offers, offer.number)
 	j.begun = j.begun || r.Begun
@@ -273,7 +304,13 @@
 		delete(j.unfinished, t)
 		delete(offer.tasks, t)
 	}
-	if r.Outcome == schedule.Completed || !r.Begun {
+	switch {
+	case offer.adopting != nil:
+		j.unassign(offer, r.Returned)
+		if r.Outcome == schedule.Completed && len(offer.tasks) > 0 {
+			r.Outcome = schedule.Unknown // nothing is known of the tasks that are left
+		}
+	case r.Outcome == schedule.Completed || !r.Begun:
 		j.unassign(offer, lo.Keys(offer.tasks)) // the owner runs none of the tasks that are left
 	}
 	switch r.Outcome {
@@ -294,7 +331,7 @@
 	case r.Outcome == schedule.Expired && r.Begun:
 		j.settle(Unknown, "no room in time for all of it")
 	case r.Outcome == schedule.Unknown:
-		j.settle(Unknown, "the owner of upstreams was lost")
+		j.settle(Unknown, reasonOwnerLost)
 	default:
 		j.offerUnassigned()
 	}
--- a/ingress/search.go
+++ b/ingress/search.go
@@ -17,6 +17,8 @@
 	ownerCount  int             // number of loads passed to the last refresh
 	loadAge     time.Duration   // age of the oldest of these loads
 	allClosed   bool            // at the last refresh, no task could start in any group
+	free        int             // number of tasks of average size that fitted at the last refresh
+	queueSearch
 }
 
 // maxOfferedGroups limits ownerSearch.offered, and so the length of a log record.
@@ -32,6 +34,7 @@
 func (s *ownerSearch) refresh(loads []OwnerLoad) []OwnerLoad {
 	s.ownerCount = len(loads)
 	s.allClosed = len(loads) > 0 && lo.EveryBy(loads, func(l OwnerLoad) bool { return l.Closed })
+	s.free = lo.SumBy(loads, func(l OwnerLoad) int { return max(l.Free, 0) })
 	s.loadAge = lo.MaxBy(loads, func(a, b OwnerLoad) bool { return a.Age > b.Age }).Age
 	return lo.Filter(loads, func(l OwnerLoad, _ int) bool {
 		return !s.neverFits[l.Group] && !s.unreachable[l.Group] && !s.noCapacity[l.Group]
@@ -52,7 +55,7 @@
 const (
 	noneReachable    searchOutcome = iota // no owner could be reached
 	tooLarge                              // no upstream is large enough for a task
-	noCapacityInTime                      // at least one owner expects no free capacity in time
+	noCapacityInTime                      // at least one owner expects no free capacity in time, or all reports show that
 	allGroupsClosed                       // no task may start on any upstream
 )
 
@@ -61,7 +64,7 @@
 // fitted on an upstream.
 func (s *ownerSearch) outcome(begun bool) searchOutcome {
 	switch {
-	case len(s.noCapacity) > 0:
+	case len(s.noCapacity) > 0 || s.knownLate:
 		return noCapacityInTime
 	case len(s.neverFits) > 0 && len(s.unreachable) == 0 && !begun:
 		return tooLarge
--- a/ingress/suspended_test.go
+++ b/ingress/suspended_test.go
@@ -28,6 +28,7 @@
 		seed: rapid.Uint64().Draw(t, "seed"), lateShare: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"),
 		faultPercent: rapid.IntRange(5, 25).Draw(t, "faults"), faultKinds: allFaultKinds,
 		linkHeartbeat: rapid.SampledFrom([]time.Duration{sameZoneHeartbeat, crossZoneHeartbeat}).Draw(t, "beat"), suspendsMachines: true,
+		reportsWaits: rapid.Bool().Draw(t, "waits"),
 	}
 }
 
@@ -210,7 +211,7 @@
 			machine := newSuspendedClock()
 			offers := make(chan owner.OfferCallbacks, 2)
 			f := &fakeOwners{loads: twoZoneLoads(), offer: func(_ string, _ schedule.Offer, cb owner.OfferCallbacks) error { offers <- cb; return nil }}
-			coordinator := NewSimulatedCoordinator("a", f, machine, DefaultPolicy)
+			coordinator := NewSimulatedCoordinator("a", f, machine, DefaultPolicy, alwaysHalf)
 			response := make(chan Response, 1)
 			r := newRequest(1)
 			r.Disconnected = func() bool { return false } // the operating system does not know better
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -40,18 +40,15 @@
 	duration  time.Duration // of each task
 	sendCount int           // number of times that the customer has sent the job
 	done      bool          // the customer has received a final response
+	// adopting is set once an adopting offer was made, in the submission adoptingSend; completed is
+	// set if that submission was completed.
+	adopting, completed bool
+	adoptingSend        int
 }
 
 // simEpoch is the virtual time at which each simulation begins.
 var simEpoch = time.Unix(1_000_000, 0)
 
-// traceEvent is an event of a simulation. The events are printed if two runs of a task are found.
-type traceEvent struct {
-	at   time.Duration // since simEpoch
-	job  string        // "" if the event is not about a particular job
-	text string
-}
-
 // simConn is a customer's connection to a coordinator.
 type simConn struct {
 	read           bool // the coordinator has read the request
@@ -69,7 +66,7 @@
 func newSimFleet(t failer, seed uint64) *simFleet {
 	f := &simFleet{
 		Simulation: standin.NewSimulation(simEpoch, seed), t: t, zones: []string{"a", "b"},
-		upstreams: map[string]*standin.SimulatedUpstream{}, jobs: map[string]*simJob{}, verdicts: map[Verdict]int{},
+		upstreams: map[string]*standin.SimulatedUpstream{}, jobs: map[string]*simJob{}, verdicts: map[Verdict]int{}, doneTasks: map[fleet.TaskRef]bool{},
 	}
 	for _, zone := range f.zones {
 		for i := range 2 {
@@ -84,8 +81,8 @@
 		second.peerHeartbeats()
 	}
 	for _, zone := range f.zones {
-		c := &simCoordinator{simProcess: simProcess{fleet: f, name: "c-" + zone}, links: map[*simOwner]*simLink{}, loads: map[string]OwnerLoad{}, lastHeartbeat: map[*simOwner]time.Time{}}
-		c.coordinator = NewSimulatedCoordinator(zone, c, &c.simProcess, DefaultPolicy)
+		c := &simCoordinator{simProcess: simProcess{fleet: f, name: "c-" + zone}, links: map[*simOwner]*simLink{}, loads: map[string]OwnerLoad{}, loadsReportedAt: map[string]time.Time{}, lastHeartbeat: map[*simOwner]time.Time{}}
+		c.coordinator = NewSimulatedCoordinator(zone, c, &c.simProcess, DefaultPolicy, alwaysHalf)
 		c.receiveLoads()
 		f.coordinators = append(f.coordinators, c)
 	}
@@ -100,6 +97,13 @@
 	u.ClockRate = 0.98 + 0.02*f.Rand.Float64()
 	u.StopTime = func() time.Duration { return f.RandMillis(0, 50) }
 	u.OnStart = func(r fleet.Run) { f.checkStart(id, r) }
+	onEnd := u.OnEnd
+	u.OnEnd = func(r fleet.Run, end fleet.End) {
+		if end == fleet.EndDone {
+			f.doneTasks[r.Task] = true
+		}
+		onEnd(r, end)
+	}
 	f.upstreams[id] = u
 	f.upstreamIDs = append(f.upstreamIDs, id)
 }
@@ -120,22 +124,6 @@
 	}
 }
 
-// record adds an event to the trace. Job is "" if the event is not about a particular job.
-func (f *simFleet) record(job, format string, args ...any) {
-	f.trace = append(f.trace, traceEvent{f.Now().Sub(simEpoch), job, fmt.Sprintf(format, args...)})
-}
-
-// traceOf formats the events about a job and those that are not about a particular job.
-func (f *simFleet) traceOf(job string) string {
-	var b strings.Builder
-	for _, e := range f.trace {
-		if e.job == job || e.job == "" {
-			fmt.Fprintf(&b, "\n%9.3f s  %s", e.at.Seconds(), e.text)
-		}
-	}
-	return b.String()
-}
-
 // maxSends is the maximum number of times that a customer sends a job.
 const maxSends = 3
 
@@ -226,6 +214,7 @@
 	open.onResponse = func(r Response) {
 		f.verdicts[r.Verdict]++
 		f.record(j.id, "%s responds %s: %s", c.name, r.Verdict, r.Reason)
+		f.checkResponse(j, r)
 		f.AfterFunc(simCustomerNetworkDelay, func() {
 			switch r.Verdict {
 			case Completed, Failed, NotRun:
@@ -256,6 +245,8 @@
 		f.coordinators[f.Rand.IntN(len(f.coordinators))].delayOfferGoroutine = true
 	case 10: // as kind 9, for the next withdrawal
 		f.coordinators[f.Rand.IntN(len(f.coordinators))].delayWithdrawalGoroutine = true
+	case 11: // the process of an owner ends
+		f.owners[f.Rand.IntN(len(f.owners))].crash()
 	default: // kinds 2, 3, 5, 6 and 7: a link is disturbed
 		if l := f.randomLink(); l != nil {
 			f.injectLinkFault(l, kind)
@@ -304,7 +295,7 @@
 	linkHeartbeat        time.Duration
 
 	// See the fields of the same names in simFleet.
-	suspendsMachines, suspensionStopsClocks, retransmitsCloses, losesResets bool
+	suspendsMachines, suspensionStopsClocks, retransmitsCloses, losesResets, reportsWaits, adoptsRuns bool
 }
 
 // Numbers of kinds of faults. A recorded seed reproduces its simulation only with the number of
@@ -313,6 +304,7 @@
 	basicFaultKinds = 5 // with this number, customers also never send a job again at once
 	earlyFaultKinds = 9
 	allFaultKinds   = 11
+	crashFaultKinds = 12
 )
 
 // Intervals between the heartbeats on a link, within a zone and between zones.
@@ -327,7 +319,11 @@
 	f := newSimFleet(t, c.seed)
 	f.faultKinds, f.linkHeartbeat = c.faultKinds, c.linkHeartbeat
 	f.suspendsMachines, f.suspensionStopsClocks = c.suspendsMachines, c.suspensionStopsClocks
-	f.retransmitsCloses, f.losesResets = c.retransmitsCloses, c.losesResets
+	f.retransmitsCloses, f.losesResets, f.reportsWaits = c.retransmitsCloses, c.losesResets, c.reportsWaits
+	f.adoptsRuns = c.adoptsRuns
+	for _, coordinator := range f.coordinators {
+		coordinator.coordinator.policy.AdoptRuns = c.adoptsRuns
+	}
 	f.Run(f.Now().Add(400 * time.Millisecond))
 	for _, u := range f.upstreams {
 		u.LossShare, u.LateShare = c.lossShare, c.lateShare
@@ -362,7 +358,7 @@
 		simCase{
 			seed: rapid.Uint64().Draw(t, "seed"), lossShare: rapid.SampledFrom([]float64{0, 0.02}).Draw(t, "loss"),
 			lateShare: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"), faultPercent: rapid.IntRange(0, 25).Draw(t, "faults"),
-			faultKinds: allFaultKinds, linkHeartbeat: rapid.SampledFrom([]time.Duration{sameZoneHeartbeat, crossZoneHeartbeat}).Draw(t, "beat"),
+			faultKinds: allFaultKinds, linkHeartbeat: rapid.SampledFrom([]time.Duration{sameZoneHeartbeat, crossZoneHeartbeat}).Draw(t, "beat"), reportsWaits: rapid.Bool().Draw(t, "waits"),
 		}.run(t)
 	})
 }
--- a/lab/metrics.go
+++ b/lab/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/ingress"
+	"github.com/sedgehatch/sedgehatch/schedule"
 
 	"github.com/samber/lo"
 )
@@ -23,13 +24,19 @@
 // counted by the response to their first submission. An objective is the latency objective of a
 // job.
 type Metrics struct {
-	Worth                 float64 `json:"worth"`             // worth earned, as a share of the worth of all jobs
-	PeakWorth             float64 `json:"worth_crowded"`     // as Worth, but only for jobs sent in the peak period
-	Bound                 float64 `json:"bound"`             // upper bound of Worth that no policy can exceed
+	Worth     float64 `json:"worth"`         // worth earned, as a share of the worth of all jobs
+	PeakWorth float64 `json:"worth_crowded"` // as Worth, but only for jobs sent in the peak period
+	Bound     float64 `json:"bound"`         // upper bound of Worth that no policy can exceed
+	// PackedBound is Bound for upstreams of which only PackedShare can be used, the share that the
+	// best packing known keeps busy (see packedShare).
+	PackedBound           float64 `json:"packed_bound"`
+	PackedShare           float64 `json:"packed_share"`
 	InTime                float64 `json:"in_time"`           // jobs that completed within their objective
 	Late                  float64 `json:"late"`              // jobs that completed after their objective
 	Refused               float64 `json:"refused"`           // jobs that were rejected before any task started
 	RefusedWithRoom       float64 `json:"refused_with_room"` // refused jobs for which all groups together had enough free capacity at that time
+	RejectedAtOnce        float64 `json:"at_once"`           // refused jobs that were not offered to any owner
+	Offers                float64 `json:"offers"`            // mean number of offers of a refused job
 	GivenUp               float64 `json:"given_up"`          // jobs that ended without completing, after tasks may have started
 	Failed                float64 `json:"failed"`            // jobs whose response said that they failed
 	Wasted                float64 `json:"wasted"`            // CPU time of runs that were stopped, failed or lost their lease, as a share of the work of all jobs
@@ -43,6 +50,14 @@
 	ServedLaterSeconds    float64 `json:"later_s"`           // mean time of these jobs from the first submission to the response, in seconds
 	FalseEjections        float64 `json:"doubts_of_sound"`   // number of ejections of upstreams without a fault, per deployment
 	FalseSilences         float64 `json:"silences_of_sound"` // number of times that an upstream without a fault was treated as silent, per deployment
+	// The next fields are shares of the CPU capacity in the peak period while pools are crowded, see
+	// schedule.RoomUse. They are 0 if no pool was.
+	Busy      float64 `json:"busy"`          // executing runs, or starting them
+	Fragments float64 `json:"fragments"`     // idle, and no waiting task is small enough
+	HeldBack  float64 `json:"held_back"`     // idle, although a waiting task would fit
+	Vacant    float64 `json:"vacant"`        // idle, and nothing waits, although a job was refused lately
+	OutOfUse  float64 `json:"out_of_use"`    // idle on upstreams where nothing may start
+	SlowStops float64 `json:"slow_of_sound"` // runs that were stopped as slow on upstreams without a fault, as a share of all runs
 }
 
 // earned returns the worth that a job has earned. A job whose tasks always fail cannot complete;
@@ -79,7 +94,7 @@
 
 func sentInPeak(j *customerJob) bool { return j.sentAt >= peakStart && j.sentAt < peakEnd }
 
-// metrics returns the metrics of a completed simulation. Bound is not set.
+// metrics returns the metrics of a completed simulation. The bounds are not set.
 func (sim *simulation) metrics() Metrics {
 	var m Metrics
 	var total, peak worthSum
@@ -105,8 +120,11 @@
 			unservedMs = append(unservedMs, float64(o.responseTime)/float64(time.Millisecond))
 		}
 	}
+	if m.Refused > 0 {
+		m.Offers /= m.Refused
+	}
 	n := float64(len(sim.firstResponses))
-	for _, v := range []*float64{&m.InTime, &m.Late, &m.Refused, &m.RefusedWithRoom, &m.GivenUp, &m.Failed} {
+	for _, v := range []*float64{&m.InTime, &m.Late, &m.Refused, &m.RefusedWithRoom, &m.RejectedAtOnce, &m.GivenUp, &m.Failed} {
 		*v /= n
 	}
 	m.Worth, m.PeakWorth = total.value(), peak.value()
@@ -116,10 +134,25 @@
 	if refused := m.Refused * n; refused > 0 && sim.servedLater > 0 {
 		m.ServedLater, m.ServedLaterSeconds = float64(sim.servedLater)/refused, sim.servedLaterSeconds/float64(sim.servedLater)
 	}
+	m.setRoom(sim.room)
 	m.FalseEjections, m.FalseSilences = float64(sim.falseEjections), float64(sim.falseSilences)
+	m.SlowStops = float64(sim.slowStops) / float64(max(sim.starts, 1))
 	return m
 }
 
+// setRoom sets the fields about the use of the capacity.
+func (m *Metrics) setRoom(use schedule.RoomUse) {
+	total := float64(use.Total())
+	if total == 0 {
+		return
+	}
+	m.Busy = float64(use[schedule.RoomBusy]+use[schedule.RoomStarting]) / total
+	m.Fragments = float64(use[schedule.RoomFragments]) / total
+	m.HeldBack = float64(use[schedule.RoomUnbegun]+use[schedule.RoomHeld]) / total
+	m.Vacant = float64(use[schedule.RoomVacant]) / total
+	m.OutOfUse = float64(use[schedule.RoomEjected]+use[schedule.RoomSilent]+use[schedule.RoomUnusable]) / total
+}
+
 // count counts a job in the fields for its response. While jobs are being counted, these fields
 // hold numbers of jobs; afterwards, metrics turns them into shares.
 func (m *Metrics) count(o firstResponse, objective time.Duration) {
@@ -130,6 +163,10 @@
 		m.Late++
 	case o.Verdict == ingress.NotRun:
 		m.Refused++
+		m.Offers += float64(o.Offers)
+		if o.RejectedAtOnce {
+			m.RejectedAtOnce++
+		}
 		if o.hadRoom {
 			m.RefusedWithRoom++
 		}
--- a/node/convert.go
+++ b/node/convert.go
@@ -18,11 +18,29 @@
 // claimToProto returns the message by which this instance claims a group that it owns, with the
 // load of the group.
 func claimToProto(g *owner.Group, l schedule.Load) *inner.Claim {
-	return &inner.Claim{Group: g.Name, Token: g.Token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity, Closed: l.Closed}
+	return loadToProto(g.Name, g.Token, l)
+}
+
+// loadToProto returns the claim of an owner with the given fencing token.
+func loadToProto(group string, token uint64, l schedule.Load) *inner.Claim {
+	return &inner.Claim{
+		Group: group, Token: token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity, Closed: l.Closed,
+		WaitMs:  lo.Map(l.Waits.Until[:l.Waits.Known], func(d time.Duration, _ int) uint32 { return uint32(d.Milliseconds()) }),
+		UsualMs: uint32(l.Waits.TaskDuration.Milliseconds()), UsualMilliCpu: l.Waits.TaskMilliCPU,
+	}
 }
 
 func loadFromProto(c *inner.Claim) schedule.Load {
-	return schedule.Load{Free: int(c.GetFree()), Waiting: int(c.GetWaiting()), Capacity: c.GetCapacity(), Closed: c.GetClosed()}
+	return schedule.Load{Free: int(c.GetFree()), Waiting: int(c.GetWaiting()), Capacity: c.GetCapacity(), Closed: c.GetClosed(), Waits: waitsFromProto(c)}
+}
+
+// waitsFromProto returns the waits in a claim. Claims of earlier versions contain none.
+func waitsFromProto(c *inner.Claim) schedule.Waits {
+	w := schedule.Waits{Known: min(len(c.GetWaitMs()), schedule.WaitSteps), TaskMilliCPU: c.GetUsualMilliCpu(), TaskDuration: time.Duration(c.GetUsualMs()) * time.Millisecond}
+	for i, ms := range c.GetWaitMs()[:w.Known] {
+		w.Until[i] = time.Duration(ms) * time.Millisecond
+	}
+	return w
 }
 
 func toInts(list []uint32) []int { return lo.Map(list, func(v uint32, _ int) int { return int(v) }) }
@@ -132,20 +150,36 @@
 // offerToProto returns the message for an offer. aliveMs is when the customer was last known
 // to be connected, in milliseconds of the receiver's clock.
 func offerToProto(group string, o schedule.Offer, aliveMs uint64) *inner.Offer {
-	return &inner.Offer{
+	m := &inner.Offer{
 		Group: group, Job: o.Key.ID, Part: uint32(o.Key.Part), Service: o.Service, Route: o.Route, Spec: o.Spec,
 		MilliCpu: o.Demand.MilliCPU, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
 		EstimateMs: uint32(o.Estimate.Milliseconds()), Priority: uint32(o.Priority), MaxAttempts: uint32(o.MaxAttempts),
 		Tasks: toUint32s(o.Tasks), Stretch: o.Stretch, SlackMs: uint32(o.Slack.Milliseconds()),
 		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Timeout, 0).Milliseconds()), MayQueue: o.MayQueue, Begun: o.Begun, Whole: o.AllOrNothing,
 		Past: taskHistoryToProto(o.History), AliveMs: aliveMs, Rack: o.Rack, MostOnOne: uint32(o.MaxPerUpstream),
+		AdoptFrom: o.AdoptFrom,
 	}
+	if o.AdoptFrom > 0 {
+		// An instance of an earlier version ignores AdoptFrom. Without Tasks it starts none.
+		m.Tasks, m.Past = nil, adoptedTasksToProto(o)
+	}
+	return m
+}
+
+// adoptedTasksToProto returns the messages for the tasks of an adopting offer, with the history
+// of those that have one.
+func adoptedTasksToProto(o schedule.Offer) []*inner.TaskPast {
+	history := make(map[int]schedule.TaskHistory, len(o.Tasks))
+	for _, t := range o.Tasks {
+		history[t] = o.History[t]
+	}
+	return taskHistoryToProto(history)
 }
 
 // offerFromProto returns the offer in a message, without Key.Coordinator and AliveAt, which
 // the caller sets.
 func offerFromProto(m *inner.Offer) schedule.Offer {
-	return schedule.Offer{
+	o := schedule.Offer{
 		Key:     schedule.JobKey{ID: m.GetJob(), Part: int(m.GetPart())},
 		Service: m.GetService(), Route: m.GetRoute(), Spec: m.GetSpec(),
 		Demand:   fleet.Resources{MilliCPU: m.GetMilliCpu(), MemoryMB: m.GetMemoryMb(), GPUs: m.GetGpus()},
@@ -154,5 +188,10 @@
 		Slack: time.Duration(m.GetSlackMs()) * time.Millisecond, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		Timeout: time.Duration(m.GetPatienceMs()) * time.Millisecond, MayQueue: m.GetMayQueue(), Begun: m.GetBegun(), AllOrNothing: m.GetWhole(),
 		History: taskHistoryFromProto(m.GetPast()), Rack: m.GetRack(), MaxPerUpstream: int(m.GetMostOnOne()),
+		AdoptFrom: m.GetAdoptFrom(),
+	}
+	if o.AdoptFrom > 0 {
+		o.Tasks = slices.Sorted(maps.Keys(o.History))
 	}
+	return o
 }
--- a/node/log.go
+++ b/node/log.go
@@ -14,18 +14,21 @@
 
 // decisionEvents maps each kind of decision to its log event.
 var decisionEvents = map[schedule.DecisionKind]event.Event{
-	schedule.DecidedStart:      event.TaskStarted,
-	schedule.DecidedRetry:      event.TaskRetried,
-	schedule.DecidedStop:       event.TaskStopped,
-	schedule.DecidedReturn:     event.TasksReturned,
-	schedule.DecidedResult:     event.OfferResult,
-	schedule.DecidedEject:      event.UpstreamDoubted,
-	schedule.DecidedReadmit:    event.UpstreamTrusted,
-	schedule.DecidedSilent:     event.UpstreamSilent,
-	schedule.DecidedResponding: event.UpstreamHeard,
-	schedule.DecidedGone:       event.UpstreamGone,
-	schedule.DecidedFenced:     event.UpstreamFenced,
-	schedule.DecidedSuspect:    event.TaskSuspected,
+	schedule.DecidedStart:       event.TaskStarted,
+	schedule.DecidedRetry:       event.TaskRetried,
+	schedule.DecidedStop:        event.TaskStopped,
+	schedule.DecidedReturn:      event.TasksReturned,
+	schedule.DecidedResult:      event.OfferResult,
+	schedule.DecidedEject:       event.UpstreamDoubted,
+	schedule.DecidedReadmit:     event.UpstreamTrusted,
+	schedule.DecidedSilent:      event.UpstreamSilent,
+	schedule.DecidedResponding:  event.UpstreamHeard,
+	schedule.DecidedGone:        event.UpstreamGone,
+	schedule.DecidedFenced:      event.UpstreamFenced,
+	schedule.DecidedSuspect:     event.TaskSuspected,
+	schedule.DecidedAdopt:       event.RunAdopted,
+	schedule.DecidedAdoptFailed: event.AdoptionFailed,
+	schedule.DecidedSpeed:       event.UpstreamSpeed,
 }
 
 const (
@@ -100,11 +103,12 @@
 	return append(write, pending...), sampleInterval
 }
 
-// endedNormally reports whether an offer was completed in time, without a retry or a stop.
+// endedNormally reports whether an offer was completed in time, without a retry, a stop or an
+// adopted run.
 func endedNormally(decisions []pendingDecision) bool {
 	for _, p := range decisions {
 		switch p.Kind {
-		case schedule.DecidedRetry, schedule.DecidedStop:
+		case schedule.DecidedRetry, schedule.DecidedStop, schedule.DecidedAdopt, schedule.DecidedAdoptFailed:
 			return false
 		case schedule.DecidedResult:
 			if p.Late || p.Reason != string(schedule.Completed) {
@@ -153,11 +157,25 @@
 // DecisionMade implements owner.Observer.
 func (n *Node) DecisionMade(group string, token uint64, d schedule.Decision) {
 	n.decisions.record(group, token, d)
+	n.countAdoption(d)
 	if d.Kind == schedule.DecidedStop && d.Reason == schedule.ReasonLeaving {
 		n.metrics.Add("runs_moved_leaving", 1)
 	}
 }
 
+// RecordResponse implements ingress.Recorder.
+func (n *Node) RecordResponse(r ingress.Record) {
+	n.metrics.Add("answer_"+r.Route+"_"+string(r.Verdict), 1)
+	if r.Verdict != ingress.Completed {
+		n.metrics.Add("cause_"+string(r.Verdict)+": "+r.Reason, 1)
+	} else if r.Late {
+		n.metrics.Add("answer_"+r.Route+"_late", 1)
+	}
+	n.countOffers(r)
+	n.metrics.Latencies.Observe("request_"+string(r.Verdict), r.Took)
+	n.logResponse(r)
+}
+
 // logResponse logs the response to a customer. Of the jobs that were completed in time it
 // logs one in sampleInterval.
 func (n *Node) logResponse(r ingress.Record) {
@@ -173,12 +191,30 @@
 		}
 		sample = sampleInterval
 	}
-	e.Log(n.log, markSampled([]slog.Attr{
+	attrs := []slog.Attr{
 		slog.String("job", r.Job), slog.String("route", r.Route), slog.Int("status", r.Status),
 		slog.String("verdict", string(r.Verdict)), slog.String("reason", r.Reason), slog.Bool("begun", r.Begun),
 		slog.Int("offers", r.Offers), slog.String("groups", r.Groups), slog.Int("tasks", r.Tasks), slog.Duration("took", r.Took),
 		slog.Duration("patience", r.Timeout),
 		slog.Duration("objective", r.Objective), slog.Uint64("config", r.ConfigVersion), slog.Int("owners", r.Owners),
 		slog.Duration("owners_age", r.OwnersAge),
-	}, sample)...)
+	}
+	if r.Waits != "" {
+		attrs = append(attrs, slog.Bool("probe", r.Probe), slog.String("waits", r.Waits))
+	}
+	e.Log(n.log, markSampled(attrs, sample)...)
+}
+
+// countOffers counts the offers made for a job, and what became of it if the reported waits showed
+// that it would be late.
+func (n *Node) countOffers(r ingress.Record) {
+	n.metrics.Add("offers_"+string(r.Verdict), int64(r.Offers))
+	switch {
+	case r.RejectedAtOnce:
+		n.metrics.Add("rejected_at_once", 1)
+	case r.Probe && r.Verdict == ingress.Completed:
+		n.metrics.Add("probes_served", 1)
+	case r.Probe:
+		n.metrics.Add("probes_not_served", 1)
+	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -70,6 +70,7 @@
 	mesh                   *inner.Mesh
 	directory              *directory.Directory // of upstreams and zones; its lock is taken after all others
 	invalidEntries         invalidEntries
+	speeds                 *speedTable
 	router                 *router
 	ingress                *ingress.Coordinator
 	server                 *ingress.Server
@@ -155,7 +156,7 @@
 	settings := do.MustInvoke[fleet.Instance](i)
 	n := &Node{
 		settings: settings, self: fate.Incarnation(settings.Name + "." + uuid.NewString()[:8]), log: do.MustInvoke[*slog.Logger](i),
-		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), upstreamClient: platform.NewUpstreamClient(), directory: directory.New(),
+		metrics: do.MustInvoke[*metrics.Set](i), store: do.MustInvoke[*platform.Store](i), upstreamClient: platform.NewUpstreamClient(), directory: directory.New(), speeds: newSpeedTable(),
 		startedAt: clock.Now(), peerListReady: make(chan struct{}),
 		peers: membership.NewTable(silenceLimits), neighbours: &membership.Neighbours{IsHub: true, HubCount: 1}, neighboursIfAllAlive: &membership.Neighbours{}, finalHeartbeatSent: map[string]bool{}, lastHeartbeat: map[string]*inner.Presence{},
 		groups: map[string]*ownedGroup{}, dialing: map[string]bool{}, refusedAt: map[string]time.Time{}, dialOutcomes: map[string]dialOutcome{}, registeredZones: map[string]string{}, emptySince: map[string]time.Time{}, orphanRetryAt: map[string]time.Time{}, groupCounts: map[string]int{},
@@ -282,6 +283,7 @@
 	}
 	n.writeZoneGauges(w)
 	n.writeTrafficGauges(w)
+	n.writeSpeedGauges(w)
 	if n.logSink != nil {
 		dropped, refused := n.logSink.Dropped()
 		for _, class := range slices.Sorted(maps.Keys(dropped)) {
@@ -396,15 +398,3 @@
 
 // CallOverdue implements owner.Observer.
 func (n *Node) CallOverdue(kind string) { n.metrics.Add(kind+"_overdue", 1) }
-
-// RecordResponse implements ingress.Recorder.
-func (n *Node) RecordResponse(r ingress.Record) {
-	n.metrics.Add("answer_"+r.Route+"_"+string(r.Verdict), 1)
-	if r.Verdict != ingress.Completed {
-		n.metrics.Add("cause_"+string(r.Verdict)+": "+r.Reason, 1)
-	} else if r.Late {
-		n.metrics.Add("answer_"+r.Route+"_late", 1)
-	}
-	n.metrics.Latencies.Observe("request_"+string(r.Verdict), r.Took)
-	n.logResponse(r)
-}
--- a/node/peers.go
+++ b/node/peers.go
@@ -187,6 +187,8 @@
 		n.router.handleOffer(conn, from, body.Offer, reply)
 	case *inner.Frame_OfferReturned:
 		n.router.handleReturned(body.OfferReturned)
+	case *inner.Frame_OfferProgress:
+		n.router.handleProgress(body.OfferProgress)
 	case *inner.Frame_OfferWithdrawn:
 		n.router.handleWithdrawal(conn, from, body.OfferWithdrawn)
 	case *inner.Frame_Renewal:
@@ -258,6 +260,7 @@
 	draining, leavesEarlier := n.directory.MarkDraining(clock.Now(), drainsFromProto(clock.Now(), p.GetDraining()))
 	n.logDrains(draining, from.Instance())
 	resized := n.directory.ApplyCapacityReports(clock.Now(), capacityReportsFromProto(p.GetRooms()))
+	n.speeds.record(clock.Now(), speedsFromProto(p.GetSpeeds()))
 	n.applyPeerZones(from.Instance(), p)
 	n.router.handlePeerClock(conn, from, p.GetClockMs())
 	n.router.handleClaims(from, p)
--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -43,6 +43,15 @@
 	crashesByTask   map[fleet.TaskRef]int  // has an entry for each task that crashes upstreams: how many it has crashed under the current pool
 	mayLeave        bool                   // as in modelCase
 	evacuated       bool                   // all upstreams are closed
+	// The fields below are used only if modelCase.mayAdopt is set.
+	mayAdopt bool
+	// orderedByFormer holds the starts ordered by a former owner that is still alive. It cannot know
+	// of the ends that the next owner has acknowledged, whether runs are adopted or not.
+	orderedByFormer                      map[runOn]bool
+	longTasks                            bool                   // all runs outlast the leases of a lost owner
+	cutOff                               map[string]bool        // upstreams that the owner cannot reach, by ID
+	doneTasks                            map[fleet.TaskRef]bool // tasks of which a run was done
+	adoptionsOffered, adoptionsCompleted int
 }
 
 type simJob struct {
@@ -50,6 +59,33 @@
 	done  map[int]bool
 }
 
+// runOn is a run on an upstream.
+type runOn struct {
+	upstreamID string
+	run        fleet.Run
+}
+
+// lostJob is a job whose owner was lost. Its customer resubmits it.
+type lostJob struct {
+	id string
+	at time.Time
+}
+
+// minResubmitDelay is the least time after which the customer of a lost job resubmits it. By
+// then the leases that the lost owner granted have lapsed.
+const minResubmitDelay = 1300 * time.Millisecond
+
+// takeResubmittable removes the first lost job from lostJobs and returns its ID, if its customer
+// may resubmit it by now.
+func (w *testCluster) takeResubmittable() (string, bool) {
+	if len(w.lostJobs) == 0 || w.Now().Sub(w.lostJobs[0].at) < minResubmitDelay {
+		return "", false
+	}
+	id := w.lostJobs[0].id
+	w.lostJobs = w.lostJobs[1:]
+	return id, true
+}
+
 // maxStopMillis is the longest time that an upstream takes to stop a run, in milliseconds.
 const maxStopMillis = 50
 
@@ -70,8 +106,17 @@
 func (w *testCluster) sendStart(s Start) {
 	token, run := w.poolToken, s.Order.Run
 	w.orderedFor[run] = w.submissions[run.Task]
+	delete(w.orderedByFormer, runOn{s.Upstream.ID, run})
 	u := w.findUpstream(s.Upstream.ID)
 	w.checkCapacity(u, run)
+	if w.cutOff[u.ID] {
+		w.AfterFunc(startTimeout, func() {
+			w.applyIfCurrent(token, func(p *Pool, now time.Time) Effects {
+				return p.HandleStartResponse(now, s.Upstream.Incarnation(), run, fleet.NotRefused, errs["lost"])
+			})
+		})
+		return
+	}
 	w.pendingStarts[u.UpstreamModel] = append(w.pendingStarts[u.UpstreamModel], s.Order)
 	u.CallStart(s.Order, startTimeout, func(refusal fleet.Refusal, err error) {
 		w.applyIfCurrent(token, func(p *Pool, now time.Time) Effects {
@@ -106,6 +151,9 @@
 
 func (w *testCluster) sendStop(s Stop) {
 	token := w.poolToken
+	if w.cutOff[s.Upstream.ID] {
+		return
+	}
 	w.findUpstream(s.Upstream.ID).CallStop(s.Run, w.pool.Token(), callTimeout, func(err error) {
 		w.applyIfCurrent(token, func(p *Pool, now time.Time) Effects {
 			return p.HandleStopResponse(now, s.Upstream.Incarnation(), s.Run, err)
@@ -115,14 +163,18 @@
 
 func (w *testCluster) sendHold(to fleet.Upstream, o fleet.HoldOrder, then func(ok bool)) {
 	token, sent := w.poolToken, w.Now()
-	u := w.findUpstream(to.ID)
-	u.CallHold(o, callTimeout, func(report fleet.Report, err error) {
+	handle := func(report fleet.Report, err error) {
 		if token != w.poolToken {
 			return
 		}
 		w.applyEffects(w.pool.HandleHoldResponse(w.Now(), to.Incarnation(), sent, report, err))
 		then(err == nil)
-	})
+	}
+	if w.cutOff[to.ID] {
+		w.AfterFunc(callTimeout, func() { handle(fleet.Report{}, errs["lost"]) })
+		return
+	}
+	w.findUpstream(to.ID).CallHold(o, callTimeout, handle)
 }
 
 func (w *testCluster) findUpstream(id string) *standin.SimulatedUpstream {
@@ -140,6 +192,7 @@
 	w := &testCluster{
 		Simulation: standin.NewSimulation(startTime, seed), t: t,
 		openJobs: map[JobKey]*simJob{}, startedTasks: map[fleet.TaskRef]bool{}, returnedTasks: map[fleet.TaskRef]bool{}, ackedDone: map[fleet.TaskRef]bool{}, crashesByTask: map[fleet.TaskRef]int{},
+		doneTasks: map[fleet.TaskRef]bool{}, orderedByFormer: map[runOn]bool{}, cutOff: map[string]bool{},
 		submissions: map[fleet.TaskRef]int{}, orderedFor: map[fleet.Run]int{}, capacityAtOrder: map[fleet.Run]fleet.Resources{},
 		listedCapacity: map[string]fleet.Resources{}, pendingStarts: map[*standin.UpstreamModel][]fleet.StartOrder{},
 	}
@@ -152,10 +205,17 @@
 func (w *testCluster) newUpstream(id string) *standin.SimulatedUpstream {
 	u := w.NewUpstream(fleet.Upstream{ID: id, Service: "s", Zone: "z", Capacity: fleet.Resources{MilliCPU: 8000}},
 		func(r fleet.Run) (time.Duration, fleet.Resources) {
-			return w.RandMillis(20, 400), w.jobOfTask(r.Task).offer.Demand
+			return w.drawDuration(), w.jobOfTask(r.Task).offer.Demand
 		})
 	u.ClockRate = 0.98 + 0.02*w.Rand.Float64()
 	u.StopTime = func() time.Duration { return w.RandMillis(0, maxStopMillis) }
+	onEnd := u.OnEnd
+	u.OnEnd = func(r fleet.Run, end fleet.End) {
+		if end == fleet.EndDone {
+			w.doneTasks[r.Task] = true
+		}
+		onEnd(r, end)
+	}
 	startedFor := map[fleet.Run]int{} // value of orderedFor when a run started on this upstream
 	u.OnEndAcknowledged = func(e fleet.EndedRun) {
 		if e.End == fleet.EndDone && startedFor[e.Run] == w.submissions[e.Run.Task] {
@@ -164,7 +224,7 @@
 	}
 	u.OnStart = func(r fleet.Run) {
 		startedFor[r] = w.orderedFor[r]
-		if w.ackedDone[r.Task] && w.orderedFor[r] == w.submissions[r.Task] {
+		if w.ackedDone[r.Task] && w.orderedFor[r] == w.submissions[r.Task] && !w.orderedByFormer[runOn{id, r}] {
 			w.t.Fatalf("%v starts after the end of its task as done was acknowledged", r)
 		}
 		if w.returnedTasks[r.Task] {
--- a/schedule/incarnations.go
+++ b/schedule/incarnations.go
@@ -79,8 +79,8 @@
 
 // moveToSuccessor moves a run to the next incarnation of its upstream and stops it there.
 func (p *Pool) moveToSuccessor(r *run, successor *upstream) {
-	delete(r.upstream.runs, r.id)
-	successor.runs[r.id] = r
+	r.upstream.removeRun(r)
+	successor.addRun(r)
 	successor.used = successor.used.Plus(r.demand)
 	r.upstream, r.state = successor, starting
 	p.stopRun(r, "its upstream has started again, and may run it")
@@ -109,6 +109,7 @@
 // report.
 func (p *Pool) insertUpstream(entry fleet.Upstream) *upstream {
 	u := &upstream{Upstream: entry, listed: true, runs: map[fleet.Run]*run{}}
+	p.applyImportedSpeed(u)
 	p.upstreams[u.ID] = u
 	p.sortedUpstreams = append(p.sortedUpstreams, u)
 	slices.SortFunc(p.sortedUpstreams, func(a, b *upstream) int { return strings.Compare(a.ID, b.ID) })
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -213,8 +213,11 @@
 	}
 	u.reportRequestedAt = sent
 	p.reconcileRuns(u, sent, report.Running)
-	u.accepted = true
+	if !u.accepted {
+		u.accepted, u.acceptedAt = true, p.now
+	}
 	p.everAccepted = true
+	p.takeOverRuns()
 }
 
 // reconcileRuns compares the runs that an upstream reports as running, in response to a request
@@ -225,12 +228,12 @@
 	isListed := make(map[fleet.Run]bool, len(list))
 	for _, t := range list {
 		isListed[t.Run] = true
-		r := u.runs[t.Run]
-		if r == nil {
-			p.stopFormerOwnerRun(u, t.Run)
-			continue
+		if u.runs[t.Run] == nil {
+			p.trackFormerOwnerRun(u, t.Run)
+		}
+		if r := u.runs[t.Run]; r != nil {
+			p.recordProgress(r, t.Percent)
 		}
-		p.recordProgress(r, t.Percent)
 	}
 	for _, r := range sortedRuns(u) {
 		if isListed[r.id] {
@@ -248,26 +251,31 @@
 	}
 }
 
-// sortedRuns returns the tracked runs of an upstream in the order of compareRuns.
+// sortedRuns returns the tracked runs of an upstream in the order of compareRuns. The result stays
+// as it is when runs are added or removed, and must not be changed.
 func sortedRuns(u *upstream) []*run {
+	if u.sorted != nil || len(u.runs) == 0 {
+		return u.sorted
+	}
 	list := make([]*run, 0, len(u.runs))
 	for _, r := range u.runs {
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.id, b.id) })
+	u.sorted = list
 	return list
 }
 
-// stopFormerOwnerRun tracks and stops a run that an upstream reports and this pool has not
-// ordered, so that a former owner must have. Nothing starts on the upstream until the run is
-// gone.
-func (p *Pool) stopFormerOwnerRun(u *upstream, id fleet.Run) {
+// trackFormerOwnerRun tracks a run that an upstream reports and this pool has not ordered, so that
+// a former owner must have. The run is stopped unless it may be adopted. Nothing starts on the
+// upstream, and no lease of it is renewed, until the run is gone.
+func (p *Pool) trackFormerOwnerRun(u *upstream, id fleet.Run) {
 	if slices.Contains(u.recentEnds, id) {
 		return
 	}
 	r := &run{id: id, upstream: u, fromFormerOwner: true, state: running, orderedAt: p.now, startAckedAt: p.now, percentRoseAt: p.now, percentAt: p.now}
 	p.trackRun(r)
-	p.stopRun(r, "started by a former owner")
+	p.stopUnheld(r)
 }
 
 // handleEnd handles the end of a run that an upstream has reported.
@@ -277,6 +285,9 @@
 		u.recentEnds = u.recentEnds[1:]
 	}
 	r := u.runs[e.Run]
+	if r == nil || r.fromFormerOwner {
+		p.recordFoundEnd(u, e)
+	}
 	if r == nil {
 		return
 	}
@@ -300,18 +311,28 @@
 	p.setTaskState(j, t, ended)
 	j.unfinished--
 	j.done = append(j.done, t.index)
-	took := p.now.Sub(r.orderedAt)
-	p.learnSlowdown(r, p.now.Sub(r.startedAt()))
-	if p.cfg.Policy.LearnTimes {
-		p.durationsOf(j.Route).add(r.localDuration(took))
-	}
-	if p.cfg.Policy.LearnJob {
-		j.learnDuration(r.localDuration(took))
+	if !r.takenOver { // when it started is not known
+		p.learnFromDone(r)
 	}
 	p.resetHealth(r.upstream)
 	if j.unfinished == 0 {
 		p.removeJob(j)
 		p.addResult(j, Completed, nil)
+		return
+	}
+	p.tellProgress(j, t)
+}
+
+// learnFromDone updates the expected durations from that of a run that is done.
+func (p *Pool) learnFromDone(r *run) {
+	took := p.now.Sub(r.orderedAt)
+	p.learnSlowdown(r, p.now.Sub(r.startedAt()))
+	p.learnSpeed(r, p.now.Sub(r.startedAt()))
+	if p.cfg.Policy.LearnTimes {
+		p.durationsOf(r.job.Route).add(r.nominalDuration(took))
+	}
+	if p.cfg.Policy.LearnJob {
+		r.job.learnDuration(r.nominalDuration(took))
 	}
 }
 
--- a/schedule/leaving.go
+++ b/schedule/leaving.go
@@ -78,11 +78,11 @@
 	slices.SortStableFunc(runs, func(a, b leavingRun) int { return b.end.Compare(a.end) })
 	f := p.forecastForMoves(runs)
 	for _, r := range runs {
-		start, hasCapacity := f.nextStart()
+		start, hasCapacity := f.earliest(1, r.demand, r.job.expectedTaskDuration)
 		if !hasCapacity || !p.endsSoonerIfMoved(r, start) || !p.hasAlternative(r.job, r.upstream.ID) {
 			continue
 		}
-		f.reserve(1, r.job.expectedTaskDuration)
+		f.reserve(r.taskSet())
 		r.job.tasks[r.id.Task.Index].moves++
 		p.stopRun(r.run, ReasonLeaving)
 	}
@@ -96,11 +96,16 @@
 	f.addFree(p.countFitting(largest.job, len(runs)+p.waitingTasks+len(p.runByTask)))
 	f.reserveBegun(p.queue, nil)
 	for _, r := range p.stoppingRuns() {
-		f.reserve(1, r.job.expectedTaskDuration)
+		f.reserve(r.taskSet())
 	}
 	return f
 }
 
+// taskSet returns the task of a run as a set of one task.
+func (r *run) taskSet() taskSet {
+	return taskSet{job: r.job, tasks: 1, demand: r.demand, duration: r.job.expectedTaskDuration}
+}
+
 // stoppingRuns returns the runs that are being stopped and whose tasks are still wanted.
 func (p *Pool) stoppingRuns() []*run {
 	var list []*run
--- a/schedule/policy.go
+++ b/schedule/policy.go
@@ -50,11 +50,27 @@
 	// MoveLeaving stops runs on upstreams that leave before these runs can end, and starts
 	// their tasks on other upstreams, if they are expected to end sooner there.
 	MoveLeaving bool
+	// AdoptRuns lets runs that a former owner has started go on for a moment, and counts
+	// those that are done for the offers that were lost with that owner.
+	AdoptRuns bool
+	// TellProgress tells coordinators which tasks of an offer are done while others are not, so
+	// that they need not ask the next owner for these if this one is lost.
+	TellProgress bool
+	// FitBySize forecasts when tasks can start from the free resources of each upstream and the
+	// demands of the tasks. Without this rule, the end of each run is capacity for one task.
+	FitBySize bool
+	// ChoosePartners chooses among several waiting tasks those that leave the least capacity of
+	// an upstream free. Without this rule, tasks start strictly in the order of the queue.
+	ChoosePartners bool
+	// LastingSpeed takes into account that tasks always take longer or shorter on some
+	// upstreams than on others: in expected durations, in what counts as slow, and in the
+	// choice of upstreams for jobs that would be late on the slower ones.
+	LastingSpeed bool
 }
 
 // DefaultPolicy is the policy used in production: all rules are on.
 var DefaultPolicy = Policy{
 	EarliestFirst: true, BegunFirst: true, GiveUp: true,
 	MoveSlow: true, DoubtFailing: true, DoubtRefusing: true, DoubtSlow: true, SingleTrial: true,
-	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, PlaceWhenDue: true, MoveLeaving: true,
+	LearnTimes: true, LearnJob: true, RejectEarly: true, WholeJobs: true, ComparePeers: true, LookOverdue: true, LearnSpeed: true, PlaceWhenDue: true, MoveLeaving: true, AdoptRuns: true, TellProgress: true, FitBySize: true, ChoosePartners: true, LastingSpeed: true,
 }
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -1,9 +1,7 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -26,11 +24,18 @@
 	coordinatorLeases map[string]*coordinatorLease
 	renewalsCheckedAt time.Time // when checkRenewals was last called
 	queue             []*job    // jobs with waiting tasks
+	adoptions         []*job    // adopting offers
+	foundEnds         map[fleet.TaskRef]foundEnd
 	waitingTasks      int
 	durationsByRoute  map[string]*taskDurations
 	crashHistory      crashHistory
 	missRate          missRate // over all upstreams
-	meanSlowdown      float64  // moving average, over the runs on all upstreams, of log(actual duration / expected duration)
+	lastWaits         waitsForecast
+	meanSlowdown      float64 // moving average, over the runs on all upstreams, of log(actual duration / expected duration)
+	biasByRoute       map[string]*routeBias
+	importedSpeeds    map[fleet.UpstreamIncarnation]UpstreamSpeed // of a former owner, for upstreams that the pool does not have yet
+	speedsRefreshedAt time.Time                                   // when refreshSpeeds last computed the factors in use
+	unevenSpeeds      bool                                        // the factor in use of some upstream is not 1
 	link              link
 	responseTimeout   time.Duration   // after which the response to a call is overdue
 	fencedIDs         map[string]bool // upstreams that have seen a higher fencing token
@@ -38,7 +43,8 @@
 	everAccepted      bool            // some upstream has accepted the fencing token
 	upstreamsListed   bool            // SetUpstreams has been called
 	draining          bool
-	placementDue      bool     // an input may have made room for a waiting task, or added one
+	placementDue      bool // an input may have made room for a waiting task, or added one
+	account           account
 	effects           *Effects // of the input that is being handled
 	now               time.Time
 }
@@ -48,7 +54,8 @@
 	return &Pool{
 		cfg: cfg, token: token, link: link{rate: linkShare * cfg.LinkRate}, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{}, jobsByID: map[string][]*job{},
 		runByTask: map[fleet.TaskRef]*run{}, coordinatorLeases: map[string]*coordinatorLease{}, durationsByRoute: map[string]*taskDurations{},
-		fencedIDs: map[string]bool{}, crashHistory: crashHistory{tasks: map[fleet.TaskRef]crashRecord{}},
+		biasByRoute: map[string]*routeBias{}, importedSpeeds: map[fleet.UpstreamIncarnation]UpstreamSpeed{},
+		foundEnds: map[fleet.TaskRef]foundEnd{}, fencedIDs: map[string]bool{}, crashHistory: crashHistory{tasks: map[fleet.TaskRef]crashRecord{}},
 	}
 }
 
@@ -163,11 +170,17 @@
 
 // Offer adds a job to the pool.
 func (p *Pool) Offer(now time.Time, o Offer) Effects {
-	return p.handle(now, func() { p.addOffer(o) })
+	return p.handle(now, func() {
+		if o.AdoptFrom > 0 {
+			p.addAdoptingOffer(o)
+			return
+		}
+		p.addOffer(o)
+	})
 }
 
-func (p *Pool) addOffer(o Offer) {
-	p.supersede(o.Key)
+// newJob returns the job of an offer, whose tasks are not counted as waiting yet.
+func (p *Pool) newJob(o Offer) *job {
 	j := &job{Offer: o, offeredAt: p.now, tasks: map[int]*task{}, unfinished: len(o.Tasks), failedOn: map[string]bool{}, history: map[int]TaskHistory{}}
 	j.expectedTaskDuration = p.durationsOf(o.Route).estimate(o.Estimate)
 	for _, index := range o.Tasks {
@@ -176,15 +189,29 @@
 		j.taskList = append(j.taskList, t)
 		p.crashHistory.importCount(p.now, p.taskRef(j, t), o.History[index].Crashes)
 	}
+	return j
+}
+
+// registerJob adds a job to those of the pool.
+func (p *Pool) registerJob(j *job) {
+	p.jobs[j.Key] = j
+	p.joinLease(j)
+	p.jobsByID[j.Key.ID] = append(p.jobsByID[j.Key.ID], j)
+}
+
+func (p *Pool) addOffer(o Offer) {
+	p.supersede(o.Key)
+	j := p.newJob(o)
 	p.waitingTasks += len(j.taskList)
+	p.registerJob(j)
 	for _, t := range j.taskList {
-		if p.runByTask[p.taskRef(j, t)] != nil {
+		if r := p.runByTask[p.taskRef(j, t)]; r != nil {
 			p.setTaskState(j, t, blocked)
+			if r.fromFormerOwner {
+				p.stopUnheld(r)
+			}
 		}
 	}
-	p.jobs[o.Key] = j
-	p.joinLease(j)
-	p.jobsByID[o.Key.ID] = append(p.jobsByID[o.Key.ID], j)
 	switch {
 	case p.draining:
 		p.returnAllWaiting(j, "draining")
@@ -255,45 +282,6 @@
 	return !hasService || p.fitsAnyUpstream(j, func(*upstream) bool { return true })
 }
 
-// Withdraw ends a job that its coordinator no longer wants.
-func (p *Pool) Withdraw(now time.Time, key JobKey, reason string) Effects {
-	return p.handle(now, func() { p.withdraw(key, reason) })
-}
-
-// WithdrawAll ends all jobs of a coordinator that has disconnected or failed.
-func (p *Pool) WithdrawAll(now time.Time, coordinator, reason string) Effects {
-	return p.handle(now, func() {
-		for _, key := range p.jobKeys() {
-			if key.Coordinator == coordinator {
-				p.withdraw(key, reason)
-			}
-		}
-	})
-}
-
-// jobKeys returns the keys of all jobs in a fixed order.
-func (p *Pool) jobKeys() []JobKey {
-	keys := make([]JobKey, 0, len(p.jobs))
-	for key := range p.jobs {
-		keys = append(keys, key)
-	}
-	slices.SortFunc(keys, compareKeys)
-	return keys
-}
-
-func compareKeys(a, b JobKey) int {
-	return cmp.Or(strings.Compare(a.ID, b.ID), strings.Compare(a.Coordinator, b.Coordinator), cmp.Compare(a.Part, b.Part))
-}
-
-func (p *Pool) withdraw(key JobKey, reason string) {
-	j := p.jobs[key]
-	if j == nil {
-		return
-	}
-	p.removeJob(j)
-	p.stopRuns(j, reason)
-}
-
 // removeJob removes a job from the pool. Its runs stay tracked until they have ended.
 func (p *Pool) removeJob(j *job) {
 	if p.jobs[j.Key] == j {
@@ -305,6 +293,7 @@
 		delete(p.jobsByID, j.Key.ID)
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
+	p.adoptions = slices.DeleteFunc(p.adoptions, func(o *job) bool { return o == j })
 	for _, t := range j.taskList {
 		if t.state == waiting || t.state == blocked {
 			p.setTaskState(j, t, ended)
@@ -334,11 +323,14 @@
 func (p *Pool) stopRuns(j *job, reason string) {
 	for _, t := range j.taskList {
 		r := p.runByTask[p.taskRef(j, t)]
-		if r == nil || r.job != j {
-			continue
+		switch {
+		case r == nil:
+		case t.state == adopting && r.fromFormerOwner:
+			p.stopRun(r, reason)
+		case r.job == j:
+			r.job, r.unwantedSince = nil, p.now
+			p.stopRun(r, reason)
 		}
-		r.job, r.unwantedSince = nil, p.now
-		p.stopRun(r, reason)
 	}
 }
 
@@ -356,6 +348,9 @@
 	if !j.begun {
 		returned = j.Tasks
 	}
+	if outcome == Expired {
+		p.account.refusedAt = p.now
+	}
 	p.addResult(j, outcome, returned)
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -58,6 +58,9 @@
 	// If a coordinator has not been known to be alive for CoordinatorExpiresAfter,
 	// the runs of its tasks are stopped.
 	CoordinatorExpiresAfter time.Duration
+	// EndedOwner is the fencing token of the former owner of the group, if its process has
+	// certainly ended; otherwise 0.
+	EndedOwner uint64
 	// Policy switches the scheduling rules on and off.
 	Policy Policy
 }
@@ -167,6 +170,13 @@
 	// MaxPerUpstream is how many of the tasks may run on one upstream at the same
 	// time; 0 means unlimited.
 	MaxPerUpstream int
+	// AdoptFrom makes this an adopting offer (see adopt.go): it is the fencing token of the
+	// owner with which the tasks were lost. It is 0 for all other offers.
+	//
+	// In an adopting offer, MayQueue allows the pool to take over runs that still execute. It
+	// is not set if an owner was lost while it adopted the tasks: the owner before that one
+	// may still be alive.
+	AdoptFrom uint64
 }
 
 // TaskHistory describes the earlier runs of a task that moves from one pool to
@@ -229,9 +239,12 @@
 	Starts    []Start
 	Stops     []Stop
 	Polls     []string // upstreams to ask for a report at once
+	Progress  []Result // tasks that are done, of offers that go on
 	Returns   []Result // returned tasks of offers that go on; their coordinators offer them to other pools
 	Results   []Result // results of offers that have ended
 	Decisions []Decision
+	// Room is how the capacity was used since the last tick, if the pool is crowded.
+	Room RoomUse
 }
 
 // Decision records one scheduling decision for the log.
@@ -242,8 +255,8 @@
 	// for one job, its customer has submitted it twice.
 	Coordinator string
 	// Task is the index of the task. In decisions that are not about one task it is a
-	// count: of the tasks that are done (result) or returned, of the failures of an
-	// ejected upstream, or of the runs on an upstream that is silent, gone or fenced.
+	// count: of the tasks that are done (result), returned or not adopted, of the failures
+	// of an ejected upstream, or of the runs on an upstream that is silent, gone or fenced.
 	Task         int
 	Run          uint32
 	Upstream     string
@@ -262,18 +275,21 @@
 
 // The kinds of decisions.
 const (
-	DecidedStart      DecisionKind = iota // a run of a task is ordered
-	DecidedRetry                          // a run ended without success or never started, and its task waits again
-	DecidedStop                           // a run is stopped
-	DecidedReturn                         // tasks are returned to their coordinator
-	DecidedResult                         // an offer has ended
-	DecidedEject                          // an upstream gets no work for some time
-	DecidedReadmit                        // an ejected upstream gets work again
-	DecidedSilent                         // several reports of an upstream in a row are missing
-	DecidedResponding                     // a silent upstream responds again
-	DecidedGone                           // an upstream is removed: it has ended, restarted or lost its entry in the store
-	DecidedFenced                         // an upstream has seen a higher fencing token: another instance owns it
-	DecidedSuspect                        // a task is suspected of crashing upstreams
+	DecidedStart       DecisionKind = iota // a run of a task is ordered
+	DecidedRetry                           // a run ended without success or never started, and its task waits again
+	DecidedStop                            // a run is stopped
+	DecidedReturn                          // tasks are returned to their coordinator
+	DecidedResult                          // an offer has ended
+	DecidedEject                           // an upstream gets no work for some time
+	DecidedReadmit                         // an ejected upstream gets work again
+	DecidedSilent                          // several reports of an upstream in a row are missing
+	DecidedResponding                      // a silent upstream responds again
+	DecidedGone                            // an upstream is removed: it has ended, restarted or lost its entry in the store
+	DecidedFenced                          // an upstream has seen a higher fencing token: another instance owns it
+	DecidedSuspect                         // a task is suspected of crashing upstreams
+	DecidedAdopt                           // a run of a former owner counts for an adopting offer
+	DecidedAdoptFailed                     // an adopting offer ends because a task has no run that goes on or was done
+	DecidedSpeed                           // an upstream counts as faster or slower than the others for good, or no longer does
 )
 
 type runState int
@@ -291,6 +307,7 @@
 	job              *job // nil once the run is no longer wanted
 	upstream         *upstream
 	demand           fleet.Resources // zero if fromFormerOwner is set, since the demand is not known then
+	takenOver        bool            // fromFormerOwner was set before
 	fromFormerOwner  bool            // reported by the upstream, but ordered by a former owner of the group
 	state            runState
 	orderedAt        time.Time // when the network link has transmitted the order to start it
@@ -300,6 +317,8 @@
 	stopAckedAt      time.Time
 	expectedDuration time.Duration // as estimated when the run was ordered
 	remoteFactor     float64       // how many times longer the task takes because its data is in another rack; 1 in the same rack
+	speedLog         float64       // logarithm of how many times longer the task takes because of the lasting speed of the upstream; 0 on most
+	expOfSpeedLog    float64       // the factor that belongs to speedLog; 0 until it is needed
 	slowdownLearned  bool          // its pace has been used to estimate the upstream's speed
 	polledAt         time.Time     // when the upstream was last polled because of this run
 	reported         bool          // a report has listed the run
@@ -318,6 +337,9 @@
 	// not ordered for this offer may still be executing. That run was ordered for an
 	// earlier submission of the job or by a former owner, and is being stopped.
 	blocked
+	// adopting means that the task belongs to an adopting offer and that no done run of it
+	// has been found yet. It never starts.
+	adopting
 )
 
 type task struct {
@@ -354,10 +376,12 @@
 type upstream struct {
 	fleet.Upstream
 	accepted        bool      // it has sent a report, and so has accepted the fencing token
+	acceptedAt      time.Time // when its first report came
 	listed          bool      // the store has an entry of it
 	unlistedAt      time.Time // when its entry was found to be missing
 	used            fleet.Resources
 	runs            map[fleet.Run]*run
+	sorted          []*run // the runs in the order of compareRuns, see sortedRuns; nil if not up to date
 	formerOwnerRuns int
 	clockMs         int64       // its clock, as of the last report
 	clockReadAt     time.Time   // when the last report came
@@ -377,4 +401,5 @@
 	renewalBlocked    bool // its leases must not be renewed, according to the last call of checkRenewals
 	health            health
 	slowdown          slowdown
+	speed             lastingSpeed
 }
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -8,12 +8,14 @@
 // Tick does the work that is due because time has passed, such as handling leases that have
 // lapsed and ending jobs that have expired. It must be called regularly.
 func (p *Pool) Tick(now time.Time) Effects {
-	return p.handle(now, func() {
+	effects := p.handle(now, func() {
 		for _, u := range slices.Clone(p.sortedUpstreams) {
 			p.tickUpstream(u)
 		}
 		p.crashHistory.dropOld(now)
+		p.refreshSpeeds()
 		p.abandonExpiredCoordinators()
+		p.reviewAdoptions()
 		p.checkRenewals()
 		p.moveLeaving()
 		p.placeWaiting()
@@ -24,6 +26,8 @@
 			p.endIfExpired(j)
 		}
 	})
+	effects.Room = p.sampleRoom()
+	return effects
 }
 
 func (p *Pool) tickUpstream(u *upstream) {
@@ -37,6 +41,8 @@
 		case r.state == stopped && p.now.Sub(r.polledAt) >= p.resendInterval() && !u.silent:
 			r.polledAt = p.now
 			p.effects.Polls = append(p.effects.Polls, u.ID)
+		case r.state == running && r.fromFormerOwner:
+			p.stopUnheld(r)
 		case r.state == running:
 			p.pollIfOverdue(r)
 			p.checkProgress(r)
