--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -31,7 +31,7 @@
 	// reports. Runs of customers that have left are over in time even without a stop,
 	// because their leases are not renewed. It is short enough for the leases of runs that
 	// are taken over to be renewed after the others on their upstream have been stopped.
-	adoptionPeriod = 200 * time.Millisecond
+	adoptionPeriod = 100 * time.Millisecond
 	// foundEndRetention is how long the done ends of runs of a former owner are remembered.
 	// It is longer than a coordinator waits for the next owner.
 	foundEndRetention = 2 * time.Second
