--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -38,6 +38,9 @@
 	// same ID, and the capacity of an upstream is reduced for some time. It is optional for
 	// the same reason as Evacuations.
 	RestartsAndResizes bool
+	// Uneven makes upstreams differ in speed for good, and makes those that are drained say that
+	// they leave soon, and leave then. It is optional for the same reason as Evacuations.
+	Uneven bool
 }
 
 const (
@@ -273,6 +276,10 @@
 
 const host = "desk.example"
 
+// speedFactors are the factors by which tasks take longer on the upstreams, by turns, if
+// Config.Uneven is set.
+var speedFactors = [...]float64{1, 1.6, 2.5}
+
 func routePrefix(route int) string { return fmt.Sprintf("/q%d/", route) }
 
 // addUpstream starts an upstream behind a proxy and enters it in the store.
@@ -293,6 +300,10 @@
 	if err != nil {
 		return err
 	}
+	if in.cfg.Uneven {
+		factor := speedFactors[in.upstreamCount%len(speedFactors)]
+		u.WithModel(func(m *standin.UpstreamModel) { m.SlowdownFactor = factor })
+	}
 	u.RegisterAt(proxy.Address)
 	in.upstreams = append(in.upstreams, &upstream{Upstream: u, proxy: proxy, zone: zone})
 	return nil
--- a/soak/run.go
+++ b/soak/run.go
@@ -323,6 +323,10 @@
 	return in.upstreams[in.rng.IntN(len(in.upstreams))]
 }
 
+// minNotice is the shortest time for which a drained upstream says that it stays, if Config.Uneven
+// is set. Some tasks take longer.
+const minNotice = 300 * time.Millisecond
+
 // replaceUpstream drains an upstream, starts another one in the same zone, and then stops the
 // drained one. It does nothing if the upstream is reserved for another fault or has already been
 // drained.
@@ -334,11 +338,17 @@
 	}
 	u.drainedAt = time.Now()
 	in.mu.Unlock()
-	u.Drain()
+	staysFor := maxStartAfterDrain + d
+	if in.cfg.Uneven {
+		staysFor = minNotice + d
+		u.DrainUntil(time.Now().Add(staysFor))
+	} else {
+		u.Drain()
+	}
 	if err := in.addUpstream(u.zone); err != nil {
 		r.addViolation("a replacement of a drained upstream cannot be started: %v", err)
 	}
-	time.Sleep(maxStartAfterDrain + d)
+	time.Sleep(staysFor)
 	u.Close()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,6 +23,9 @@
 // that a short run has both.
 const restartSeed = 5
 
+// unevenSeed is a seed with the loss of an instance and a drain among the first faults.
+const unevenSeed = 7
+
 // buildDaemon builds the daemon and returns the path of the executable.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
@@ -92,6 +95,24 @@
 	}
 }
 
+// TestUneven is a short soak run with upstreams of different speed. Those that are drained leave
+// soon, and say so, while some of their tasks still run.
+func TestUneven(t *testing.T) {
+	report, err := Run(t.Context(), Config{
+		Daemon: buildDaemon(t), Dir: t.TempDir(), Seed: unevenSeed, InjectionTime: 4 * time.Second, Zones: 2, Instances: 2, Upstreams: 3, Customers: 8,
+		Uneven: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Responses["completed"] == 0 {
+		t.Errorf("no jobs completed: %+v", report)
+	}
+	for _, b := range report.Violations {
+		t.Error(b)
+	}
+}
+
 // TestEndTwice guards against the restart of a daemon that is still running. If two overlapping
 // faults terminate the same daemon, both calls of terminate must return only after it has exited,
 // because each fault then restarts it.
