--- a/ingress/simadopt_test.go
+++ b/ingress/simadopt_test.go
@@ -69,3 +69,10 @@
 		}
 	}
 }
+
+func (f *simFleet) loadAt(zone string, l schedule.Load) OwnerLoad {
+	if !f.reportsWaits {
+		l.Waits = schedule.Waits{}
+	}
+	return OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed, Waits: l.Waits}
+}
--- a/ingress/simfleet_test.go
+++ b/ingress/simfleet_test.go
@@ -153,13 +153,6 @@
 	})
 }
 
-func (f *simFleet) loadAt(zone string, l schedule.Load) OwnerLoad {
-	if !f.reportsWaits {
-		l.Waits = schedule.Waits{}
-	}
-	return OwnerLoad{Group: zone, Zone: zone, Free: l.Free, Waiting: l.Waiting, Capacity: l.Capacity, Closed: l.Closed, Waits: l.Waits}
-}
-
 // simCoordinator is a process that coordinates the jobs of customers.
 type simCoordinator struct {
 	simProcess
--- a/ingress/simlink_test.go
+++ b/ingress/simlink_test.go
@@ -137,3 +137,10 @@
 		l.ownerHeartbeats()
 	})
 }
+
+// randomLink returns the link between a random coordinator and a random owner, or nil if they
+// have none.
+func (f *simFleet) randomLink() *simLink {
+	c := f.coordinators[f.Rand.IntN(len(f.coordinators))]
+	return c.links[f.owners[f.Rand.IntN(len(f.owners))]]
+}
--- a/ingress/tworuns_test.go
+++ b/ingress/tworuns_test.go
@@ -279,13 +279,6 @@
 	}
 }
 
-// randomLink returns the link between a random coordinator and a random owner, or nil if they
-// have none.
-func (f *simFleet) randomLink() *simLink {
-	c := f.coordinators[f.Rand.IntN(len(f.coordinators))]
-	return c.links[f.owners[f.Rand.IntN(len(f.owners))]]
-}
-
 // simCase holds the parameters of one simulation.
 type simCase struct {
 	seed                 uint64
