review: an owner overloads upstreams that have shrunk

Instances pass on changed capacities for an instance that cannot read the store, but only those that they saw change. One that has started since passes on nothing, although it knows the newer entry.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,7 +20,8 @@
 
 // cases holds the cases by name. Each returns how the rule was broken, or "" if it held.
 var cases = map[string]func(r *record, trouble bool) (broken string, err error){
-	"fault": playFault,
+	"fault":   playFault,
+	"limit":   playLimit,
 }
 
 func main() { os.Exit(run()) }
