review: a cancelling that meets another instance is lost

An instance cancels only the jobs that it coordinates itself. For all others it answers 410, which acknowledges the cancelling, and the job runs to its end.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -21,6 +21,7 @@
 // cases holds the cases by name. Each returns how the rule was broken, or "" if it held.
 var cases = map[string]func(r *record, trouble bool) (broken string, err error){
 	"fault":   playFault,
+	"unasked": playUnasked,
 	"limit":   playLimit,
 }
 
