--- a/review/cases/unasked.go
+++ b/review/cases/unasked.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,6 +22,9 @@
 	unaskedPatience = 20 * time.Second
 	unaskedTask     = 15 * time.Second
 	unaskedMilliCPU = 27_000
+	// otherJobs run beside the job that is cancelled, so that a third of the jobs is: the limit of
+	// the site file is a share of 0.4.
+	otherJobs = 2
 )
 
 // playUnasked cancels a job at the instance to which the platform hands the customer's connections,
@@ -43,6 +47,13 @@
 			time.Sleep(pollInterval)
 		}
 	}
+	var others sync.WaitGroup
+	defer others.Wait()
+	for n := range otherJobs {
+		another := j
+		another.id = newJobID(3, n+2)
+		others.Go(func() { d.call(http.MethodPost, other, another.id, another.body(), another.patience) })
+	}
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
