--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -70,7 +70,9 @@
 	upstreams []*standin.Upstream
 	zoneOf    map[string]string // availability zone by upstream
 	version   int
-	wait      sync.WaitGroup // for the goroutines that watch processes
+	// reservation keeps other cases from using the same addresses.
+	reservation net.Listener
+	wait        sync.WaitGroup // for the goroutines that watch processes
 }
 
 // shape is the size of a deployment: the number of its availability zones, and of the instances and
@@ -101,7 +103,7 @@
 			}
 		}
 	}
-	network, err := freeNetwork(s)
+	network, err := d.reserveNetwork(s)
 	if err != nil {
 		return d, err
 	}
@@ -156,11 +158,16 @@
 	return fmt.Sprintf("127.%d.%d.%d", 40+zone, network, 10+i)
 }
 
-// freeNetwork returns the third octet of addresses on which the ports of all instances are free.
-func freeNetwork(s shape) (int, error) {
+// reserveNetwork returns the third octet of addresses on which the ports of all instances are free.
+// It reserves the network against other cases by listening on one of its addresses.
+func (d *deployment) reserveNetwork(s shape) (int, error) {
 	const networks = 250
 	for n := range networks {
 		network := (os.Getpid() + n) % networks
+		reservation, err := net.Listen("tcp4", fmt.Sprintf("127.40.%d.9:%d", network, peersPort))
+		if err != nil {
+			continue // another case uses it
+		}
 		free := true
 		for z := range s.zones {
 			for i := range s.instances {
@@ -168,8 +175,10 @@
 			}
 		}
 		if free {
+			d.reservation = reservation
 			return network, nil
 		}
+		_ = reservation.Close() // it has accepted no connections
 	}
 	return 0, errors.New("no loopback network is free")
 }
@@ -318,6 +327,9 @@
 	if d.store != nil {
 		d.store.Close()
 	}
+	if d.reservation != nil {
+		_ = d.reservation.Close() // it has accepted no connections
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.dir) // a leftover in the temporary folder is harmless
 	}
