A mean demand below a thousandth of a core ends no owner

Callers saw: all jobs at an instance break off when its process ends, and again at the next instance, because the jobs that end it are sent again.

Cause: meanTaskMilliCPU divided integers. With eight tasks that leave out Cpu and one of 5 thousandths of a core the mean was 5/9 = 0, and Load divided the free capacity by it. Only a total of 0 was replaced by a default.

Change: the mean is at least 1. All other values stay as they were.

--- a/schedule/load.go
+++ b/schedule/load.go
@@ -47,7 +47,7 @@
 const defaultTaskMilliCPU = 1000
 
 // meanTaskMilliCPU returns the mean CPU demand, in thousandths of a core, of the tracked
-// runs and the queued jobs.
+// runs and the queued jobs. The result is at least 1, although a task may demand no CPU.
 func (p *Pool) meanTaskMilliCPU() int64 {
 	total, n := p.runDemands.milliCPU, p.runDemands.runs
 	for _, j := range p.queue {
@@ -57,7 +57,7 @@
 	if n == 0 || total == 0 {
 		return defaultTaskMilliCPU
 	}
-	return total / n
+	return max(total/n, 1)
 }
 
 // demandSum is the sum of the CPU demands of runs, in thousandths of a core.
