--- a/ingress/waits.go
+++ b/ingress/waits.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/sedgehatch/sedgehatch/fleet"
+
 	"github.com/samber/lo"
 )
 
@@ -99,17 +101,20 @@
 	return max(interpolate(l.Waits.Until[:l.Waits.Known], usualTasks)-l.Age, 0)
 }
 
+// longestWait bounds extrapolated waits, which could overflow a time.Duration.
+const longestWait = float64(fleet.MaxDuration)
+
 // interpolate returns the wait for a number of tasks, given the waits for 1, 2, 4, 8 ... tasks.
 // Beyond the last of them, the wait grows as it does between the last two.
 func interpolate(until []time.Duration, tasks float64) time.Duration {
 	if len(until) == 1 {
-		return time.Duration(tasks * float64(until[0]))
+		return time.Duration(min(tasks*float64(until[0]), longestWait))
 	}
 	position := math.Log2(max(tasks, 1))
 	i := min(int(position), len(until)-2)
 	low, high := float64(int(1)<<i), float64(int(2)<<i)
 	share := (tasks - low) / (high - low)
-	return until[i] + time.Duration(share*float64(until[i+1]-until[i]))
+	return until[i] + time.Duration(min(share*float64(until[i+1]-until[i]), longestWait))
 }
 
 // leastPressure returns the group with the least pressure. The list must not be empty.
--- a/ingress/waits_test.go
+++ b/ingress/waits_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/owner"
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
@@ -48,6 +49,8 @@
 		"an older report":              {1, 1000, 0, func(l *OwnerLoad) { l.Age = 40 * ms }, 60 * ms},
 		"an older report, wait passed": {1, 1000, 0, func(l *OwnerLoad) { l.Age = 140 * ms }, 0},
 		"offered tasks since":          {1, 1000, 0, func(l *OwnerLoad) { l.AddOffered(1) }, 110 * ms},
+		"far more than usual":          {fleet.MaxTasks, fleet.MaxResource, 0, nil, 110*ms + fleet.MaxDuration},
+		"one reported count":           {fleet.MaxTasks, fleet.MaxResource, 0, func(l *OwnerLoad) { l.Waits.Known = 1 }, fleet.MaxDuration},
 	} {
 		l := full
 		if c.change != nil {
--- a/node/convert.go
+++ b/node/convert.go
@@ -24,9 +24,9 @@
 // loadToProto returns the claim of an owner with the given fencing token.
 func loadToProto(group string, token uint64, l schedule.Load) *inner.Claim {
 	return &inner.Claim{
-		Group: group, Token: token, Free: uint32(max(l.Free, 0)), Waiting: uint32(l.Waiting), Capacity: l.Capacity, Closed: l.Closed,
-		WaitMs:  lo.Map(l.Waits.Until[:l.Waits.Known], func(d time.Duration, _ int) uint32 { return uint32(d.Milliseconds()) }),
-		UsualMs: uint32(l.Waits.TaskDuration.Milliseconds()), UsualMilliCpu: l.Waits.TaskMilliCPU,
+		Group: group, Token: token, Free: saturated32(int64(l.Free)), Waiting: uint32(l.Waiting), Capacity: l.Capacity, Closed: l.Closed,
+		WaitMs:  lo.Map(l.Waits.Until[:l.Waits.Known], func(d time.Duration, _ int) uint32 { return saturated32(d.Milliseconds()) }),
+		UsualMs: saturated32(l.Waits.TaskDuration.Milliseconds()), UsualMilliCpu: l.Waits.TaskMilliCPU,
 	}
 }
 
@@ -43,6 +43,9 @@
 	return w
 }
 
+// saturated32 returns the nearest value to v that a message field of 32 bits can hold.
+func saturated32(v int64) uint32 { return uint32(min(max(v, 0), math.MaxUint32)) }
+
 func toInts(list []uint32) []int { return lo.Map(list, func(v uint32, _ int) int { return int(v) }) }
 
 func toUint32s(list []int) []uint32 {
@@ -55,7 +58,7 @@
 	if leavesAt.IsZero() {
 		return 0
 	}
-	return uint32(min(max(leavesAt.Sub(now).Milliseconds(), 1), math.MaxUint32))
+	return saturated32(max(leavesAt.Sub(now).Milliseconds(), 1))
 }
 
 func drainsToProto(now time.Time, drains []directory.Drain) []*inner.UpstreamLife {
@@ -153,10 +156,10 @@
 	m := &inner.Offer{
 		Group: group, Job: o.Key.ID, Part: uint32(o.Key.Part), Service: o.Service, Route: o.Route, Spec: o.Spec,
 		MilliCpu: o.Demand.MilliCPU, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
-		EstimateMs: uint32(o.Estimate.Milliseconds()), Priority: uint32(o.Priority), MaxAttempts: uint32(o.MaxAttempts),
-		Tasks: toUint32s(o.Tasks), Stretch: o.Stretch, SlackMs: uint32(o.Slack.Milliseconds()),
-		AgeMs: uint32(o.Age.Milliseconds()), PatienceMs: uint32(max(o.Timeout, 0).Milliseconds()), MayQueue: o.MayQueue, Begun: o.Begun, Whole: o.AllOrNothing,
-		Past: taskHistoryToProto(o.History), AliveMs: aliveMs, Rack: o.Rack, MostOnOne: uint32(o.MaxPerUpstream),
+		EstimateMs: saturated32(o.Estimate.Milliseconds()), Priority: saturated32(int64(o.Priority)), MaxAttempts: saturated32(int64(o.MaxAttempts)),
+		Tasks: toUint32s(o.Tasks), Stretch: o.Stretch, SlackMs: saturated32(o.Slack.Milliseconds()),
+		AgeMs: saturated32(o.Age.Milliseconds()), PatienceMs: saturated32(o.Timeout.Milliseconds()), MayQueue: o.MayQueue, Begun: o.Begun, Whole: o.AllOrNothing,
+		Past: taskHistoryToProto(o.History), AliveMs: aliveMs, Rack: o.Rack, MostOnOne: saturated32(int64(o.MaxPerUpstream)),
 		AdoptFrom: o.AdoptFrom,
 	}
 	if o.AdoptFrom > 0 {
--- a/node/convert_test.go
+++ b/node/convert_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/directory"
 	"github.com/sedgehatch/sedgehatch/fleet"
+	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
 // TestLeavingTimesPass checks that instances pass on when an upstream leaves, counted on the clock
@@ -31,3 +33,18 @@
 		}
 	}
 }
+
+// TestLargestValuesPass guards against values that do not fit into the 32 bits of a message field and
+// arrive as small ones, such as a limit of 0, which means none.
+func TestLargestValuesPass(t *testing.T) {
+	sent := schedule.Load{Free: 1 << 40, Waits: schedule.Waits{Known: 1, TaskDuration: 60 * 24 * time.Hour}}
+	sent.Waits.Until[0] = 60 * 24 * time.Hour
+	const longest = math.MaxUint32 * time.Millisecond
+	if l := loadFromProto(loadToProto("a/0", 1, sent)); l.Free != math.MaxUint32 || l.Waits.Until[0] != longest || l.Waits.TaskDuration != longest {
+		t.Errorf("the load arrives as %+v", l)
+	}
+	o := schedule.Offer{Estimate: 60 * 24 * time.Hour, Timeout: 60 * 24 * time.Hour, MaxAttempts: 1 << 32, MaxPerUpstream: 1 << 32}
+	if got := offerFromProto(offerToProto("a/0", o, 0)); got.Estimate != longest || got.Timeout != longest || got.MaxAttempts != math.MaxUint32 || got.MaxPerUpstream != math.MaxUint32 {
+		t.Errorf("the offer arrives as %+v", got)
+	}
+}
