The forecast of very long tasks does not overflow

Callers would see their jobs break off: the owner's process ends with "index out of range [-1]" in timeline.split.

Cause: the expected duration times the factor by which it is longer on an upstream exceeds the range of a duration; converted, it is negative or so large that its sum with a start is negative, and a step was to be inserted before the first.

Change: scaled() bounds such products, also where they decide whether a job ends in time: there an overflow meant "in time". Products within the bound are computed as before, in the same order.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -185,7 +185,7 @@
 
 // finishesInTimeFrom is like finishesInTime for a task that starts at the given time.
 func (p *Pool) finishesInTimeFrom(start time.Time, j *job, factor float64) bool {
-	end := start.Add(time.Duration(factor * longestTaskFactor * float64(j.expectedTaskDuration)))
+	end := start.Add(scaled(j.expectedTaskDuration, factor*longestTaskFactor))
 	return end.Before(j.submittedAt().Add(j.objective()))
 }
 
--- a/schedule/demand_test.go
+++ b/schedule/demand_test.go
@@ -204,3 +204,25 @@
 		}
 	})
 }
+
+// TestForecastOfLongestTasks guards against an overflow of the forecast, which ended the owner's
+// process, where the longest tasks meet an upstream on which they take many times as long.
+func TestForecastOfLongestTasks(t *testing.T) {
+	for seed := range uint64(2000) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		p := fullPool(1, -2)
+		p.cfg.RemoteFactor = math.Exp(rng.Float64() * math.Log(1e7))
+		f := p.newForecast("s")
+		for range 50 {
+			duration := time.Duration(rng.Float64() * rng.Float64() * float64(fleet.MaxDuration))
+			j := &job{Offer: Offer{Rack: "elsewhere", Demand: p.upstreams["u000"].Capacity}, expectedTaskDuration: duration}
+			start, found := f.reserve(taskSet{j, 1, j.Demand, duration})
+			if !found {
+				break
+			}
+			if start.Before(p.now) {
+				t.Fatalf("seed %d: a task is expected to start %v ago", seed, p.now.Sub(start))
+			}
+		}
+	}
+}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -86,7 +86,7 @@
 
 // objective returns the latency objective of a job, counted from its first submission.
 func (j *job) objective() time.Duration {
-	return time.Duration(j.Stretch*longestTaskFactor*float64(j.expectedTaskDuration)) + j.Slack
+	return scaled(j.expectedTaskDuration, j.Stretch*longestTaskFactor) + j.Slack
 }
 
 func (j *job) submittedAt() time.Time { return j.offeredAt.Add(-j.Age) }
--- a/schedule/rack.go
+++ b/schedule/rack.go
@@ -26,12 +26,12 @@
 // durationHere converts the nominal duration of a task, which it takes in the rack of its data on
 // an upstream with lasting factor 1, to the one that it takes on the upstream of the run.
 func (r *run) durationHere(nominal time.Duration) time.Duration {
-	return time.Duration(r.durationFactor() * float64(nominal))
+	return scaled(nominal, r.durationFactor())
 }
 
 // durationOn returns how long a task of a job is expected to take on an upstream in normal times.
 func (p *Pool) durationOn(j *job, u *upstream) time.Duration {
-	return time.Duration(p.remoteFactor(j, u) * u.speed.factor() * float64(j.expectedTaskDuration))
+	return scaled(j.expectedTaskDuration, p.remoteFactor(j, u)*u.speed.factor())
 }
 
 // nominalDuration is the inverse of durationHere.
--- a/schedule/reserve.go
+++ b/schedule/reserve.go
@@ -161,7 +161,7 @@
 	case f.fast && s.factor > 1 && set.job != nil && !f.pool.finishesInTimeFrom(f.pool.now.Add(s.at), set.job, s.factor*s.speed):
 		return never
 	default:
-		return s.at + time.Duration((factor-1)*longestTaskFactor*float64(set.duration))
+		return s.at + scaled(set.duration, (factor-1)*longestTaskFactor)
 	}
 }
 
@@ -170,7 +170,7 @@
 	if s.factor == 1 && s.speed == 1 {
 		return set.duration
 	}
-	return time.Duration(s.factor * s.speed * float64(set.duration))
+	return scaled(set.duration, s.factor*s.speed)
 }
 
 // take reserves the earliest start on an upstream for the next task of a set.
--- a/schedule/timeline.go
+++ b/schedule/timeline.go
@@ -81,6 +81,12 @@
 // never is later than any time in a forecast.
 const never = time.Duration(math.MaxInt64 / 4)
 
+// scaled returns a duration times a factor, but at most never, so that a few of them can be added
+// without an overflow.
+func scaled(d time.Duration, factor float64) time.Duration {
+	return time.Duration(min(factor*float64(d), float64(never)))
+}
+
 // newTimelines returns the timelines of the usable upstreams of one service.
 func (p *Pool) newTimelines(service string) *timelines {
 	f := &timelines{pool: p, smallest: p.smallestWaiting(service)}
