Tasks without CPU demand start while all CPU is taken

Callers saw: jobs whose tasks demand memory alone wait, and are refused as late, while there is memory for them.

Cause: placeWaiting returned at once if the largest free CPU capacity was 0, which also stood for "no usable upstream".

Change: -1 stands for that. Tasks with CPU demand are placed as before: mayStart compares the demand with the free capacity as it did.

TestMemoryOnlyStartsBesideFullCPU: 0 of 3 tasks started before, 3 of 3 after.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -7,9 +7,10 @@
 )
 
 // maxFreeMilliCPU returns the largest free CPU capacity of a single usable upstream, in
-// thousandths of a core.
+// thousandths of a core. It returns -1 if no upstream is usable, so that not even a task without
+// CPU demand can start.
 func (p *Pool) maxFreeMilliCPU() int64 {
-	most := int64(0)
+	most := int64(-1)
 	for _, u := range p.sortedUpstreams {
 		if left := u.Capacity.MilliCPU - u.used.MilliCPU; left > most && p.usable(u, p.now) {
 			most = left
--- a/schedule/demand_test.go
+++ b/schedule/demand_test.go
@@ -43,6 +43,21 @@
 	}
 }
 
+// TestMemoryOnlyStartsBesideFullCPU guards against tasks that demand no CPU waiting for free CPU.
+func TestMemoryOnlyStartsBesideFullCPU(t *testing.T) {
+	p := fullPool(1, -2)
+	capacity := p.upstreams["u000"].Capacity
+	if e := p.Offer(startTime, demandOffer(1, 1, fleet.Resources{MilliCPU: capacity.MilliCPU})); len(e.Starts) != 1 {
+		t.Fatalf("%d tasks start that fill the upstream, want 1", len(e.Starts))
+	}
+	if e := p.Offer(startTime, demandOffer(2, 3, fleet.Resources{MemoryMB: 1})); len(e.Starts) != 3 {
+		t.Errorf("%d of 3 tasks start that demand no CPU", len(e.Starts))
+	}
+	if e := p.Offer(startTime, demandOffer(3, 1, fleet.Resources{MilliCPU: 1})); len(e.Starts) != 0 {
+		t.Error("a task starts although no CPU is free")
+	}
+}
+
 // extremes returns one of the smallest and largest values up to most, or one in between.
 func extremes(rng *rand.Rand, most int64) int64 {
 	switch rng.IntN(5) {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -16,7 +16,7 @@
 )
 
 // placeWaiting starts waiting tasks while there is capacity. It goes through the queue once, or
-// not at all if no upstream has free CPU capacity.
+// not at all if no upstream can start a task.
 func (p *Pool) placeWaiting() {
 	p.placementDue = false
 	if p.draining || len(p.queue) == 0 {
@@ -24,7 +24,7 @@
 	}
 	p.refreshRenewalCheck()
 	pass := &placement{pool: p, freeMilliCPU: p.maxFreeMilliCPU()}
-	if pass.freeMilliCPU <= 0 {
+	if pass.freeMilliCPU < 0 {
 		return
 	}
 	p.sortQueue()
