An owner that the store turns away asks its peers for its upstreams

Callers saw: tasks on upstreams that have no room for them (LIMIT), for as long as the store turns the owner away, after its peer was started again.

Cause: a changed capacity travels in heartbeats for 3 s after an instance has learned of the change. An instance that starts reads the new entry as its first, has no change to report, and the owner, which cannot read the store, never hears of it. The same holds for a pair that was cut off for longer than 3 s.

TestShrunkWhilePeerWasAway without the change: the owner's list keeps the former capacity until the test's limit of 20 s, with a store that is silent. Ruled out: an owner that knows the new capacity and ignores it (its list does not have it). Reporting each first reading as a change, the claim's way, would mend this case only and send all capacities of the fleet with each heartbeat for 3 s after each start.

Change: an owner whose list is over 2 s old requests the upstreams of its groups from its neighbours in turn, once a second, up to four in a row; one that has read the list more recently replies with their state. It is the request that a starting instance has made until now, which also goes to other zones now. 11.4 KB for a group of 96 upstreams, nothing while the store answers, a refusal of a few bytes where it answers nobody.

Tests of node pass.

--- a/node/follow.go
+++ b/node/follow.go
@@ -29,6 +29,9 @@
 	// changed since the last call of either.
 	replace func(items []platform.Item, revision uint64)
 	update  func(items []platform.Item)
+	// onRead is called after each successful call to the store, once its result has been
+	// passed on. It may be nil.
+	onRead func()
 	// onReadFailure is called after each failed call to the store after which the next call
 	// must read all keys. It may be nil.
 	onReadFailure func()
@@ -76,6 +79,9 @@
 			} else if len(items) > 0 {
 				f.update(items)
 			}
+			if f.onRead != nil {
+				f.onRead()
+			}
 			synced = !n.waitForNextFullRead(f)
 			if synced {
 				n.sleep(f.readPause())
--- a/node/groups.go
+++ b/node/groups.go
@@ -38,8 +38,11 @@
 
 // groupOf returns the group of an upstream, or "" if the number of groups of its
 // availability zone is not known yet. n.mu is held.
-func (n *Node) groupOf(u fleet.Upstream) string {
-	count := n.groupCounts[u.Zone]
+func (n *Node) groupOf(u fleet.Upstream) string { return groupAmong(u, n.groupCounts[u.Zone]) }
+
+// groupAmong returns the group of an upstream, given the number of groups of its availability
+// zone, or "" if that is 0.
+func groupAmong(u fleet.Upstream, count int) string {
 	if count == 0 {
 		return ""
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -118,6 +118,8 @@
 	// upstreamRequests counts the requests to peers for the list of upstreams. It
 	// selects which peer is asked next.
 	upstreamRequests     int
+	lastUpstreamRequest  time.Time // when refreshUpstreams last requested upstreams
+	upstreamsReadAt      time.Time // when the upstreams were last read from the store; zero before the first time
 	creatingGroupCount   bool      // a goroutine is writing the own zone's number of groups to the store
 	lastFarHeartbeat     time.Time // when the last heartbeats were sent to far neighbours
 	lastRelay            time.Time // when owners in other zones were last relayed to the spokes
--- a/node/peers.go
+++ b/node/peers.go
@@ -41,6 +41,7 @@
 	n.applyPeerChanges(n.updatePeers())
 	n.updateNeighbours()
 	n.reconcileGroups()
+	n.refreshUpstreams()
 	n.sendHeartbeats()
 }
 
@@ -196,7 +197,7 @@
 	case *inner.Frame_ConfigRequest:
 		n.sendConfig(conn)
 	case *inner.Frame_UpstreamsRequest:
-		n.replyWithUpstreams(body.UpstreamsRequest.GetZone(), reply)
+		n.replyWithUpstreams(body.UpstreamsRequest, reply)
 	case *inner.Frame_ConfigReply:
 		n.applyConfig(body.ConfigReply.GetConfig(), from.Instance())
 	}
--- a/node/timing.go
+++ b/node/timing.go
@@ -110,6 +110,12 @@
 	// even if the store is unavailable. The interval is long because there are some thousand
 	// entries, of some 400 bytes each on the wire.
 	fullReadInterval = 30 * time.Second
+	// maxUpstreamListAge is the age of the last read of the upstreams from which on an instance
+	// that owns groups requests theirs from its peers, every upstreamRequestInterval until it can
+	// read them again. Usually the store responds every upstreamWatchWait plus ownerReadPause at
+	// the latest.
+	maxUpstreamListAge      = 2 * time.Second
+	upstreamRequestInterval = time.Second
 	// peerListTimeout is how long a new instance waits for the list of instances before it
 	// reads the upstreams. Normally the list arrives within milliseconds, and shows that most
 	// instances of a large zone need not read the upstreams. In a small zone all may need
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -20,7 +20,8 @@
 func (n *Node) followUpstreams() {
 	n.awaitPeerList()
 	n.follow(storeFollower{
-		prefix: platform.UpstreamPrefix, watchWait: constant(upstreamWatchWait), readPause: n.upstreamReadPause, mode: n.upstreamFollowMode, onReadFailure: n.requestUpstreams,
+		prefix: platform.UpstreamPrefix, watchWait: constant(upstreamWatchWait), readPause: n.upstreamReadPause, mode: n.upstreamFollowMode, onReadFailure: n.requestUnknownUpstreams,
+		onRead: n.recordUpstreamRead,
 		replace: func(items []platform.Item, _ uint64) {
 			n.applyUpstreamChanges(n.directory.Replace(clock.Now(), n.parseEntries(items)))
 		},
