A cancellation reaches the job wherever it is

Callers saw: a customer is told that there is no such job (410) and its job runs on to its end, because the cancellation met another instance than the job's.

Cause: Cancel looked only at the jobs that this instance coordinates, and told nobody. By the same cause a cancellation that overtakes its job was lost, and one that met one of two open submissions.

Change: a cancellation goes to all hubs, and to the spokes unless the job was open where it arrived.

--- a/event/event.go
+++ b/event/event.go
@@ -74,6 +74,7 @@
 	OfferAdopting   = add(711, "offer_adopting", slog.LevelInfo, "The owner of a group was lost while an offer was open; the next owner is asked for the ends of the offered tasks.")
 	RunAdopted      = add(712, "run_adopted", slog.LevelInfo, "A run that a former owner of the group had started counts for the job: it was done, or this instance takes it over while it is running; the attribute reason tells which.")
 	AdoptionFailed  = add(713, "adoption_failed", slog.LevelWarn, "The tasks of a job that were lost with the former owner of the group cannot be completed; the attribute task gives how many, reason tells why.")
+	JobCancelled    = add(714, "job_cancelled", slog.LevelInfo, "A customer cancelled a job that this instance does not coordinate. The attribute found tells whether another instance had it, unproved_groups how many groups may still run tasks of it.")
 	UpstreamDoubted = add(801, "upstream_doubted", slog.LevelWarn, "An upstream fails or is slow. It gets no work during a pause, and then only a trial task.")
 	UpstreamTrusted = add(802, "upstream_trusted", slog.LevelInfo, "An upstream that got no work after the event upstream_doubted completed its trial task and gets work again.")
 	UpstreamSilent  = add(803, "upstream_silent", slog.LevelWarn, "An upstream does not respond; its leases are no longer renewed and will expire.")
--- a/ingress/coordinator.go
+++ b/ingress/coordinator.go
@@ -114,6 +114,7 @@
 	sendsInFlight atomic.Int32
 	lastResume    resumeTracker
 	orphans       orphanedJobs
+	cancelled     cancelledJobs
 	shards        [shardCount]jobShard
 }
 
@@ -148,9 +149,12 @@
 // Run coordinates a job and returns the response once the job has a verdict, the customer's
 // timeout has passed, or disconnected is closed. If a job with the same id is already open,
 // Run starts no second one: it waits for the open job, and each of the waiting connections
-// receives the same response.
+// receives the same response. A job that was cancelled lately is not run.
 func (c *Coordinator) Run(r Request, disconnected <-chan struct{}) Response {
 	j, w, created := c.attachOrCreate(r)
+	if j == nil {
+		return Response{Verdict: Failed, Reason: reasonCancelled}
+	}
 	if created {
 		j.offerUnassigned()
 	}
@@ -181,7 +185,7 @@
 }
 
 // attachOrCreate adds a waiter for the request to the open job with the same id, or creates
-// a job if there is none.
+// a job if there is none. It returns no job if the job was cancelled lately.
 func (c *Coordinator) attachOrCreate(r Request) (j *openJob, w *waiter, created bool) {
 	s := c.shard(r.Job.ID)
 	s.mu.Lock()
@@ -191,6 +195,9 @@
 			return existing, w, false
 		}
 	}
+	if c.IsCancelled(r.Job.ID) {
+		return nil, nil, false
+	}
 	j, w = c.newJob(r)
 	s.jobs[r.Job.ID] = j
 	return j, w, true
@@ -225,19 +232,6 @@
 	return fleet.StateQueued, true
 }
 
-// Cancel ends a job with the verdict Failed, and reports whether it was open.
-func (c *Coordinator) Cancel(id string) bool {
-	s := c.shard(id)
-	s.mu.Lock()
-	j := s.jobs[id]
-	s.mu.Unlock()
-	if j == nil {
-		return false
-	}
-	j.settle(Failed, "cancelled")
-	return true
-}
-
 // EndDisconnected ends each job whose customer has no open connection left, as far as the
 // operating system knows now, and withdraws the job's offers. A connection from before the last
 // suspension of the machine counts as closed. EndDisconnected must be called before the renewal
--- a/ingress/job.go
+++ b/ingress/job.go
@@ -326,6 +326,8 @@
 		j.settle(Completed, "")
 	case r.Outcome == schedule.Failed:
 		j.settle(Failed, "a task failed as often as it may")
+	case r.Outcome == schedule.Cancelled:
+		j.settle(Failed, reasonCancelled)
 	case r.Outcome == schedule.Crashed:
 		j.settle(Failed, "upstreams crash under a task")
 	case r.Outcome == schedule.Expired && r.Begun:
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -61,6 +61,7 @@
 // Server is the HTTP server for customers.
 type Server struct {
 	coordinator    *Coordinator
+	canceller      Canceller
 	config         ConfigSource
 	recorder       Recorder
 	shutdownStatus ShutdownStatus
@@ -68,8 +69,8 @@
 }
 
 // NewServer returns a Server that is not serving yet. Call Serve to start it.
-func NewServer(coordinator *Coordinator, config ConfigSource, shutdownStatus ShutdownStatus, recorder Recorder) *Server {
-	s := &Server{coordinator: coordinator, config: config, recorder: recorder, shutdownStatus: shutdownStatus}
+func NewServer(coordinator *Coordinator, canceller Canceller, config ConfigSource, shutdownStatus ShutdownStatus, recorder Recorder) *Server {
+	s := &Server{coordinator: coordinator, canceller: canceller, config: config, recorder: recorder, shutdownStatus: shutdownStatus}
 	s.http = &fasthttp.Server{
 		Handler: s.handleAndClose, MaxRequestBodySize: maxBodyBytes, ReadBufferSize: readBufferBytes, IdleTimeout: idleTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
@@ -157,14 +158,6 @@
 	writeJSON(ctx, fasthttp.StatusOK, platform.EncodeState(state))
 }
 
-func (s *Server) handleCancel(ctx *fasthttp.RequestCtx, id string) {
-	if !s.coordinator.Cancel(id) {
-		ctx.SetStatusCode(fasthttp.StatusGone)
-		return
-	}
-	ctx.SetStatusCode(fasthttp.StatusOK)
-}
-
 func (s *Server) handleSubmit(ctx *fasthttp.RequestCtx, config *fleet.Config, route *fleet.Route, id string) {
 	receivedAt := clock.Now()
 	job, err := parseJob(config, id, ctx.PostBody())
@@ -247,8 +240,8 @@
 	}
 }
 
-// writeUnavailable responds with status 503, which means that no task of the job has run or
-// will run, and with the time after which the customer should send the job again.
+// writeUnavailable responds with status 503, and with the time after which the customer should send
+// the request again. To a submission it means that no task of the job has run or will run.
 func writeUnavailable(ctx *fasthttp.RequestCtx, reason string, retryAfter time.Duration) {
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	writeText(ctx, fasthttp.StatusServiceUnavailable, reason)
--- a/ingress/watch_test.go
+++ b/ingress/watch_test.go
@@ -53,7 +53,7 @@
 	config := &fleet.Config{Version: 1, Routes: []fleet.Route{{Name: "r", Host: "desk.example", PathPrefix: "/checks/", Stretch: 1.6, MaxAttempts: 2}}}
 	config.Index()
 	notStopping := func() (time.Duration, bool) { return 0, false }
-	server := NewServer(NewSimulatedCoordinator("a", s.owners, s.clock, DefaultPolicy, alwaysHalf), func() *fleet.Config { return config }, notStopping, s.records)
+	server := NewServer(NewSimulatedCoordinator("a", s.owners, s.clock, DefaultPolicy, alwaysHalf), noOthers{}, func() *fleet.Config { return config }, notStopping, s.records)
 	conns := &connset.Set{}
 	s.t.Cleanup(conns.Close)
 	ended := make(chan error, 1)
--- a/inner/connection.go
+++ b/inner/connection.go
@@ -348,6 +348,10 @@
 		return "upstreams"
 	case *Frame_Renewal:
 		return "renewal"
+	case *Frame_CancelJob:
+		return "cancel_job"
+	case *Frame_CancelJobReply:
+		return "cancel_job_reply"
 	case *Frame_Learn, *Frame_Known:
 		return "learn"
 	case *Frame_Problem:
--- a/node/convert.go
+++ b/node/convert.go
@@ -144,12 +144,24 @@
 }
 
 func offerEndedFrame(g *owner.Group, r schedule.Result, l schedule.Load) *inner.Frame {
+	outcome := r.Outcome
+	if outcome == schedule.Cancelled {
+		outcome = schedule.Failed // an instance of an earlier version would offer the tasks again
+	}
 	return &inner.Frame{Body: &inner.Frame_OfferEnded{OfferEnded: &inner.OfferEnded{
-		Outcome: string(r.Outcome), Done: toUint32s(r.Done), Returned: toUint32s(r.Returned), Begun: r.Begun, Load: claimToProto(g, l),
+		Outcome: string(outcome), Cancelled: r.Outcome == schedule.Cancelled, Done: toUint32s(r.Done), Returned: toUint32s(r.Returned), Begun: r.Begun, Load: claimToProto(g, l),
 		Past: taskHistoryToProto(r.History),
 	}}}
 }
 
+// outcomeFromProto is the inverse of what offerEndedFrame does to the outcome.
+func outcomeFromProto(m *inner.OfferEnded) schedule.Outcome {
+	if m.GetCancelled() {
+		return schedule.Cancelled
+	}
+	return schedule.Outcome(m.GetOutcome())
+}
+
 // offerToProto returns the message for an offer. aliveMs is when the customer was last known
 // to be connected, in milliseconds of the receiver's clock.
 func offerToProto(group string, o schedule.Offer, aliveMs uint64) *inner.Offer {
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,7 @@
 	"github.com/samber/do/v2"
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
 )
 
 // fleetName identifies the fleet in the handshake between instances, so that instances of
@@ -76,6 +77,8 @@
 	server                 *ingress.Server
 	config                 atomic.Pointer[fleet.Config]
 	shuttingDown           atomic.Bool
+	cancelLimiter          *rate.Limiter
+	cancelsRelayed         atomic.Uint32             // selects the hub that passes the next cancellation on
 	customerListenerFailed atomic.Bool               // the server for customers has ended with an error
 	drainDeadline          atomic.Pointer[time.Time] // when a planned shutdown ends; nil while none is under way
 	startedAt              time.Time
@@ -164,13 +167,14 @@
 		groups: map[string]*ownedGroup{}, dialing: map[string]bool{}, refusedAt: map[string]time.Time{}, dialOutcomes: map[string]dialOutcome{}, registeredZones: map[string]string{}, emptySince: map[string]time.Time{}, orphanRetryAt: map[string]time.Time{}, groupCounts: map[string]int{},
 	}
 	n.decisions = newDecisionLog(n.log)
+	n.cancelLimiter = newCancelLimiter()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
 	n.router = newRouter(n)
 	n.ingress = ingress.NewCoordinator(settings.Zone, n.router)
-	n.server = ingress.NewServer(n.ingress, n.config.Load, n.shutdownStatus, n)
+	n.server = ingress.NewServer(n.ingress, n, n.config.Load, n.shutdownStatus, n)
 	n.mesh = inner.NewMesh(inner.Config{
 		Fleet: fleetName, Self: n.self, Region: settings.Region, Zone: settings.Zone, Address: n.settings.PeerAddress,
 		Resolver: n, Handler: n, OnHello: n.handleHello, Dial: n.dial, DialTimeout: dialTimeout, CountSent: n.metrics.CountSent, QueueOnly: true,
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -281,7 +281,7 @@
 	cfg.RemoteFactor = n.settings.Timing.RemoteFactor
 	cfg.EndedOwner = n.endedOwner(group)
 	cfg.LinkRate = n.settings.LinkRate // not divided: each group may use the whole link, even if there are several
-	n.groups[group] = &ownedGroup{Group: owner.NewGroup(group, cfg, n.highestToken, n.upstreamClient, n), takenAt: clock.Now()}
+	n.groups[group] = &ownedGroup{Group: owner.NewGroup(group, cfg, n.highestToken, n.upstreamClient, n, n.ingress.IsCancelled), takenAt: clock.Now()}
 	n.groups[group].ImportSpeeds(n.speedsOfGroup(group))
 	n.lastTakenAt = clock.Now()
 	event.GroupTaken.Log(n.log, slog.String("group", group), slog.Uint64("token", n.highestToken),
--- a/node/peers.go
+++ b/node/peers.go
@@ -194,6 +194,8 @@
 		n.router.handleWithdrawal(conn, from, body.OfferWithdrawn)
 	case *inner.Frame_Renewal:
 		n.router.handleRenewal(conn, from, body.Renewal)
+	case *inner.Frame_CancelJob:
+		n.handleCancelJob(body.CancelJob, reply)
 	case *inner.Frame_ConfigRequest:
 		n.sendConfig(conn)
 	case *inner.Frame_UpstreamsRequest:
--- a/node/router.go
+++ b/node/router.go
@@ -231,7 +231,7 @@
 		ended := f.GetOfferEnded()
 		r.updateLoad(ended.GetLoad())
 		offer.OfferEnded(schedule.Result{
-			Key: k.job, Outcome: schedule.Outcome(ended.GetOutcome()), Begun: ended.GetBegun(),
+			Key: k.job, Outcome: outcomeFromProto(ended), Begun: ended.GetBegun(),
 			Done: toInts(ended.GetDone()), Returned: toInts(ended.GetReturned()), History: taskHistoryFromProto(ended.GetPast()),
 		}, loadFromProto(ended.GetLoad()))
 	}
--- a/node/timing.go
+++ b/node/timing.go
@@ -60,6 +60,20 @@
 // its zone.
 const relayInterval = 500 * time.Millisecond
 
+// Cancellations.
+
+const (
+	// How long to wait for the reply to a cancellation: of a spoke, of a hub that waits for
+	// spokes, and of a hub that waits for other hubs.
+	cancelSpokeTimeout = 150 * time.Millisecond
+	cancelHubTimeout   = 300 * time.Millisecond
+	cancelRelayTimeout = 500 * time.Millisecond
+	// cancelPatience is how long a cancellation is tried again, every cancelRetryDelay, because
+	// the owner of a group has not replied. A lost owner is replaced within about that time.
+	cancelPatience   = time.Second
+	cancelRetryDelay = 200 * time.Millisecond
+)
+
 // Loads of owners.
 
 // maxLoadAge is the maximum age of an owner's last load report at which jobs are offered to it
--- a/node/upstreamrequest.go
+++ b/node/upstreamrequest.go
@@ -160,7 +160,6 @@
 	list := n.directory.ListForPeer(func(u fleet.Upstream) bool {
 		return u.Zone == m.GetZone() && (len(m.GetGroups()) == 0 || slices.Contains(m.GetGroups(), groupAmong(u, groupCount)))
 	})
-	n.metrics.CountSent("upstreams_reply")
 	reply(&inner.Frame{Body: &inner.Frame_UpstreamsReply{UpstreamsReply: &inner.UpstreamsReply{
 		Upstreams: lo.Map(list, func(u fleet.Upstream, _ int) *inner.Upstream { return upstreamToProto(clock.Now(), u) }),
 	}}})
--- a/owner/group.go
+++ b/owner/group.go
@@ -77,8 +77,9 @@
 	Name  string
 	Token uint64 // fencing token
 
-	client   UpstreamClient
-	observer Observer
+	client      UpstreamClient
+	observer    Observer
+	isCancelled func(job string) bool
 
 	mu           sync.Mutex // guards pool, rtt, callbacks, holding and closed
 	pool         *schedule.Pool
@@ -91,9 +92,11 @@
 }
 
 // NewGroup returns a group without upstreams and starts its periodic work. Close ends that work.
-func NewGroup(name string, cfg schedule.Config, token uint64, client UpstreamClient, observer Observer) *Group {
+// The function isCancelled reports whether a job was cancelled lately; it is called with the lock
+// of the group held.
+func NewGroup(name string, cfg schedule.Config, token uint64, client UpstreamClient, observer Observer, isCancelled func(job string) bool) *Group {
 	g := &Group{
-		Name: name, Token: token, client: client, observer: observer,
+		Name: name, Token: token, client: client, observer: observer, isCancelled: isCancelled,
 		pool: schedule.NewPool(cfg, token), callbacks: map[schedule.JobKey]OfferCallbacks{}, holding: map[string]bool{}, done: make(chan struct{}),
 		closeLimiter: rate.NewLimiter(closeRate, closeBurst),
 	}
--- a/owner/link_test.go
+++ b/owner/link_test.go
@@ -204,7 +204,7 @@
 	cfg := schedule.DefaultConfig
 	cfg.LinkRate = slowLinkRate
 	cfg.LinkRate = slowLinkRate
-	o.Group = NewGroup("a/0", cfg, 1, o.link, noopObserver{})
+	o.Group = NewGroup("a/0", cfg, 1, o.link, noopObserver{}, func(string) bool { return false })
 	o.SetUpstreams(upstreams)
 	time.Sleep(time.Second) // until the first reports have arrived
 	return o
--- a/owner/offer.go
+++ b/owner/offer.go
@@ -34,10 +34,26 @@
 	}
 	g.callbacks[o.Key] = callbacks
 	g.mu.Unlock()
-	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects { return p.Offer(now, o) })
+	g.apply(func(p *schedule.Pool, now time.Time) schedule.Effects {
+		if g.isCancelled(o.Key.ID) {
+			return schedule.Effects{Results: []schedule.Result{{Key: o.Key, Outcome: schedule.Cancelled, Begun: o.Begun || o.AdoptFrom > 0}}}
+		}
+		return p.Offer(now, o)
+	})
 	return nil
 }
 
+// Cancel ends all offers of a job and stops its runs, and reports whether there were any. The
+// caller must have made isCancelled return true for the job, so that the group refuses further
+// offers of it.
+func (g *Group) Cancel(job string) (found bool) {
+	g.apply(func(p *schedule.Pool, now time.Time) (effects schedule.Effects) {
+		found, effects = p.Cancel(now, job)
+		return effects
+	})
+	return found
+}
+
 // Withdraw cancels an offer: its running tasks are stopped, its waiting ones dropped, and its
 // callbacks are not called any more.
 func (g *Group) Withdraw(key schedule.JobKey, reason string) {
--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -42,6 +42,8 @@
 	mayCrash        bool                   // as in modelCase
 	crashesByTask   map[fleet.TaskRef]int  // has an entry for each task that crashes upstreams: how many it has crashed under the current pool
 	mayLeave        bool                   // as in modelCase
+	mayCancel       bool                   // as in modelCase
+	cancelledJobs   map[string]bool        // jobs that were cancelled and have not been offered since
 	evacuated       bool                   // all upstreams are closed
 	// The fields below are used only if modelCase.mayAdopt is set.
 	mayAdopt bool
@@ -105,6 +107,9 @@
 
 func (w *testCluster) sendStart(s Start) {
 	token, run := w.poolToken, s.Order.Run
+	if w.cancelledJobs[run.Task.Job] {
+		w.t.Fatalf("%v is ordered to start although its job was cancelled", run)
+	}
 	w.orderedFor[run] = w.submissions[run.Task]
 	delete(w.orderedByFormer, runOn{s.Upstream.ID, run})
 	u := w.findUpstream(s.Upstream.ID)
@@ -194,7 +199,7 @@
 		openJobs: map[JobKey]*simJob{}, startedTasks: map[fleet.TaskRef]bool{}, returnedTasks: map[fleet.TaskRef]bool{}, ackedDone: map[fleet.TaskRef]bool{}, crashesByTask: map[fleet.TaskRef]int{},
 		doneTasks: map[fleet.TaskRef]bool{}, orderedByFormer: map[runOn]bool{}, cutOff: map[string]bool{},
 		submissions: map[fleet.TaskRef]int{}, orderedFor: map[fleet.Run]int{}, capacityAtOrder: map[fleet.Run]fleet.Resources{},
-		listedCapacity: map[string]fleet.Resources{}, pendingStarts: map[*standin.UpstreamModel][]fleet.StartOrder{},
+		cancelledJobs: map[string]bool{}, listedCapacity: map[string]fleet.Resources{}, pendingStarts: map[*standin.UpstreamModel][]fleet.StartOrder{},
 	}
 	for i := range 4 {
 		w.upstreams = append(w.upstreams, w.newUpstream(fmt.Sprintf("u%d", i)))
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -241,6 +241,7 @@
 	for i := range 1 + w.Rand.IntN(8) {
 		o.Tasks = append(o.Tasks, i)
 	}
+	delete(w.cancelledJobs, key.ID)
 	if w.mayCrash && w.Rand.IntN(8) == 0 {
 		w.crashesByTask[fleet.TaskRef{Job: key.ID}] = 0
 	}
@@ -282,6 +283,37 @@
 	})
 }
 
+// cancel cancels a job at the pool, which must end all of its offers.
+func (w *testCluster) cancel(id string) {
+	w.cancelledJobs[id] = true
+	found, effects := w.pool.Cancel(w.Now(), id)
+	open := lo.Filter(w.openKeys(), func(key JobKey, _ int) bool { return key.ID == id })
+	if !found || len(effects.Results) != len(open) {
+		w.t.Fatalf("the cancellation of %s found it: %v, and ended %d of its %d offers", id, found, len(effects.Results), len(open))
+	}
+	for _, r := range effects.Results {
+		if r.Outcome != Cancelled {
+			w.t.Fatalf("an offer of the cancelled job %s ended as %s", id, r.Outcome)
+		}
+	}
+	w.applyEffects(effects)
+}
+
+// TestModelCancels is TestModel with customers that cancel jobs. No task of a cancelled job may be
+// ordered to start, unless the job is offered again.
+func TestModelCancels(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		modelCase{
+			seed:      rapid.Uint64().Draw(t, "seed"),
+			lossShare: rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss"),
+			lateShare: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late"),
+			steps:     rapid.IntRange(20, 80).Draw(t, "jobs"), mayEvacuate: rapid.Bool().Draw(t, "evacuates"),
+			mayRestart: rapid.Bool().Draw(t, "restarts"), mayResize: rapid.Bool().Draw(t, "resizes"),
+			mayLeave: rapid.Bool().Draw(t, "leaves"), mayAdopt: rapid.Bool().Draw(t, "adopts"), mayCancel: true,
+		}.run(t)
+	})
+}
+
 // TestModelSeeds replays cases of TestModel that have revealed faults before.
 func TestModelSeeds(t *testing.T) {
 	for _, c := range []modelCase{
@@ -308,13 +340,14 @@
 	mayResize, mayCrash bool
 	mayLeave            bool // upstreams drain, most of them saying how long they stay, and leave
 	// mayAdopt lets coordinators make adopting offers after a takeover; see adopt_test.go.
-	mayAdopt bool
+	mayAdopt  bool
+	mayCancel bool // customers cancel jobs
 }
 
 func (c modelCase) run(t failer) *testCluster {
 	w := newTestCluster(t, c.seed)
 	w.mayEvacuate, w.mayRestart, w.mayResize, w.mayCrash, w.mayLeave = c.mayEvacuate, c.mayRestart, c.mayResize, c.mayCrash, c.mayLeave
-	w.mayAdopt = c.mayAdopt
+	w.mayAdopt, w.mayCancel = c.mayAdopt, c.mayCancel
 	w.takeOver()
 	w.Run(startTime.Add(300 * time.Millisecond))
 	w.setFaults(c.lossShare, c.lateShare)
@@ -389,7 +422,9 @@
 		}
 		w.offerJob(i)
 	case 4:
-		if key, found := w.drawOpenJob(); found {
+		if key, found := w.drawOpenJob(); found && w.mayCancel && w.Rand.IntN(2) == 0 {
+			w.cancel(key.ID)
+		} else if found {
 			delete(w.openJobs, key)
 			w.applyEffects(w.pool.Withdraw(w.Now(), key, "test"))
 		}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -198,6 +198,7 @@
 	Crashed   Outcome = "crashed"    // a task reached its limit of crashed upstreams
 	Expired   Outcome = "expired"    // the job cannot finish in time
 	NeverFits Outcome = "never_fits" // no upstream is large enough for a task
+	Cancelled Outcome = "cancelled"  // the customer cancelled the job
 	Unknown   Outcome = "unknown"    // the pool cannot learn how runs end, or the customer resubmitted the job to another coordinator
 )
 
