A probe of a lost connection dials anew

Callers saw: a job whose tasks go on is answered 504 when the owner of its group is killed.

Cause: while a connection to the owner was being opened, the owner ended. That dial fails with "did not reply to the hello", which does not tell whether anything listens, and the probe of the closed connection got that error or, for 200 ms, its repetition. The next owner noticed the loss after 600 ms of silence; the leases had lapsed and there was nothing left to adopt.

Change: Mesh.Probe dials even if the last attempt has failed just now.

TestProbeAfterDialInProgress: Connect gives Unreachable during and after such a dial, Probe gives Gone.

--- a/inner/mesh.go
+++ b/inner/mesh.go
@@ -294,6 +294,27 @@
 	return c.peer, nil
 }
 
+// Probe opens a connection to an instance if there is none. It returns the error Gone if nothing
+// listens at the instance's address. Unlike Connect it dials even if the last attempt has failed
+// just now: that attempt may have begun while the instance was still running, and its error then
+// does not tell whether it is.
+func (m *Mesh) Probe(instance string) error {
+	state, err := m.dialStateOf(instance)
+	if err != nil {
+		return err
+	}
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if m.sharedConnection(instance) != nil {
+		return nil
+	}
+	state.connection, state.lastErr = m.dial(instance)
+	if state.lastErr != nil {
+		state.failedAt = clock.Now()
+	}
+	return state.lastErr
+}
+
 // connectionIfOpen returns the connection if it is open, and otherwise nil. It does not wait
 // for a dial in progress.
 func (s *dialState) connectionIfOpen() *connection {
--- a/inner/mesh_test.go
+++ b/inner/mesh_test.go
@@ -124,6 +124,39 @@
 	}
 }
 
+// TestProbeAfterDialInProgress guards against the end of a peer going unnoticed because a dial was in
+// progress when it ended: the error of that dial does not tell that nothing listens any more, and it
+// is returned by further dials for a while.
+func TestProbeAfterDialInProgress(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	resolver := &mapResolver{addresses: map[string]string{}}
+	a, _ := startMesh(t, resolver, "a.1", "f")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resolver.mu.Lock()
+	resolver.addresses["b"] = l.Addr().String()
+	resolver.mu.Unlock()
+	dialed := make(chan error, 1)
+	go func() { _, err := a.Connect("b"); dialed <- err }()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close() // the peer ends during the handshake
+	_ = conn.Close()
+	if err := <-dialed; !failure.Is(err, failure.Unreachable) {
+		t.Errorf("the dial in progress: error %v, want Unreachable", err)
+	}
+	if _, err := a.Connect("b"); !failure.Is(err, failure.Unreachable) {
+		t.Errorf("a dial right after it: error %v, want Unreachable", err)
+	}
+	if err := a.Probe("b"); !failure.Is(err, failure.Gone) {
+		t.Errorf("a probe: error %v, want Gone", err)
+	}
+}
+
 // TestPeerThatDoesNotRead checks that with QueueOnly no sender waits for a peer that reads
 // nothing, even if far more is sent than all buffers can hold.
 func TestPeerThatDoesNotRead(t *testing.T) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -232,8 +232,7 @@
 // probe connects to a peer after a connection to it broke. If the peer refuses, it does not run
 // any more, and probe marks it as dead without waiting until its heartbeats are missed.
 func (n *Node) probe(peer fate.Incarnation) {
-	_, err := n.mesh.Connect(peer.Instance())
-	if !failure.Is(err, failure.Gone) {
+	if !failure.Is(n.mesh.Probe(peer.Instance()), failure.Gone) {
 		return
 	}
 	n.mu.Lock()
