A peer without an open connection is probed

Cause: if no connection to the owner was open when it ended, nothing closed and nothing was probed. The heartbeats of the next ticks started dials in the background, whose refusals were ignored.

Change: a heartbeat that cannot be sent for want of a connection probes the peer, one probe at a time.

--- a/node/adopt_test.go
+++ b/node/adopt_test.go
@@ -1,15 +1,18 @@
 package node
 
 import (
+	"net"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fate"
+	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/ingress"
 	"github.com/sedgehatch/sedgehatch/inner"
 	"github.com/sedgehatch/sedgehatch/membership"
+	"github.com/sedgehatch/sedgehatch/platform"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
@@ -179,3 +182,29 @@
 	n.peers.MarkEnded("a-3.1")
 	check("the later owner has ended too", 7)
 }
+
+// TestEndedWithoutConnection guards against the end of a peer going unnoticed until its heartbeats are
+// missed, because no connection to it was open when it ended. Its runs would not be adopted then.
+func TestEndedWithoutConnection(t *testing.T) {
+	cluster := newTestCluster(t, []string{"a"}, 1, "a-1")
+	n := cluster.nodes["a-1"]
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry, err := platform.EncodeInstance(fleet.InstanceEntry{Address: l.Addr().String(), Region: "r", Zone: "a", Share: 0.1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close() // nothing listens there any more
+	cluster.store.Put(platform.InstancePrefix+"a-2", entry)
+	cluster.waitUntil("a-2 is listed", func() bool { return n.isNeighbour("a-2") })
+	n.mu.Lock()
+	n.peers.RecordHeartbeat("a-2.1", membership.Heartbeat{}, n.uptimeMs())
+	n.mu.Unlock()
+	cluster.waitUntil("a-2 is known to have ended", func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.peers.HasEnded("a-2")
+	})
+}
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -228,7 +228,9 @@
 		event.PeerUnsent.Log(n.log, slog.String("what", "presence"), slog.String("error", err.Error()))
 		return
 	}
-	_ = n.mesh.SendHeartbeat(p.Incarnation, e) // the receiver notices missing heartbeats
+	if err := n.mesh.SendHeartbeat(p.Incarnation, e); err != nil && wanted {
+		n.probeOnce(p.Incarnation) // no connection is open whose end would show that the peer has ended
+	}
 }
 
 // hubPeers returns the other hubs of the own availability zone if this instance is a hub,
--- a/node/peers.go
+++ b/node/peers.go
@@ -229,6 +229,23 @@
 	go n.probe(from)
 }
 
+// probeOnce calls probe in the background, unless a connection to the peer is being opened already.
+func (n *Node) probeOnce(peer fate.Incarnation) {
+	n.mu.Lock()
+	alreadyDialing := n.dialing[peer.Instance()]
+	n.dialing[peer.Instance()] = true
+	n.mu.Unlock()
+	if alreadyDialing {
+		return
+	}
+	go func() {
+		n.probe(peer)
+		n.mu.Lock()
+		delete(n.dialing, peer.Instance())
+		n.mu.Unlock()
+	}()
+}
+
 // probe connects to a peer after a connection to it broke. If the peer refuses, it does not run
 // any more, and probe marks it as dead without waiting until its heartbeats are missed.
 func (n *Node) probe(peer fate.Incarnation) {
