A report from before an owner's loss does not end its jobs

Cause: a lost owner that reports again has withdrawn the offers and will not be replaced, so that the job is given up. A report counted that the owner had sent before the loss, and that arrived on another connection, or was handled, just after it.

Change: reports of the first 20 ms after the loss do not count. The jobs of an owner that lives on get their 504 by its next report.

--- a/ingress/orphan.go
+++ b/ingress/orphan.go
@@ -39,8 +39,12 @@
 	giveUpOffer             // the ends of the tasks cannot be learned
 )
 
+// lateReportPeriod is how long after the loss of a connection reports may still be handled that the
+// owner sent before: on another connection, or while this instance was noticing the loss.
+const lateReportPeriod = 20 * time.Millisecond
+
 // nextStep decides about an orphaned offer, given the last known load of the owner of its group,
-// or nil if the group has no known owner. If the lost owner has itself reported since the loss, it
+// or nil if the group has no known owner. If the lost owner has itself sent a report since the loss, it
 // has withdrawn the offer together with the connection, and will not be replaced.
 func (o *orphan) nextStep(now time.Time, load *OwnerLoad) orphanStep {
 	switch {
@@ -50,7 +54,7 @@
 		return waitForOwner
 	case load.Token > o.lostToken:
 		return adoptOffer
-	case !load.Relayed && load.Age < now.Sub(o.lostAt):
+	case !load.Relayed && load.Age < now.Sub(o.lostAt)-lateReportPeriod:
 		return giveUpOffer
 	default:
 		return waitForOwner
--- a/ingress/orphan_test.go
+++ b/ingress/orphan_test.go
@@ -111,6 +111,17 @@
 			c.wait(100 * time.Millisecond)
 			c.wantResponse(Unknown, 125*time.Millisecond)
 		},
+		"a report from before the loss is handled after it": func(c *orphanCase) {
+			c.callbacks[0].OwnerLost(5)
+			c.wait(10 * time.Millisecond)
+			c.setOwner(5)
+			c.wait(90 * time.Millisecond)
+			c.setOwner(9)
+			c.wait(100 * time.Millisecond)
+			c.wantOffers(2, 5, true)
+			c.endLast(schedule.Result{Outcome: schedule.Completed, Done: []int{0, 1}, Begun: true})
+			c.wantResponse(Completed, 200*time.Millisecond)
+		},
 		"the customer leaves": func(c *orphanCase) {
 			c.callbacks[0].OwnerLost(5)
 			c.left = true
