An owner that is no hub any more is relayed, and hands its group over

Callers saw: jobs at other spokes of the zone are not placed in the group, for as long as that owner runs.

Cause: an instance that takes a group while few others are known may become a spoke later. Spokes exchange no heartbeats with each other, and hubs relayed the owners of other zones only. The handover that is meant for this case never came: a spoke looked for candidates among its near neighbours, of which it has none.

Evidence: TestNextOwnerTakesOverForSpoke, "timed out waiting until the coordinator knows the owner of its zone": 2 of 400 plays on; in the logs the group was taken with 1 to 6 candidates, the owner is "hub false" 20 s later, and no group_handed came. Ruled out: hubs that do not agree (all instances count 8).

Change: hubs relay such owners to their spokes, and a spoke takes the hubs of its zone as candidates.

TestOwnerThatIsNoHubAnyMore: without the relay "timed out waiting until a hub has relayed the owner", without the candidates "... until a hub owns the group".

--- a/node/adopt_test.go
+++ b/node/adopt_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -183,6 +184,45 @@
 	check("the later owner has ended too", 7)
 }
 
+// TestOwnerThatIsNoHubAnyMore guards against a group whose owner the spokes of its zone do not know
+// and that is never handed over: the owner was a hub when it took the group, and is a spoke since.
+func TestOwnerThatIsNoHubAnyMore(t *testing.T) {
+	var names []string
+	for i := range 13 {
+		names = append(names, fmt.Sprintf("a-%02d", i))
+	}
+	cluster := newTestCluster(t, []string{"a"}, 2, names[0])
+	former := cluster.nodes[names[0]]
+	for _, name := range names[1:] {
+		cluster.startWithCPUShare(name, 1.5*former.settings.CPUShare) // larger instances become hubs first
+	}
+	isSpoke := func(name string) bool {
+		n := cluster.nodes[name]
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return !n.neighbours.IsHub && n.neighbours.HubCount == 8
+	}
+	cluster.waitUntil("the owner is a spoke", func() bool { return isSpoke(names[0]) })
+	spoke := ""
+	cluster.waitUntil("there is another spoke", func() bool {
+		i := slices.IndexFunc(names[1:], isSpoke)
+		if i >= 0 {
+			spoke = names[1+i]
+		}
+		return i >= 0
+	})
+	cluster.waitUntil("a hub has relayed the owner to the other spoke", func() bool {
+		return slices.ContainsFunc(cluster.nodes[spoke].router.Loads(), func(l ingress.OwnerLoad) bool { return l.Group == "a/0" && l.Relayed })
+	})
+	cluster.waitUntil("a job submitted at the other spoke is completed", func() bool {
+		status, _ := cluster.submit(spoke, cluster.newJobID(), 1, 10)
+		return status == http.StatusOK
+	})
+	cluster.waitUntil("a hub owns the group", func() bool {
+		return cluster.owner("a/0") != names[0]
+	})
+}
+
 // TestEndedWithoutConnection guards against the end of a peer going unnoticed until its heartbeats are
 // missed, because no connection to it was open when it ended. Its runs would not be adopted then.
 func TestEndedWithoutConnection(t *testing.T) {
--- a/node/ownership.go
+++ b/node/ownership.go
@@ -350,11 +350,13 @@
 // ownZoneCandidates returns the instances that may own the groups of the own zone: its live hubs,
 // including this instance if it is one. n.mu is held.
 func (n *Node) ownZoneCandidates() []membership.Candidate {
-	var list []membership.Candidate
 	if n.neighbours.IsHub {
-		list = append(list, membership.Candidate{Name: n.settings.Name, CPUShare: n.settings.CPUShare})
+		self := membership.Candidate{Name: n.settings.Name, CPUShare: n.settings.CPUShare}
+		return append([]membership.Candidate{self}, n.liveCandidates(n.hubPeers())...)
 	}
-	return append(list, n.liveCandidates(n.hubPeers())...)
+	return n.liveCandidates(n.peers.Filter(func(p membership.Peer) bool {
+		return p.Zone == n.settings.Zone && n.neighbours.Has(p.Instance)
+	}))
 }
 
 // liveCandidates returns the peers that are alive, as candidates to own groups. n.mu is held.
--- a/node/relay.go
+++ b/node/relay.go
@@ -11,12 +11,12 @@
 	"github.com/sedgehatch/sedgehatch/schedule"
 )
 
-// Spokes receive no heartbeats from other zones, except from active owners there. The hubs of
-// their zone relay to them which instances own the groups of other zones, and the load of
-// those groups.
+// Spokes receive heartbeats only from the hubs of their zone and from active owners. The hubs
+// relay to them which other instances own groups, and the load of those groups: the owners in
+// other zones, and spokes of the own zone that were hubs when they took a group.
 
-// ownersToRelay returns the owners in other zones that this instance relays to the spokes of
-// its zone, or nil if no relay is due. Each hub relays a share of the owners.
+// ownersToRelay returns the owners that this instance relays to the spokes of its zone, or nil if
+// no relay is due. Each hub relays a share of the owners.
 func (n *Node) ownersToRelay() []*inner.RemoteOwner {
 	n.mu.Lock()
 	neighbours := n.neighbours
@@ -29,7 +29,7 @@
 		return nil
 	}
 	var share []*inner.RemoteOwner
-	for i, o := range n.router.ownersInOtherZones() {
+	for i, o := range n.router.ownersToRelay(neighbours.Spokes) {
 		if i%neighbours.HubCount == neighbours.Rank {
 			share = append(share, o)
 		}
@@ -37,15 +37,15 @@
 	return share
 }
 
-// ownersInOtherZones returns the owners in other zones that have sent heartbeats to this
-// instance themselves, ordered by group.
-func (r *router) ownersInOtherZones() []*inner.RemoteOwner {
+// ownersToRelay returns the owners in other zones, and those among the spokes of the own zone, that
+// have sent heartbeats to this instance themselves, ordered by group.
+func (r *router) ownersToRelay(spokes map[string]bool) []*inner.RemoteOwner {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []*inner.RemoteOwner
 	for _, group := range slices.Sorted(maps.Keys(r.peerOwners)) {
 		v := r.peerOwners[group]
-		if v.relayed || zoneOfGroup(group) == r.node.settings.Zone {
+		if v.relayed || zoneOfGroup(group) == r.node.settings.Zone && !spokes[v.peer.Instance()] {
 			continue
 		}
 		list = append(list, &inner.RemoteOwner{
