An instance that ends withdraws no offers of its peers

Callers would see: tasks stopped, and jobs answered 504, at the very end of an owner that ends in order.

Cause: closing its own connections, it handled their ends as the loss of the coordinators behind them, and ordered the upstreams to stop their runs, which the next owner was to adopt. Read in the code after one of 320 plays of TestNextOwnerTakesOverForSpoke whose runs were gone 30 ms after the loss; with SIGKILL no code runs.

Change: nothing is withdrawn once the instance ends. It has no test of its own.

--- a/node/peers.go
+++ b/node/peers.go
@@ -220,10 +220,14 @@
 
 // HandleConnectionClosed implements inner.ConnectionHandler. It withdraws the offers that
 // arrived on the connection, and checks at once whether the peer still runs, if it is a
-// neighbour.
+// neighbour. It does nothing if this instance itself ends and closes its connections: the peers
+// have not left, and the next owner may adopt the runs.
 func (n *Node) HandleConnectionClosed(conn inner.Connection, from fate.Incarnation) {
+	if n.ctx.Err() != nil {
+		return
+	}
 	n.router.handleConnectionClosed(conn, from)
-	if n.ctx.Err() != nil || !n.isNeighbour(from.Instance()) {
+	if !n.isNeighbour(from.Instance()) {
 		return
 	}
 	go n.probe(from)
