--- a/cli/soak.go
+++ b/cli/soak.go
@@ -32,6 +32,7 @@
 			&cli.BoolFlag{Name: "evacuations", Value: true, Usage: "also evacuate availability zones"},
 			&cli.BoolFlag{Name: "lives", Value: true, Usage: "also restart upstreams under the same IDs and change their capacity"},
 			&cli.BoolFlag{Name: "uneven", Value: true, Usage: "also use upstreams of different speed, and drain upstreams at short notice"},
+			&cli.BoolFlag{Name: "cancellations", Value: true, Usage: "also let customers cancel some of their jobs, at any instance"},
 			&cli.IntFlag{Name: "customers", Value: 12, Usage: "number of customers, each of which sends one job after the other"},
 			&cli.StringFlag{Name: "keep", Usage: "`DIRECTORY` in which to keep the settings and logs of all instances"},
 		},
@@ -115,7 +116,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Daemon: daemon, Dir: dir, Seed: seed, InjectionTime: c.Duration("length"),
-		Zones: c.Int("zones"), Instances: c.Int("instances"), Upstreams: c.Int("upstreams"), Customers: c.Int("customers"), Evacuations: c.Bool("evacuations"), RestartsAndResizes: c.Bool("lives"), Uneven: c.Bool("uneven"),
+		Zones: c.Int("zones"), Instances: c.Int("instances"), Upstreams: c.Int("upstreams"), Customers: c.Int("customers"), Evacuations: c.Bool("evacuations"), RestartsAndResizes: c.Bool("lives"), Uneven: c.Bool("uneven"), Cancellations: c.Bool("cancellations"),
 	})
 	if err != nil {
 		return failure.Field(failure.InvalidInput, "daemon", "the soak run cannot start: %v", err)
--- a/soak/customer.go
+++ b/soak/customer.go
@@ -116,6 +116,10 @@
 	c.results.mu.Lock()
 	c.results.submitted[id] = true
 	c.results.mu.Unlock()
+	if c.installation.cfg.Cancellations && c.rng.Float64() < cancelShare {
+		c.runCancelled(ctx, id)
+		return
+	}
 	job := standin.Job{ID: id, Tasks: 1 + c.rng.IntN(6), MilliCPU: taskCPU, TaskDuration: time.Duration(10+c.rng.IntN(300)) * time.Millisecond}
 	mayHaveRun := false // an earlier request ended without a final response
 	for range maxSends {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -41,6 +41,9 @@
 	// Uneven makes upstreams differ in speed for good, and makes those that are drained say that
 	// they leave soon, and leave then. It is optional for the same reason as Evacuations.
 	Uneven bool
+	// Cancellations makes customers cancel some of their jobs, at any instance. It is optional for
+	// the same reason as Evacuations.
+	Cancellations bool
 }
 
 const (
--- a/soak/run.go
+++ b/soak/run.go
@@ -23,6 +23,7 @@
 	// Responses counts the requests of customers by how they ended. The keys are:
 	//   - "completed" and "failed": the final state of the job in the response
 	//   - "unread": there was no response, and no instance can have read the request
+	//   - for a cancellation, "cancellation" and the HTTP status, or 0 if there was no response
 	//   - for a refusal, the HTTP status and the body of the response
 	//   - for all others, the HTTP status, or "0" if there was no response
 	Responses  map[string]int
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,10 @@
 // unevenSeed is a seed with the loss of an instance and a drain among the first faults.
 const unevenSeed = 7
 
+// cancellationSeed is a seed with a pause, a kill and a planned stop of instances among the first
+// faults.
+const cancellationSeed = 11
+
 // buildDaemon builds the daemon and returns the path of the executable.
 func buildDaemon(t *testing.T) string {
 	t.Helper()
@@ -113,6 +117,24 @@
 	}
 }
 
+// TestCancellations is a short soak run whose customers cancel jobs at any instance, while faults are
+// injected. It guards against tasks that run on after the acknowledgement.
+func TestCancellations(t *testing.T) {
+	report, err := Run(t.Context(), Config{
+		Daemon: buildDaemon(t), Dir: t.TempDir(), Seed: cancellationSeed, InjectionTime: 6 * time.Second, Zones: 2, Instances: 2, Upstreams: 4, Customers: 8,
+		RestartsAndResizes: true, Cancellations: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Responses["completed"] == 0 || report.Responses["cancellation 200"] == 0 {
+		t.Errorf("no jobs completed or none were cancelled: %+v", report)
+	}
+	for _, b := range report.Violations {
+		t.Error(b)
+	}
+}
+
 // TestEndTwice guards against the restart of a daemon that is still running. If two overlapping
 // faults terminate the same daemon, both calls of terminate must return only after it has exited,
 // because each fault then restarts it.
