--- a/inner/mesh_test.go
+++ b/inner/mesh_test.go
@@ -107,8 +107,10 @@
 	}
 }
 
-func TestGoneWhenNobodyListens(t *testing.T) {
-	t.Cleanup(func() { goleak.VerifyNone(t) })
+// startMeshWithSilentPeer starts a mesh of the instance a, and listens at the address of the
+// instance b without responding.
+func startMeshWithSilentPeer(t *testing.T) (*Mesh, net.Listener) {
+	t.Helper()
 	resolver := &mapResolver{addresses: map[string]string{}}
 	a, _ := startMesh(t, resolver, "a.1", "f")
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -118,6 +120,12 @@
 	resolver.mu.Lock()
 	resolver.addresses["b"] = l.Addr().String()
 	resolver.mu.Unlock()
+	return a, l
+}
+
+func TestGoneWhenNobodyListens(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	a, l := startMeshWithSilentPeer(t)
 	_ = l.Close()
 	if err := a.Send("b.1", heartbeat()); !failure.Is(err, failure.Gone) {
 		t.Errorf("error %v, want Gone", err)
@@ -129,15 +137,7 @@
 // is returned by further dials for a while.
 func TestProbeAfterDialInProgress(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
-	resolver := &mapResolver{addresses: map[string]string{}}
-	a, _ := startMesh(t, resolver, "a.1", "f")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	resolver.mu.Lock()
-	resolver.addresses["b"] = l.Addr().String()
-	resolver.mu.Unlock()
+	a, l := startMeshWithSilentPeer(t)
 	dialed := make(chan error, 1)
 	go func() { _, err := a.Connect("b"); dialed <- err }()
 	conn, err := l.Accept()
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -270,17 +270,20 @@
 //   - No task crashes more than maxCrashes upstreams under one pool.
 //   - Every job ends within 15 s after the faults have ended.
 func TestModel(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		modelCase{
-			seed:      rapid.Uint64().Draw(t, "seed"),
-			lossShare: rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss"),
-			lateShare: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late"),
-			steps:     rapid.IntRange(20, 80).Draw(t, "jobs"), mayEvacuate: rapid.Bool().Draw(t, "evacuates"),
-			mayRestart: rapid.Bool().Draw(t, "restarts"), mayResize: rapid.Bool().Draw(t, "resizes"), mayCrash: rapid.Bool().Draw(t, "crashes"),
-			mayLeave: rapid.Bool().Draw(t, "leaves"),
-			mayAdopt: rapid.Bool().Draw(t, "adopts"),
-		}.run(t)
-	})
+	rapid.Check(t, func(t *rapid.T) { drawModelCase(t).run(t) })
+}
+
+// drawModelCase draws the parameters of one execution of TestModel.
+func drawModelCase(t *rapid.T) modelCase {
+	return modelCase{
+		seed:      rapid.Uint64().Draw(t, "seed"),
+		lossShare: rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss"),
+		lateShare: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late"),
+		steps:     rapid.IntRange(20, 80).Draw(t, "jobs"), mayEvacuate: rapid.Bool().Draw(t, "evacuates"),
+		mayRestart: rapid.Bool().Draw(t, "restarts"), mayResize: rapid.Bool().Draw(t, "resizes"), mayCrash: rapid.Bool().Draw(t, "crashes"),
+		mayLeave: rapid.Bool().Draw(t, "leaves"),
+		mayAdopt: rapid.Bool().Draw(t, "adopts"),
+	}
 }
 
 // cancel cancels a job at the pool, which must end all of its offers.
@@ -303,14 +306,9 @@
 // ordered to start, unless the job is offered again.
 func TestModelCancels(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		modelCase{
-			seed:      rapid.Uint64().Draw(t, "seed"),
-			lossShare: rapid.SampledFrom([]float64{0, 0.02, 0.1, 0.3}).Draw(t, "loss"),
-			lateShare: rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late"),
-			steps:     rapid.IntRange(20, 80).Draw(t, "jobs"), mayEvacuate: rapid.Bool().Draw(t, "evacuates"),
-			mayRestart: rapid.Bool().Draw(t, "restarts"), mayResize: rapid.Bool().Draw(t, "resizes"),
-			mayLeave: rapid.Bool().Draw(t, "leaves"), mayAdopt: rapid.Bool().Draw(t, "adopts"), mayCancel: true,
-		}.run(t)
+		c := drawModelCase(t)
+		c.mayCancel = true
+		c.run(t)
 	})
 }
 
