--- a/review/cases-2/bench.go
+++ b/review/cases-2/bench.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -45,15 +46,17 @@
 // bench is one small installation: the emulated store and upstreams, and the processes of the
 // instances.
 type bench struct {
-	trouble     bool // the disruption takes place
-	started     time.Time
-	dir         string
-	network     int
-	reservation net.Listener // keeps other cases from using the same network
-	store       *standin.Store
-	tracker     *standin.RunTracker
-	instances   []*instance
-	upstreams   []*upstream
+	trouble bool // the disruption takes place
+	// withoutStartTimes is set if upstreams do not report the start times of their incarnations.
+	withoutStartTimes bool
+	started           time.Time
+	dir               string
+	network           int
+	reservation       net.Listener // keeps other cases from using the same network
+	store             *standin.Store
+	tracker           *standin.RunTracker
+	instances         []*instance
+	upstreams         []*upstream
 
 	mu     sync.Mutex
 	record *os.File
@@ -95,6 +98,15 @@
 	fmt.Fprintln(b.record, line)
 }
 
+// closeOnSignal ends the case and its processes when this process is told to end.
+func (b *bench) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	b.close()
+	os.Exit(exitNotRun)
+}
+
 // close ends all processes and stand-ins.
 func (b *bench) close() {
 	for _, i := range b.instances {
@@ -139,7 +151,7 @@
 	age            time.Duration // of the incarnation
 }
 
-// addUpstream starts an upstream whose entry and reports have the start time of its incarnation.
+// addUpstream starts an upstream and writes its entry.
 func (b *bench) addUpstream(id, zone string, capacity, demand int64, onOver func(overCapacity)) (*upstream, error) {
 	u, err := b.newUpstream(id, zone, capacity, demand, onOver)
 	if err == nil {
@@ -160,7 +172,7 @@
 	u.startedUnixMs = time.Now().UnixMilli()
 	u.Upstream, err = standin.NewUpstream(standin.UpstreamConfig{
 		ID: id, Service: service, Zone: zone, Address: "127.0.0.1:0", Capacity: fleet.Resources{MilliCPU: capacity, MemoryMB: memoryMB}, Unregistered: true,
-		TaskDuration: standin.SpecDuration, Demand: func(string) fleet.Resources { return fleet.Resources{MilliCPU: demand, MemoryMB: 1} }, ReportsStartTime: true,
+		TaskDuration: standin.SpecDuration, Demand: func(string) fleet.Resources { return fleet.Resources{MilliCPU: demand, MemoryMB: 1} }, ReportsStartTime: !b.withoutStartTimes,
 	}, b.store, b.tracker)
 	if err != nil {
 		return nil, err
--- a/review/cases-2/clockstep.go
+++ b/review/cases-2/clockstep.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"sync"
 	"time"
-
-	"github.com/sedgehatch/sedgehatch/fleet"
 )
 
 // The case: an upstream goes down and up by turns under the same ID and address, and the time of day
@@ -68,28 +66,9 @@
 	}
 	time.Sleep(calmBeforeDrain)
 
-	var mu sync.Mutex
-	var violations []string
-	late := 0
-	drainsAt := time.Now()
-	last.setOnStart(func(r fleet.Run) {
-		age := time.Since(drainsAt)
-		if age <= drainMs {
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		late++
-		violations = append(violations, fmt.Sprintf("%s starts run %d of task %s.%d, %v after the store accepted that it drains", last.ID, r.Number, r.Task.Job, r.Task.Index, age.Round(time.Millisecond)))
-	})
-	b.recordf("%s writes that it drains", last.ID)
-	last.Drain()
-	time.Sleep(drainLinger)
+	violations := b.drainAndCheck(last)
 	close(stop)
 	customers.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	b.recordf("starts on %s later than %v after the store accepted that it drains: %d", last.ID, drainMs, late)
 	return violations, nil
 }
 
--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -21,11 +21,11 @@
 // cases maps the name of each case to the function that runs it. The function returns a description
 // of each violation of the rule, or an error if the case could not run.
 var cases = map[string]func(*bench) (violations []string, err error){
-	"other-kind": runOtherKind,
-	"clock-step": runClockStep,
-	"restart":    runRestart,
-	"wake-owner": runWakeOwner,
-	"wake-spoke": runWakeSpoke,
+	"other-kind":    runOtherKind,
+	"foreign-entry": runForeignEntry,
+	"clock-step":    runClockStep,
+	"wake-owner":    runWakeOwner,
+	"wake-spoke":    runWakeSpoke,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -42,6 +42,7 @@
 		fmt.Fprintln(os.Stderr, "cannot run:", err)
 		return exitNotRun
 	}
+	go b.closeOnSignal()
 	violations, err := cases[args[0]](b)
 	b.close()
 	switch {
--- a/review/cases-2/wake.go
+++ b/review/cases-2/wake.go
@@ -18,35 +18,54 @@
 // second case it is a spoke of a large zone, which knows no upstreams and relies on the hubs.
 
 const (
-	wakeUpstreams = 4
-	wakeJobs      = 12
+	wakeJobs = 12
 
-	wakeFreeze   = 3 * time.Second         // node_freeze, for_s
-	wakeSubmitAt = 1200 * time.Millisecond // from the beginning of the freeze
-	wakeCancelAt = 2200 * time.Millisecond
+	// The zones, instances and upstreams of a small deployment, for the case of the owner.
+	ownerZones     = 3
+	ownerInstances = 9
+	ownerUpstreams = 6
 
-	ownerInstances = 3
+	spokeUpstreams = 4
 	// fullMeshInstances is the largest number of instances of a zone without spokes.
 	fullMeshInstances = 12
 	// maxAdded limits the number of instances that are added until one is a spoke.
 	maxAdded = 6
 )
 
+// freeze describes when things happen, counted from the beginning of a freeze.
+type freeze struct {
+	submitAt time.Duration // customers submit their jobs
+	cancelAt time.Duration // customers send their cancellations
+	length   time.Duration
+}
+
+var (
+	// ownerFreeze is long enough for the other instances of the zone to replace the owner, and
+	// too short for those of other zones, whose heartbeats are rarer, to close their connections.
+	ownerFreeze = freeze{submitAt: 850 * time.Millisecond, cancelAt: 930 * time.Millisecond, length: time.Second}
+	spokeFreeze = freeze{submitAt: 1200 * time.Millisecond, cancelAt: 2200 * time.Millisecond, length: 3 * time.Second}
+)
+
 // runWakeOwner runs the case of the owner.
 func runWakeOwner(b *bench) ([]string, error) {
-	if err := b.startZone(ownerInstances); err != nil {
+	if err := b.startZones(ownerZones, ownerInstances, ownerUpstreams); err != nil {
 		return nil, err
 	}
-	frozen, err := b.findInstance(func(log string) bool { return strings.Contains(log, `"group_taken"`) })
-	if err != nil {
-		return nil, err
+	for _, i := range b.instances {
+		log, err := i.log()
+		if err != nil {
+			return nil, err
+		}
+		if strings.Contains(log, `"group_taken"`) {
+			return b.cancelAtFrozen(i, ownerFreeze), nil
+		}
 	}
-	return b.cancelAtFrozen(frozen)
+	return nil, errors.New("no instance owns upstreams")
 }
 
 // runWakeSpoke runs the case of the spoke. It is an instance that was added to a running zone.
 func runWakeSpoke(b *bench) ([]string, error) {
-	if err := b.startZone(fullMeshInstances); err != nil {
+	if err := b.startZones(1, fullMeshInstances, spokeUpstreams); err != nil {
 		return nil, err
 	}
 	for n := range maxAdded {
@@ -64,25 +83,26 @@
 		}
 		lastChange := log[strings.LastIndex(log, `"neighbours_changed"`)+1:]
 		if strings.Contains(lastChange, `"hub":false`) {
-			return b.cancelAtFrozen(i)
+			return b.cancelAtFrozen(i, spokeFreeze), nil
 		}
 	}
 	return nil, errors.New("no added instance has become a spoke")
 }
 
-// startZone starts a number of instances and the upstreams of the only zone.
-func (b *bench) startZone(instances int) error {
+// startZones starts instances and upstreams, which are spread over a number of zones.
+func (b *bench) startZones(zones, instances, upstreams int) error {
 	if err := b.configure(1); err != nil {
 		return err
 	}
 	b.store.SetFault(standin.NoFault, storeResponse)
-	for n := range wakeUpstreams {
-		if _, err := b.addUpstream(fmt.Sprintf("u%d", n+1), "z0", largeKind, cancelTaskCPU, nil); err != nil {
+	for n := range upstreams {
+		if _, err := b.addUpstream(fmt.Sprintf("u%d", n+1), fmt.Sprintf("z%d", n%zones), largeKind, cancelTaskCPU, nil); err != nil {
 			return err
 		}
 	}
 	for n := range instances {
-		if _, err := b.addInstance(fmt.Sprintf("z0-%d", n), "z0"); err != nil {
+		zone := fmt.Sprintf("z%d", n%zones)
+		if _, err := b.addInstance(fmt.Sprintf("%s-%d", zone, n/zones), zone); err != nil {
 			return err
 		}
 	}
@@ -93,26 +113,12 @@
 	return nil
 }
 
-// findInstance returns the first instance with a log that matches.
-func (b *bench) findInstance(matches func(log string) bool) (*instance, error) {
-	for _, i := range b.instances {
-		log, err := i.log()
-		if err != nil {
-			return nil, err
-		}
-		if matches(log) {
-			return i, nil
-		}
-	}
-	return nil, errors.New("no instance is what the case needs")
-}
-
-// cancelAtFrozen freezes an instance, submits jobs to the others, and cancels the jobs at the frozen
-// instance before it wakes.
-func (b *bench) cancelAtFrozen(frozen *instance) ([]string, error) {
+// cancelAtFrozen freezes an instance, submits jobs to the others of its zone, and cancels the jobs at
+// the frozen instance before it wakes.
+func (b *bench) cancelAtFrozen(frozen *instance, f freeze) (violations []string) {
 	var others []*instance
 	for _, i := range b.instances {
-		if i != frozen {
+		if i != frozen && i.zone == frozen.zone {
 			others = append(others, i)
 		}
 	}
@@ -127,7 +133,7 @@
 	if b.trouble {
 		frozen.signal(syscall.SIGSTOP)
 	}
-	time.Sleep(time.Until(frozenAt.Add(wakeSubmitAt)))
+	time.Sleep(time.Until(frozenAt.Add(f.submitAt)))
 	var customers, cancels sync.WaitGroup
 	for n, job := range jobs {
 		customers.Go(func() {
@@ -136,9 +142,8 @@
 			c.submit(others[n%len(others)], job, cancelDeadline)
 		})
 	}
-	time.Sleep(time.Until(frozenAt.Add(wakeCancelAt)))
+	time.Sleep(time.Until(frozenAt.Add(f.cancelAt)))
 	var mu sync.Mutex
-	var violations []string
 	for n, job := range jobs {
 		cancels.Go(func() {
 			if v := b.cancelAndCheck(connected[n], frozen, job); v != "" {
@@ -148,11 +153,11 @@
 			}
 		})
 	}
-	time.Sleep(time.Until(frozenAt.Add(wakeFreeze)))
+	time.Sleep(time.Until(frozenAt.Add(f.length)))
 	if b.trouble {
 		frozen.signal(syscall.SIGCONT)
 	}
 	cancels.Wait()
 	customers.Wait()
-	return violations, nil
+	return violations
 }
