--- a/review/cases-2/foreignentry.go
+++ b/review/cases-2/foreignentry.go
@@ -20,6 +20,10 @@
 	foreignUpstreams = 10
 	// foreignSequence is far above that of the upstream, which starts at 1.
 	foreignSequence = 5000
+
+	drainMs         = 3000 * time.Millisecond // DrainMs of the site
+	calmBeforeDrain = 8 * time.Second         // longer than ContactMs
+	drainLinger     = 7 * time.Second         // how long the upstream serves after it has begun to drain
 )
 
 func runForeignEntry(b *bench) ([]string, error) {
--- a/review/cases-2/forwarder.go
+++ b/review/cases-2/forwarder.go
@@ -6,15 +6,15 @@
 	"sync"
 )
 
-// forwarder is an address that stays the same when one upstream process follows another: it
-// forwards each connection to the present process.
+// forwarder forwards connections to an upstream. It can hold the answers of the upstream, as a cut in
+// one direction does, and delivers them when the cut heals.
 type forwarder struct {
 	address  string
+	target   string
 	listener net.Listener
 
-	mu     sync.Mutex
-	target string // "" while no process runs
-	open   map[net.Conn]bool
+	mu   sync.Mutex
+	held chan struct{} // if not nil, answers are held until it is closed
 }
 
 func newForwarder(target string) (*forwarder, error) {
@@ -22,26 +22,14 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &forwarder{address: l.Addr().String(), listener: l, target: target, open: map[net.Conn]bool{}}
+	f := &forwarder{address: l.Addr().String(), target: target, listener: l}
 	go f.accept()
 	return f, nil
 }
 
-// setTarget ends the connections to the former process and forwards new ones to target. If target is
-// "", new connections are reset.
-func (f *forwarder) setTarget(target string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.target = target
-	for c := range f.open {
-		closeWithReset(c)
-	}
-	clear(f.open)
-}
-
 func (f *forwarder) close() {
 	_ = f.listener.Close()
-	f.setTarget("")
+	f.holdAnswers(false)
 }
 
 func (f *forwarder) accept() {
@@ -55,35 +43,15 @@
 }
 
 func (f *forwarder) forward(from net.Conn) {
-	f.mu.Lock()
-	target := f.target
-	f.mu.Unlock()
-	if target == "" {
-		closeWithReset(from)
-		return
-	}
-	to, err := net.Dial("tcp4", target)
+	to, err := net.Dial("tcp4", f.target)
 	if err != nil {
 		closeWithReset(from)
 		return
 	}
-	f.mu.Lock()
-	if f.target != target {
-		f.mu.Unlock()
-		closeWithReset(from)
-		closeWithReset(to)
-		return
-	}
-	f.open[from], f.open[to] = true, true
-	f.mu.Unlock()
 	var both sync.WaitGroup
 	both.Go(func() { _, _ = io.Copy(to, from); closeWithReset(to) })
-	both.Go(func() { _, _ = io.Copy(from, to); closeWithReset(from) })
+	both.Go(func() { f.copyAnswers(from, to); closeWithReset(from) })
 	both.Wait()
-	f.mu.Lock()
-	delete(f.open, from)
-	delete(f.open, to)
-	f.mu.Unlock()
 }
 
 // closeWithReset closes a connection so that the peer sees it at once.
@@ -93,3 +61,36 @@
 	}
 	_ = c.Close()
 }
+
+// holdAnswers makes the forwarder hold all answers of the process, or forwards those that it holds.
+func (f *forwarder) holdAnswers(hold bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case hold && f.held == nil:
+		f.held = make(chan struct{})
+	case !hold && f.held != nil:
+		close(f.held)
+		f.held = nil
+	}
+}
+
+// copyAnswers forwards answers unless they are held.
+func (f *forwarder) copyAnswers(to, from net.Conn) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		held := f.held
+		f.mu.Unlock()
+		if held != nil {
+			<-held
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -22,8 +22,8 @@
 // of each violation of the rule, or an error if the case could not run.
 var cases = map[string]func(*bench) (violations []string, err error){
 	"other-kind":    runOtherKind,
+	"late-answer":   runLateAnswer,
 	"foreign-entry": runForeignEntry,
-	"clock-step":    runClockStep,
 	"wake-owner":    runWakeOwner,
 	"wake-spoke":    runWakeSpoke,
 }
