--- a/review/cases-2/cancel.go
+++ b/review/cases-2/cancel.go
@@ -15,11 +15,11 @@
 
 	storeResponse = 4 * time.Millisecond // of the store of a small deployment
 
-	cancelMs      = 3000 * time.Millisecond // cancel_ms of a small deployment
-	stopTimeoutMs = 50 * time.Millisecond   // StopTimeoutMs
+	cancelTimeout = 3000 * time.Millisecond // cancel_ms of a small deployment
+	stopTimeout   = 50 * time.Millisecond   // StopTimeoutMs
 	// calmAfterCancel is how long after its acknowledgement a cancellation is checked. The freeze is
 	// then over for longer than ContactMs.
-	calmAfterCancel = cancelMs + stopTimeoutMs + contact
+	calmAfterCancel = cancelTimeout + stopTimeout + contact
 )
 
 // cancelAndCheck cancels a job and waits until calmAfterCancel after the acknowledgement. If a task of
--- a/review/cases-2/foreignentry.go
+++ b/review/cases-2/foreignentry.go
@@ -21,7 +21,7 @@
 	// foreignSequence is far above that of the upstream, which starts at 1.
 	foreignSequence = 5000
 
-	drainMs         = 3000 * time.Millisecond // DrainMs of the site
+	drainTimeout    = 3000 * time.Millisecond // DrainMs of the site
 	calmBeforeDrain = 8 * time.Second         // longer than ContactMs
 	drainLinger     = 7 * time.Second         // how long the upstream serves after it has begun to drain
 )
@@ -86,7 +86,7 @@
 	drainsAt := time.Now()
 	u.setOnStart(func(r fleet.Run) {
 		age := time.Since(drainsAt)
-		if age <= drainMs {
+		if age <= drainTimeout {
 			return
 		}
 		mu.Lock()
@@ -98,6 +98,6 @@
 	time.Sleep(drainLinger)
 	mu.Lock()
 	defer mu.Unlock()
-	b.recordf("starts on %s later than %v after the store accepted that it drains: %d", u.ID, drainMs, len(violations))
+	b.recordf("starts on %s later than %v after the store accepted that it drains: %d", u.ID, drainTimeout, len(violations))
 	return violations
 }
