schedule: a pool keeps every run of a task that it knows of

Cause: Pool.runByTask had room for one run of a task. An answer that an upstream gave just before its leases lapsed arrives after the lapse, when the task runs elsewhere. It lists the lapsed run, which took the place of the present one in the map; when it was gone, the map had no run of the task. So the withdrawal of the job did not stop the present run, the next submission was not blocked by it, and its leases were renewed as long as its coordinator had any other job.

Ruled out: that the answer comes out of order (reportRequestedAt): it is the last one that was requested.

Change: taskRuns holds all tracked runs of a task. While any is tracked, no other starts and the task is not returned; all of them are stopped when their jobs end. A run is adopted only if it is the only one, also if the other one has the same number, which hasOtherRun overlooked. A run that is stopped because another one is known says so in the log.

--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -41,8 +41,11 @@
 // and nobody needs to wait for it.
 const ExpiryFactor = expiryFactor
 
-// reasonFormerOwner is the reason that is logged when a run of a former owner is stopped.
-const reasonFormerOwner = "started by a former owner"
+// Reasons that are logged when a run is stopped that the pool has not ordered or had given up.
+const (
+	reasonFormerOwner = "started by a former owner"
+	reasonOtherRun    = "another run of its task is known"
+)
 
 // Reasons for which an adopting offer fails.
 const (
@@ -136,26 +139,14 @@
 			continue
 		}
 		for _, t := range j.taskList {
-			r := p.runByTask[p.taskRef(j, t)]
-			if t.state == adopting && r != nil && r.fromFormerOwner && r.state == running && !p.hasOtherRun(r) {
-				p.takeOverRun(j, t, r)
+			runs := p.runsByTask[p.taskRef(j, t)]
+			if t.state == adopting && len(runs) == 1 && runs[0].fromFormerOwner && runs[0].state == running {
+				p.takeOverRun(j, t, runs[0])
 			}
 		}
 	}
 }
 
-// hasOtherRun reports whether an upstream lists another run of the task of r.
-func (p *Pool) hasOtherRun(r *run) bool {
-	return slices.ContainsFunc(p.sortedUpstreams, func(u *upstream) bool {
-		for id := range u.runs {
-			if id.Task == r.id.Task && id != r.id {
-				return true
-			}
-		}
-		return false
-	})
-}
-
 // takeOverRun makes a run of a former owner an ordinary run of an adopting offer.
 func (p *Pool) takeOverRun(j *job, t *task, r *run) {
 	u := r.upstream
@@ -234,7 +225,11 @@
 
 // stopUnheld stops a run of a former owner unless holdsFoundRun lets it go on.
 func (p *Pool) stopUnheld(r *run) {
-	if !p.holdsFoundRun(r) {
+	switch {
+	case p.holdsFoundRun(r):
+	case len(p.runsByTask[r.id.Task]) > 1:
+		p.stopRun(r, reasonOtherRun)
+	default:
 		p.stopRun(r, reasonFormerOwner)
 	}
 }
@@ -258,7 +253,7 @@
 // missing, for adoptionPeriod.
 func (p *Pool) hopelessAdoption(j *job) string {
 	unlisted := slices.ContainsFunc(j.taskList, func(t *task) bool {
-		return t.state == adopting && p.runByTask[p.taskRef(j, t)] == nil
+		return t.state == adopting && len(p.runsByTask[p.taskRef(j, t)]) == 0
 	})
 	switch {
 	case !unlisted:
--- a/schedule/adopt_test.go
+++ b/schedule/adopt_test.go
@@ -22,10 +22,10 @@
 // adopting offer.
 const maxAdoptDelayMillis = 300
 
-// drawDuration draws the duration of a run. With adopting offers, some runs outlast the leases of a
-// lost owner.
+// drawDuration draws the duration of a run. With adopting offers and late responses, some runs
+// outlast leases.
 func (w *testCluster) drawDuration() time.Duration {
-	if w.longTasks || w.mayAdopt && w.Rand.IntN(4) == 0 {
+	if w.longTasks || (w.mayAdopt || w.mayHoldResponses) && w.Rand.IntN(4) == 0 {
 		return w.RandMillis(600, 1500)
 	}
 	return w.RandMillis(20, 400)
--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -21,30 +21,32 @@
 // TestModel against what the upstreams run.
 type testCluster struct {
 	*standin.Simulation
-	t               failer
-	upstreams       []*standin.SimulatedUpstream
-	pool            *Pool
-	poolToken       int // fencing token of the pool; responses to calls of former pools are dropped
-	openJobs        map[JobKey]*simJob
-	submissions     map[fleet.TaskRef]int                         // how many times a task was offered
-	orderedFor      map[fleet.Run]int                             // value of submissions when a run was last ordered
-	listedCapacity  map[string]fleet.Resources                    // of each upstream, as last passed to the pool
-	capacityAtOrder map[fleet.Run]fleet.Resources                 // listedCapacity of the upstream when a run was ordered
-	pendingStarts   map[*standin.UpstreamModel][]fleet.StartOrder // starts that may still be carried out
-	startedTasks    map[fleet.TaskRef]bool                        // tasks of which a run of the last submission has started
-	returnedTasks   map[fleet.TaskRef]bool                        // tasks that were returned and have not been offered since
-	lostJobs        []lostJob
-	results         int
-	ackedDone       map[fleet.TaskRef]bool // tasks that have been done, which the pool acknowledged to the upstream, and that have not been offered since
-	mayEvacuate     bool                   // as in modelCase
-	mayRestart      bool                   // as in modelCase
-	mayResize       bool                   // as in modelCase
-	mayCrash        bool                   // as in modelCase
-	crashesByTask   map[fleet.TaskRef]int  // has an entry for each task that crashes upstreams: how many it has crashed under the current pool
-	mayLeave        bool                   // as in modelCase
-	mayCancel       bool                   // as in modelCase
-	cancelledJobs   map[string]bool        // jobs that were cancelled and have not been offered since
-	evacuated       bool                   // all upstreams are closed
+	t                failer
+	upstreams        []*standin.SimulatedUpstream
+	pool             *Pool
+	poolToken        int // fencing token of the pool; responses to calls of former pools are dropped
+	openJobs         map[JobKey]*simJob
+	submissions      map[fleet.TaskRef]int                         // how many times a task was offered
+	orderedFor       map[fleet.Run]int                             // value of submissions when a run was last ordered
+	listedCapacity   map[string]fleet.Resources                    // of each upstream, as last passed to the pool
+	capacityAtOrder  map[fleet.Run]fleet.Resources                 // listedCapacity of the upstream when a run was ordered
+	pendingStarts    map[*standin.UpstreamModel][]fleet.StartOrder // starts that may still be carried out
+	startedTasks     map[fleet.TaskRef]bool                        // tasks of which a run of the last submission has started
+	returnedTasks    map[fleet.TaskRef]bool                        // tasks that were returned and have not been offered since
+	withdrawnJobs    []string                                      // IDs of jobs that were withdrawn from the current pool and have not been offered since
+	lostJobs         []lostJob
+	results          int
+	ackedDone        map[fleet.TaskRef]bool // tasks that have been done, which the pool acknowledged to the upstream, and that have not been offered since
+	mayEvacuate      bool                   // as in modelCase
+	mayRestart       bool                   // as in modelCase
+	mayResize        bool                   // as in modelCase
+	mayCrash         bool                   // as in modelCase
+	crashesByTask    map[fleet.TaskRef]int  // has an entry for each task that crashes upstreams: how many it has crashed under the current pool
+	mayLeave         bool                   // as in modelCase
+	mayCancel        bool                   // as in modelCase
+	mayHoldResponses bool                   // as in modelCase
+	cancelledJobs    map[string]bool        // jobs that were cancelled and have not been offered since
+	evacuated        bool                   // all upstreams are closed
 	// The fields below are used only if modelCase.mayAdopt is set.
 	mayAdopt bool
 	// orderedByFormer holds the starts ordered by a former owner that is still alive. It cannot know
@@ -168,11 +170,16 @@
 
 func (w *testCluster) sendHold(to fleet.Upstream, o fleet.HoldOrder, then func(ok bool)) {
 	token, sent := w.poolToken, w.Now()
+	overdue := false
 	handle := func(report fleet.Report, err error) {
 		if token != w.poolToken {
 			return
 		}
 		w.applyEffects(w.pool.HandleHoldResponse(w.Now(), to.Incarnation(), sent, report, err))
+		if overdue {
+			return // the next call has been made
+		}
+		overdue = err != nil
 		then(err == nil)
 	}
 	if w.cutOff[to.ID] {
--- a/schedule/coordinator.go
+++ b/schedule/coordinator.go
@@ -161,8 +161,10 @@
 	slices.SortFunc(expired, func(a, b *job) int { return compareKeys(a.Key, b.Key) })
 	for _, j := range expired {
 		for _, t := range j.taskList {
-			if r := p.runByTask[p.taskRef(j, t)]; r != nil && r.job == j {
-				p.stopRun(r, reasonCoordinatorExpired) // the task waits again when the run is over
+			for _, r := range p.runsByTask[p.taskRef(j, t)] {
+				if r.job == j {
+					p.stopRun(r, reasonCoordinatorExpired) // the task waits again when the run is over
+				}
 			}
 		}
 		p.returnAllWaiting(j, reasonCoordinatorExpired)
--- a/schedule/leaving.go
+++ b/schedule/leaving.go
@@ -93,7 +93,7 @@
 func (p *Pool) forecastForMoves(runs []leavingRun) *forecast {
 	largest := slices.MaxFunc(runs, func(a, b leavingRun) int { return cmp.Compare(a.demand.MilliCPU, b.demand.MilliCPU) })
 	f := p.newForecast(largest.job.Service)
-	f.addFree(p.countFitting(largest.job, len(runs)+p.waitingTasks+len(p.runByTask)))
+	f.addFree(p.countFitting(largest.job, len(runs)+p.waitingTasks+len(p.runsByTask)))
 	f.reserveBegun(p.queue, nil)
 	for _, r := range p.stoppingRuns() {
 		f.reserve(r.taskSet())
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -147,6 +147,7 @@
 	}
 	w.pool = NewPool(cfg, uint64(w.poolToken))
 	clear(w.listedCapacity)
+	w.withdrawnJobs = nil // the former owner may go on with their runs for a while
 	for _, key := range w.openKeys() {
 		w.loseJob(key, lostToken)
 	}
@@ -233,6 +234,10 @@
 	if id, found := w.takeResubmittable(); found && w.Rand.IntN(2) == 0 {
 		key = JobKey{fmt.Sprintf("home-%d", n), id, 1}
 	}
+	if w.mayHoldResponses && len(w.withdrawnJobs) > 0 && w.Rand.IntN(2) == 0 {
+		key = JobKey{fmt.Sprintf("home-%d", n), w.withdrawnJobs[0], 1}
+		w.withdrawnJobs = w.withdrawnJobs[1:]
+	}
 	o := Offer{
 		Key: key, Service: "s", Route: "r", Spec: "x",
 		Demand: fleet.Resources{MilliCPU: 3000}, Estimate: 150 * time.Millisecond, MaxAttempts: 4,
@@ -286,6 +291,15 @@
 	}
 }
 
+// withdraw withdraws a job from the pool.
+func (w *testCluster) withdraw(key JobKey) {
+	if !w.isAdopting(key) { // its customer waits for minResubmitDelay before it submits the job again
+		w.withdrawnJobs = append(w.withdrawnJobs, key.ID)
+	}
+	delete(w.openJobs, key)
+	w.applyEffects(w.pool.Withdraw(w.Now(), key, "test"))
+}
+
 // cancel cancels a job at the pool, which must end all of its offers.
 func (w *testCluster) cancel(id string) {
 	w.cancelledJobs[id] = true
@@ -312,6 +326,63 @@
 	})
 }
 
+// Responses are held for minHoldMillis to maxHoldMillis, in milliseconds. On most clocks, leases
+// lapse in this time. LateResponses is for how long after the timeout of a call its response still
+// counts.
+const (
+	minHoldMillis = 500
+	maxHoldMillis = 1200
+	lateResponses = 900 * time.Millisecond
+)
+
+// allowLateResponses lets the pool receive responses that arrive after the timeouts of their calls.
+func (w *testCluster) allowLateResponses() {
+	w.mayHoldResponses = true
+	for _, u := range w.upstreams {
+		u.LateResponses = lateResponses
+	}
+}
+
+// TestModelLateResponses is TestModel with responses of upstreams that arrive late, and with long
+// tasks whose jobs are withdrawn and submitted again while they run.
+func TestModelLateResponses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := drawModelCase(t)
+		c.mayHoldResponses = true
+		c.run(t)
+	})
+}
+
+// TestLapseBeforeLateResponse plays the case in which late responses are most dangerous: those that
+// upstreams gave just before their leases lapsed arrive after that, while the tasks run elsewhere.
+// Then the jobs are withdrawn, and submitted again to other coordinators.
+func TestLapseBeforeLateResponse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newTestCluster(t, rapid.Uint64().Draw(t, "seed"))
+		w.longTasks = true
+		w.allowLateResponses()
+		w.takeOver()
+		w.Run(startTime.Add(300 * time.Millisecond))
+		for i := range 2 + w.Rand.IntN(2) {
+			w.offerJob(i)
+		}
+		w.Run(w.Now().Add(w.RandMillis(20, 200)))
+		for _, u := range w.upstreams[:1+w.Rand.IntN(2)] {
+			u.HoldResponses(w.RandMillis(750, 1000))
+		}
+		w.Run(w.Now().Add(w.RandMillis(750, 1200)))
+		for i := range 10 {
+			if key, found := w.drawOpenJob(); found && w.Rand.IntN(2) == 0 {
+				w.withdraw(key)
+			} else {
+				w.offerJob(100 + i)
+			}
+			w.Run(w.Now().Add(w.RandMillis(1, 100)))
+		}
+		w.Run(w.Now().Add(3 * time.Second))
+	})
+}
+
 // TestModelSeeds replays cases of TestModel that have revealed faults before.
 func TestModelSeeds(t *testing.T) {
 	for _, c := range []modelCase{
@@ -340,12 +411,18 @@
 	// mayAdopt lets coordinators make adopting offers after a takeover; see adopt_test.go.
 	mayAdopt  bool
 	mayCancel bool // customers cancel jobs
+	// mayHoldResponses lets responses of upstreams arrive late: after the leases there have
+	// lapsed, after the next incarnation has started, or behind those of later calls.
+	mayHoldResponses bool
 }
 
 func (c modelCase) run(t failer) *testCluster {
 	w := newTestCluster(t, c.seed)
 	w.mayEvacuate, w.mayRestart, w.mayResize, w.mayCrash, w.mayLeave = c.mayEvacuate, c.mayRestart, c.mayResize, c.mayCrash, c.mayLeave
 	w.mayAdopt, w.mayCancel = c.mayAdopt, c.mayCancel
+	if c.mayHoldResponses {
+		w.allowLateResponses()
+	}
 	w.takeOver()
 	w.Run(startTime.Add(300 * time.Millisecond))
 	w.setFaults(c.lossShare, c.lateShare)
@@ -423,9 +500,14 @@
 		if key, found := w.drawOpenJob(); found && w.mayCancel && w.Rand.IntN(2) == 0 {
 			w.cancel(key.ID)
 		} else if found {
-			delete(w.openJobs, key)
-			w.applyEffects(w.pool.Withdraw(w.Now(), key, "test"))
+			w.withdraw(key)
 		}
+	case 10:
+		if w.mayHoldResponses {
+			u.HoldResponses(w.RandMillis(minHoldMillis, maxHoldMillis))
+			break
+		}
+		w.offerJob(i)
 	default:
 		w.offerJob(i)
 	}
--- a/schedule/modelcheck_test.go
+++ b/schedule/modelcheck_test.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"github.com/sedgehatch/sedgehatch/fleet"
 	"github.com/sedgehatch/sedgehatch/platform/standin"
 )
@@ -32,7 +34,7 @@
 				continue
 			}
 			count++
-			if r := w.pool.runByTask[w.pool.taskRef(j, t)]; r != nil {
+			for _, r := range w.pool.runsByTask[w.pool.taskRef(j, t)] {
 				w.t.Fatalf("task %d of %s is waiting while its run %v is tracked", t.index, j.Key.ID, r.id)
 			}
 		}
@@ -47,8 +49,10 @@
 // runs, and for each upstream the room that is used and the number of runs of former owners.
 func (w *testCluster) checkRunDemands() {
 	var demands demandSum
-	for _, r := range w.pool.runByTask {
-		demands.add(r, 1)
+	for _, runs := range w.pool.runsByTask {
+		for _, r := range runs {
+			demands.add(r, 1)
+		}
 	}
 	if demands != w.pool.runDemands {
 		w.t.Fatalf("the pool counts %+v as the demands of its runs, but they are %+v", w.pool.runDemands, demands)
@@ -58,6 +62,9 @@
 		former := 0
 		for _, r := range u.runs {
 			used = used.Plus(r.demand)
+			if !slices.Contains(w.pool.runsByTask[r.id.Task], r) {
+				w.t.Fatalf("%v on %s is not among the tracked runs of its task", r.id, u.ID)
+			}
 			if r.fromFormerOwner {
 				former++
 			}
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -17,8 +17,8 @@
 	sortedUpstreams []*upstream // by ID
 	jobs            map[JobKey]*job
 	jobsByID        map[string][]*job
-	runByTask       map[fleet.TaskRef]*run
-	runDemands      demandSum // of the runs in runByTask
+	runsByTask      taskRuns  // all tracked runs
+	runDemands      demandSum // of all tracked runs
 	// coordinatorLeases has an entry for each coordinator that needs a lease and has
 	// jobs in the pool.
 	coordinatorLeases map[string]*coordinatorLease
@@ -53,7 +53,7 @@
 func NewPool(cfg Config, token uint64) *Pool {
 	return &Pool{
 		cfg: cfg, token: token, link: link{rate: linkShare * cfg.LinkRate}, upstreams: map[string]*upstream{}, jobs: map[JobKey]*job{}, jobsByID: map[string][]*job{},
-		runByTask: map[fleet.TaskRef]*run{}, coordinatorLeases: map[string]*coordinatorLease{}, durationsByRoute: map[string]*taskDurations{},
+		runsByTask: taskRuns{}, coordinatorLeases: map[string]*coordinatorLease{}, durationsByRoute: map[string]*taskDurations{},
 		biasByRoute: map[string]*routeBias{}, importedSpeeds: map[fleet.UpstreamIncarnation]UpstreamSpeed{},
 		foundEnds: map[fleet.TaskRef]foundEnd{}, fencedIDs: map[string]bool{}, crashHistory: crashHistory{tasks: map[fleet.TaskRef]crashRecord{}},
 	}
@@ -205,7 +205,7 @@
 	p.waitingTasks += len(j.taskList)
 	p.registerJob(j)
 	for _, t := range j.taskList {
-		if r := p.runByTask[p.taskRef(j, t)]; r != nil {
+		for _, r := range p.runsByTask[p.taskRef(j, t)] {
 			p.setTaskState(j, t, blocked)
 			if r.fromFormerOwner {
 				p.stopUnheld(r)
@@ -322,14 +322,14 @@
 // stopRuns stops the remaining runs of a job, which are no longer wanted.
 func (p *Pool) stopRuns(j *job, reason string) {
 	for _, t := range j.taskList {
-		r := p.runByTask[p.taskRef(j, t)]
-		switch {
-		case r == nil:
-		case t.state == adopting && r.fromFormerOwner:
-			p.stopRun(r, reason)
-		case r.job == j:
-			r.job, r.unwantedSince = nil, p.now
-			p.stopRun(r, reason)
+		for _, r := range p.runsByTask[p.taskRef(j, t)] {
+			switch {
+			case t.state == adopting && r.fromFormerOwner:
+				p.stopRun(r, reason)
+			case r.job == j:
+				r.job, r.unwantedSince = nil, p.now
+				p.stopRun(r, reason)
+			}
 		}
 	}
 }
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
@@ -36,10 +37,7 @@
 // blocked until that run is over.
 func (p *Pool) trackRun(r *run) {
 	r.upstream.addRun(r)
-	if replaced := p.runByTask[r.id.Task]; replaced != nil {
-		p.runDemands.add(replaced, -1)
-	}
-	p.runByTask[r.id.Task] = r
+	p.runsByTask.add(r)
 	p.runDemands.add(r, 1)
 	r.upstream.used = r.upstream.used.Plus(r.demand)
 	if r.fromFormerOwner {
@@ -48,6 +46,26 @@
 	}
 }
 
+// taskRuns holds the runs that a pool tracks, by task. A pool orders one run of a task at a time,
+// but upstreams may report others: runs that a former owner ordered, or that the pool had given up
+// and that a late report or a new incarnation of the upstream still lists.
+//   - While any run of a task is tracked, no other starts, and the task is not returned.
+//   - All runs of a task are stopped once nobody wants it.
+type taskRuns map[fleet.TaskRef][]*run
+
+func (m taskRuns) add(r *run) { m[r.id.Task] = append(m[r.id.Task], r) }
+
+// remove removes a run and reports whether it was the last one of its task.
+func (m taskRuns) remove(r *run) (last bool) {
+	left := slices.DeleteFunc(m[r.id.Task], func(o *run) bool { return o == r })
+	if len(left) == 0 {
+		delete(m, r.id.Task)
+		return true
+	}
+	m[r.id.Task] = left
+	return false
+}
+
 func (u *upstream) addRun(r *run) {
 	u.runs[r.id] = r
 	u.sorted = nil
@@ -59,16 +77,15 @@
 }
 
 // untrackRun removes a run that is certainly not executing and cannot start any more. A task
-// that it blocked waits for an upstream again.
+// that it blocked waits for an upstream again, unless another run of the task is tracked.
 func (p *Pool) untrackRun(r *run) {
 	if r.upstream.runs[r.id] != r {
 		return
 	}
 	p.placementDue = true
 	r.upstream.removeRun(r)
-	if p.runByTask[r.id.Task] == r {
-		delete(p.runByTask, r.id.Task)
-		p.runDemands.add(r, -1)
+	p.runDemands.add(r, -1)
+	if p.runsByTask.remove(r) {
 		p.unblockTasks(r.id.Task)
 	}
 	r.upstream.used = r.upstream.used.Minus(r.demand)
@@ -108,7 +125,7 @@
 	if t.state != placed {
 		return
 	}
-	if p.runByTask[p.taskRef(j, t)] != nil {
+	if len(p.runsByTask[p.taskRef(j, t)]) > 0 {
 		p.setTaskState(j, t, blocked) // a run that a former owner ordered has been reported meanwhile
 	} else {
 		p.setTaskState(j, t, waiting)
--- /dev/null
+++ b/schedule/taskruns_test.go
@@ -0,0 +1,151 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sedgehatch/sedgehatch/failure"
+	"github.com/sedgehatch/sedgehatch/fleet"
+
+	"github.com/samber/lo"
+)
+
+// lapsedTask is a pool with the upstreams u1 and u2, in which the leases of one of the two have
+// lapsed while it ran a task, so that the task has been started on the other one.
+type lapsedTask struct {
+	t     *testing.T
+	pool  *Pool
+	now   time.Time
+	key   JobKey
+	first Start // on the upstream that became silent
+	next  Start // on the other one
+}
+
+const lapsedCoordinator = "home"
+
+func newLapsedTask(t *testing.T) *lapsedTask {
+	s := &lapsedTask{t: t, pool: NewPool(DefaultConfig, 1), now: startTime, key: JobKey{Coordinator: lapsedCoordinator, ID: "j"}}
+	capacity := fleet.Resources{MilliCPU: 1000}
+	s.pool.SetUpstreams(s.now, []fleet.Upstream{
+		{ID: "u1", StartedUnixMs: 1, Service: "s", Capacity: capacity, LargestCapacity: capacity},
+		{ID: "u2", StartedUnixMs: 1, Service: "s", Capacity: capacity, LargestCapacity: capacity},
+	})
+	s.report("u1")
+	s.report("u2")
+	s.first = s.acknowledgeStart(s.offer(s.key))
+	s.report(s.first.Upstream.ID, s.first.Order.Run)
+	s.next = s.runSilentUntilLapse()
+	return s
+}
+
+// offer offers a job with one task that needs a whole upstream.
+func (s *lapsedTask) offer(key JobKey) Effects {
+	return s.pool.Offer(s.now, Offer{
+		Key: key, Service: "s", Route: "r", Tasks: []int{0}, Demand: fleet.Resources{MilliCPU: 1000}, Estimate: 3 * time.Second, MaxAttempts: 3,
+		Stretch: 2, Slack: time.Second, Timeout: 20 * time.Second, MayQueue: true, AliveAt: s.now,
+	})
+}
+
+// acknowledgeStart acknowledges the only start of the effects and returns it.
+func (s *lapsedTask) acknowledgeStart(e Effects) Start {
+	s.t.Helper()
+	if len(e.Starts) != 1 {
+		s.t.Fatalf("%d runs are started, want 1", len(e.Starts))
+	}
+	s.pool.HandleStartResponse(s.now, e.Starts[0].Upstream.Incarnation(), e.Starts[0].Order.Run, fleet.NotRefused, nil)
+	return e.Starts[0]
+}
+
+// runSilentUntilLapse lets the upstream of the first run be silent until the task starts elsewhere.
+func (s *lapsedTask) runSilentUntilLapse() Start {
+	s.t.Helper()
+	silent := s.first.Upstream.ID
+	for range 100 {
+		s.now = s.now.Add(20 * time.Millisecond)
+		s.pool.RenewCoordinator(lapsedCoordinator, s.now)
+		s.pool.HandleHoldResponse(s.now, fleet.UpstreamIncarnation{ID: silent, StartedUnixMs: 1}, s.now, fleet.Report{}, failure.Lost.New("no response"))
+		s.report(otherUpstream(silent))
+		if e := s.pool.Tick(s.now); len(e.Starts) > 0 {
+			return s.acknowledgeStart(e)
+		}
+	}
+	s.t.Fatal("the task is not started again")
+	return Start{}
+}
+
+func otherUpstream(id string) string {
+	if id == "u1" {
+		return "u2"
+	}
+	return "u1"
+}
+
+// report lets an upstream report that it executes the given runs, in response to a request sent now.
+func (s *lapsedTask) report(id string, running ...fleet.Run) Effects {
+	return s.reportGiven(id, s.now, running...)
+}
+
+// reportGiven lets a report arrive now that was requested and given at an earlier time.
+func (s *lapsedTask) reportGiven(id string, at time.Time, running ...fleet.Run) Effects {
+	tasks := lo.Map(running, func(r fleet.Run, _ int) fleet.RunningTask { return fleet.RunningTask{Run: r} })
+	r := fleet.Report{StartedUnixMs: 1, ClockMs: at.Sub(startTime).Milliseconds(), Running: tasks}
+	return s.pool.HandleHoldResponse(s.now, fleet.UpstreamIncarnation{ID: id, StartedUnixMs: 1}, at, r, nil)
+}
+
+// reportLapsedRun lets a report of the silent upstream arrive that it gave just before its leases
+// lapsed, and that lists its run.
+func (s *lapsedTask) reportLapsedRun() Effects {
+	return s.reportGiven(s.first.Upstream.ID, s.now.Add(-100*time.Millisecond), s.first.Order.Run)
+}
+
+// stopsPresentRun reports whether effects contain a stop of the present run.
+func (s *lapsedTask) stopsPresentRun(e Effects) bool {
+	return lo.ContainsBy(e.Stops, func(stop Stop) bool {
+		return stop.Run == s.next.Order.Run && stop.Upstream.ID == s.next.Upstream.ID
+	})
+}
+
+// TestRunStoppedAfterLateReport guards against a run that goes on after its job was withdrawn,
+// because a late report listed another run of its task, whose lease had lapsed.
+func TestRunStoppedAfterLateReport(t *testing.T) {
+	s := newLapsedTask(t)
+	s.reportLapsedRun()
+	if e := s.pool.Withdraw(s.now, s.key, "left"); !s.stopsPresentRun(e) {
+		t.Errorf("the withdrawal of the job does not stop %v on %s: %+v", s.next.Order.Run, s.next.Upstream.ID, e.Stops)
+	}
+}
+
+// TestNoSecondRunAfterLateReport guards against two runs of a task at once: a late report lists a
+// lapsed run, the report after it does not, and the job is submitted again while the present run
+// goes on.
+func TestNoSecondRunAfterLateReport(t *testing.T) {
+	s := newLapsedTask(t)
+	s.reportLapsedRun()
+	silent := s.first.Upstream.ID
+	for range 5 { // until nothing is known of the lapsed run any more
+		s.now = s.now.Add(20 * time.Millisecond)
+		s.pool.HandleStopResponse(s.now, s.first.Upstream.Incarnation(), s.first.Order.Run, nil)
+		s.now = s.now.Add(20 * time.Millisecond)
+		s.report(silent)
+		s.report(s.next.Upstream.ID, s.next.Order.Run)
+	}
+	s.pool.Withdraw(s.now, s.key, "left")
+	again := s.offer(JobKey{Coordinator: "other", ID: s.key.ID})
+	if len(again.Starts) > 0 {
+		t.Errorf("%v starts on %s while %v runs on %s", again.Starts[0].Order.Run, again.Starts[0].Upstream.ID, s.next.Order.Run, s.next.Upstream.ID)
+	}
+}
+
+// TestNoRenewalAfterLateReport guards against a run whose leases are renewed for ever: nobody
+// wants it any more, its stop is lost, and its coordinator has other jobs.
+func TestNoRenewalAfterLateReport(t *testing.T) {
+	s := newLapsedTask(t)
+	s.offer(JobKey{Coordinator: lapsedCoordinator, ID: "other job"})
+	s.reportLapsedRun()
+	s.pool.Withdraw(s.now, s.key, "left")
+	s.now = s.now.Add(DefaultConfig.CoordinatorStaleAfter + time.Millisecond)
+	s.pool.RenewCoordinator(lapsedCoordinator, s.now)
+	if _, o, _ := s.pool.HoldOrder(s.now, s.next.Upstream.ID); o.LeaseUntilMs > 0 {
+		t.Errorf("the leases of %s are renewed although nobody wants %v", s.next.Upstream.ID, s.next.Order.Run)
+	}
+}
--- a/schedule/waits.go
+++ b/schedule/waits.go
@@ -93,10 +93,12 @@
 // are none.
 func (p *Pool) meanTaskDuration() time.Duration {
 	total, n := time.Duration(0), 0
-	for _, r := range p.runByTask {
-		if r.job != nil {
-			total += r.job.expectedTaskDuration
-			n++
+	for _, runs := range p.runsByTask {
+		for _, r := range runs {
+			if r.job != nil {
+				total += r.job.expectedTaskDuration
+				n++
+			}
 		}
 	}
 	for _, j := range p.queue {
