schedule: nothing starts in an incarnation whose entry has not been read

Cause: a report tells of the new incarnation before its entry does. Pool.currentUpstream then copied the entry of the former one, and the upstream got work from its next report on.

Ruled out: the entry of another incarnation being applied (upsert compares start times), and a change of the capacity within an incarnation, which the entry carries.

Change: entryPending is set for an incarnation that only reports have told of, until an entry with its start time is read, from the store or a peer. Until then nothing starts there and no room of it is reported or forecast. A job that may only fit there is refused at once (503), not answered as too large for ever; a begun job doesn't wait for it beyond its time.

--- a/schedule/choose.go
+++ b/schedule/choose.go
@@ -193,7 +193,7 @@
 // usable reports whether a task may start on an upstream now, ignoring its free capacity.
 func (p *Pool) usable(u *upstream, now time.Time) bool {
 	switch {
-	case !u.accepted, u.silent, u.formerOwnerRuns > 0, !p.acceptsStarts(u), u.renewalBlocked, !p.hasRecentReport(u):
+	case !u.accepted, u.silent, u.entryPending, u.formerOwnerRuns > 0, !p.acceptsStarts(u), u.renewalBlocked, !p.hasRecentReport(u):
 		return false
 	case u.health.ejected:
 		return now.After(u.health.ejectedUntil) && (len(u.runs) == 0 || !p.cfg.Policy.SingleTrial)
--- a/schedule/closed.go
+++ b/schedule/closed.go
@@ -29,27 +29,29 @@
 }
 
 // fitsAnyUpstream reports whether a task of a job would fit on any eligible upstream of
-// its service if that upstream were empty and had its largest capacity so far.
+// its service if that upstream were empty and had its largest capacity so far. It may fit
+// on any upstream whose capacity is not known yet.
 func (p *Pool) fitsAnyUpstream(j *job, eligible func(*upstream) bool) bool {
 	return slices.ContainsFunc(p.sortedUpstreams, func(u *upstream) bool {
-		return u.Service == j.Service && j.Demand.Within(u.Capacity.Max(u.LargestCapacity)) && eligible(u)
+		fits := u.entryPending || j.Demand.Within(u.Capacity.Max(u.LargestCapacity))
+		return u.Service == j.Service && fits && eligible(u)
 	})
 }
 
 // fitsCurrentCapacity returns false if a task of a job is too large for every upstream at
-// its current capacity, but would fit if the capacity of one had not shrunk. That capacity
-// may grow again, but it is not known when. Only upstreams of the job's service that accept
-// new tasks count.
+// its current capacity, but would fit if the capacity of one had not shrunk, or may fit on one
+// whose capacity is not known yet. It is not known when that capacity grows again or becomes
+// known. Only upstreams of the job's service that accept new tasks count.
 func (p *Pool) fitsCurrentCapacity(j *job) bool {
-	shrunk := false
+	mayFitLater := false
 	for _, u := range p.sortedUpstreams {
 		if u.Service != j.Service || !p.acceptsStarts(u) {
 			continue
 		}
-		if j.Demand.Within(u.Capacity) {
+		if !u.entryPending && j.Demand.Within(u.Capacity) {
 			return true
 		}
-		shrunk = shrunk || j.Demand.Within(u.LargestCapacity)
+		mayFitLater = mayFitLater || u.entryPending || j.Demand.Within(u.LargestCapacity)
 	}
-	return !shrunk
+	return !mayFitLater
 }
--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -21,32 +21,33 @@
 // TestModel against what the upstreams run.
 type testCluster struct {
 	*standin.Simulation
-	t                failer
-	upstreams        []*standin.SimulatedUpstream
-	pool             *Pool
-	poolToken        int // fencing token of the pool; responses to calls of former pools are dropped
-	openJobs         map[JobKey]*simJob
-	submissions      map[fleet.TaskRef]int                         // how many times a task was offered
-	orderedFor       map[fleet.Run]int                             // value of submissions when a run was last ordered
-	listedCapacity   map[string]fleet.Resources                    // of each upstream, as last passed to the pool
-	capacityAtOrder  map[fleet.Run]fleet.Resources                 // listedCapacity of the upstream when a run was ordered
-	pendingStarts    map[*standin.UpstreamModel][]fleet.StartOrder // starts that may still be carried out
-	startedTasks     map[fleet.TaskRef]bool                        // tasks of which a run of the last submission has started
-	returnedTasks    map[fleet.TaskRef]bool                        // tasks that were returned and have not been offered since
-	withdrawnJobs    []string                                      // IDs of jobs that were withdrawn from the current pool and have not been offered since
-	lostJobs         []lostJob
-	results          int
-	ackedDone        map[fleet.TaskRef]bool // tasks that have been done, which the pool acknowledged to the upstream, and that have not been offered since
-	mayEvacuate      bool                   // as in modelCase
-	mayRestart       bool                   // as in modelCase
-	mayResize        bool                   // as in modelCase
-	mayCrash         bool                   // as in modelCase
-	crashesByTask    map[fleet.TaskRef]int  // has an entry for each task that crashes upstreams: how many it has crashed under the current pool
-	mayLeave         bool                   // as in modelCase
-	mayCancel        bool                   // as in modelCase
-	mayHoldResponses bool                   // as in modelCase
-	cancelledJobs    map[string]bool        // jobs that were cancelled and have not been offered since
-	evacuated        bool                   // all upstreams are closed
+	t                  failer
+	upstreams          []*standin.SimulatedUpstream
+	pool               *Pool
+	poolToken          int // fencing token of the pool; responses to calls of former pools are dropped
+	openJobs           map[JobKey]*simJob
+	submissions        map[fleet.TaskRef]int                         // how many times a task was offered
+	orderedFor         map[fleet.Run]int                             // value of submissions when a run was last ordered
+	listedCapacity     map[string]fleet.Resources                    // of each upstream, as last passed to the pool
+	listedIncarnations map[string]fleet.UpstreamIncarnation          // of each upstream, as last passed to the pool
+	capacityAtOrder    map[fleet.Run]fleet.Resources                 // listedCapacity of the upstream when a run was ordered
+	pendingStarts      map[*standin.UpstreamModel][]fleet.StartOrder // starts that may still be carried out
+	startedTasks       map[fleet.TaskRef]bool                        // tasks of which a run of the last submission has started
+	returnedTasks      map[fleet.TaskRef]bool                        // tasks that were returned and have not been offered since
+	withdrawnJobs      []string                                      // IDs of jobs that were withdrawn from the current pool and have not been offered since
+	lostJobs           []lostJob
+	results            int
+	ackedDone          map[fleet.TaskRef]bool // tasks that have been done, which the pool acknowledged to the upstream, and that have not been offered since
+	mayEvacuate        bool                   // as in modelCase
+	mayRestart         bool                   // as in modelCase
+	mayResize          bool                   // as in modelCase
+	mayCrash           bool                   // as in modelCase
+	crashesByTask      map[fleet.TaskRef]int  // has an entry for each task that crashes upstreams: how many it has crashed under the current pool
+	mayLeave           bool                   // as in modelCase
+	mayCancel          bool                   // as in modelCase
+	mayHoldResponses   bool                   // as in modelCase
+	cancelledJobs      map[string]bool        // jobs that were cancelled and have not been offered since
+	evacuated          bool                   // all upstreams are closed
 	// The fields below are used only if modelCase.mayAdopt is set.
 	mayAdopt bool
 	// orderedByFormer holds the starts ordered by a former owner that is still alive. It cannot know
@@ -112,6 +113,9 @@
 	if w.cancelledJobs[run.Task.Job] {
 		w.t.Fatalf("%v is ordered to start although its job was cancelled", run)
 	}
+	if listed := w.listedIncarnations[s.Upstream.ID]; s.Upstream.Incarnation() != listed {
+		w.t.Fatalf("%v is ordered to start on %v, but the pool was last given the entry of %v", run, s.Upstream.Incarnation(), listed)
+	}
 	w.orderedFor[run] = w.submissions[run.Task]
 	delete(w.orderedByFormer, runOn{s.Upstream.ID, run})
 	u := w.findUpstream(s.Upstream.ID)
@@ -206,7 +210,7 @@
 		openJobs: map[JobKey]*simJob{}, startedTasks: map[fleet.TaskRef]bool{}, returnedTasks: map[fleet.TaskRef]bool{}, ackedDone: map[fleet.TaskRef]bool{}, crashesByTask: map[fleet.TaskRef]int{},
 		doneTasks: map[fleet.TaskRef]bool{}, orderedByFormer: map[runOn]bool{}, cutOff: map[string]bool{},
 		submissions: map[fleet.TaskRef]int{}, orderedFor: map[fleet.Run]int{}, capacityAtOrder: map[fleet.Run]fleet.Resources{},
-		cancelledJobs: map[string]bool{}, listedCapacity: map[string]fleet.Resources{}, pendingStarts: map[*standin.UpstreamModel][]fleet.StartOrder{},
+		cancelledJobs: map[string]bool{}, listedCapacity: map[string]fleet.Resources{}, listedIncarnations: map[string]fleet.UpstreamIncarnation{}, pendingStarts: map[*standin.UpstreamModel][]fleet.StartOrder{},
 	}
 	for i := range 4 {
 		w.upstreams = append(w.upstreams, w.newUpstream(fmt.Sprintf("u%d", i)))
--- a/schedule/incarnations.go
+++ b/schedule/incarnations.go
@@ -17,8 +17,9 @@
 // currentUpstream returns the upstream that responded to a call. The response comes from the
 // incarnation called or from a newer one, whose start time it contains as reportedStart (0 if
 // it contains none). If the pool does not know of the newer one yet, currentUpstream replaces
-// the upstream by it, possibly before the store has an entry of it. It returns nil if the
-// incarnation that responded has been replaced or removed.
+// the upstream by it, possibly before the store has an entry of it: then nothing starts there
+// until upsert has the entry. It returns nil if the incarnation that responded has been replaced
+// or removed.
 func (p *Pool) currentUpstream(called fleet.UpstreamIncarnation, reportedStart int64) *upstream {
 	u := p.upstreams[called.ID]
 	if u == nil {
@@ -31,7 +32,10 @@
 	case startedUnixMs > u.StartedUnixMs:
 		next := u.Upstream
 		next.StartedUnixMs, next.Draining, next.LeavesAt = startedUnixMs, false, time.Time{}
-		return p.replaceRestarted(u, next)
+		next.Capacity, next.LargestCapacity = fleet.Resources{}, fleet.Resources{}
+		successor := p.replaceRestarted(u, next)
+		successor.entryPending = true
+		return successor
 	default:
 		return u
 	}
--- a/schedule/model_test.go
+++ b/schedule/model_test.go
@@ -147,6 +147,7 @@
 	}
 	w.pool = NewPool(cfg, uint64(w.poolToken))
 	clear(w.listedCapacity)
+	clear(w.listedIncarnations)
 	w.withdrawnJobs = nil // the former owner may go on with their runs for a while
 	for _, key := range w.openKeys() {
 		w.loseJob(key, lostToken)
@@ -216,6 +217,7 @@
 	for _, u := range w.upstreams {
 		list = append(list, u.Upstream)
 		w.listedCapacity[u.ID] = u.Upstream.Capacity
+		w.listedIncarnations[u.ID] = u.Upstream.Incarnation()
 	}
 	added, effects := w.pool.SetUpstreams(w.Now(), list)
 	w.applyEffects(effects)
@@ -270,6 +272,7 @@
 // TestModel runs pools against simulated upstreams under faults, and checks these invariants:
 //   - No task has two runs at a time.
 //   - No upstream is loaded beyond its capacity.
+//   - No run is ordered on an incarnation of an upstream whose entry the pool has not been given.
 //   - No task that is returned as never started has started, and no returned task is running or
 //     starts later.
 //   - No task crashes more than maxCrashes upstreams under one pool.
--- a/schedule/pool.go
+++ b/schedule/pool.go
@@ -114,7 +114,7 @@
 	case entry.StartedUnixMs == u.StartedUnixMs:
 		entry.Draining = entry.Draining || u.Draining
 		entry.LeavesAt = earlierLeaving(entry.LeavesAt, u.LeavesAt)
-		u.Upstream = entry
+		u.Upstream, u.entryPending = entry, false
 	}
 	u.listed = true // even an outdated entry, of a former incarnation, shows that the ID is listed
 	return false
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -331,8 +331,12 @@
 
 type upstream struct {
 	fleet.Upstream
-	accepted        bool      // it has sent a report, and so has accepted the fencing token
-	acceptedAt      time.Time // when its first report came
+	accepted   bool      // it has sent a report, and so has accepted the fencing token
+	acceptedAt time.Time // when its first report came
+	// entryPending is set while only reports have told of this incarnation. It may differ from the
+	// former one in everything that its entry contains, such as its capacity, so that nothing
+	// starts there until the entry has been read.
+	entryPending    bool
 	listed          bool      // the store has an entry of it
 	unlistedAt      time.Time // when its entry was found to be missing
 	used            fleet.Resources
--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -111,5 +111,5 @@
 // hasRunnableUpstream reports whether any upstream that responds could run a task of j, now or
 // later, for example when its ejection ends.
 func (p *Pool) hasRunnableUpstream(j *job) bool {
-	return p.fitsAnyUpstream(j, func(u *upstream) bool { return u.accepted && !u.silent && p.acceptsStarts(u) })
+	return p.fitsAnyUpstream(j, func(u *upstream) bool { return u.accepted && !u.silent && !u.entryPending && p.acceptsStarts(u) })
 }
