schedule: runs of a former owner last as long as its leases

The lease that a former owner granted was known only where its runs were taken over. Elsewhere an upstream that became silent right after its first report counted as lapsed at once, and a task that its run blocked could start on another one, 40 ms after that report in the test, while the run goes on for up to 0.7 s.

Not seen by callers: a customer that sends its job again does so after 1.3 s, when the leases of the lost owner are over.

TestFormerLeaseOutlastsSilence fails without the change ("the task starts elsewhere 40ms after the first report"). Price: an upstream with such a run that is silent from then on keeps its tasks blocked for up to a second.

--- a/schedule/adopt.go
+++ b/schedule/adopt.go
@@ -159,8 +159,7 @@
 	r.remoteFactor, r.speedLog = p.remoteFactor(j, u), u.speed.log
 	r.expectedDuration = r.durationHere(j.expectedTaskDuration)
 	r.orderedAt = r.percentAt.Add(-r.expectedDuration * time.Duration(r.percent) / 100) // an estimate
-	// The former owner may have renewed the lease until the upstream accepted this pool.
-	u.maxLeaseUntilMs = max(u.maxLeaseUntilMs, u.clockMsAt(p.now)+int64(float64(p.cfg.Lease.Milliseconds())/maxLeaseShare))
+	p.assumeFormerLease(u)
 	t.lastRun = r.id.Number
 	p.setTaskState(j, t, placed)
 	p.addDecision(Decision{
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -275,6 +275,7 @@
 	}
 	r := &run{id: id, upstream: u, fromFormerOwner: true, state: running, orderedAt: p.now, startAckedAt: p.now, percentRoseAt: p.now, percentAt: p.now}
 	p.trackRun(r)
+	p.assumeFormerLease(u)
 	p.stopUnheld(r)
 }
 
--- a/schedule/runs.go
+++ b/schedule/runs.go
@@ -107,6 +107,13 @@
 	return until
 }
 
+// assumeFormerLease records that the former owner may have renewed the leases of an upstream until
+// the upstream accepted this pool.
+func (p *Pool) assumeFormerLease(u *upstream) {
+	longest := int64(float64(p.cfg.Lease.Milliseconds()) / maxLeaseShare)
+	u.maxLeaseUntilMs = max(u.maxLeaseUntilMs, u.clockMsAt(p.now)+longest)
+}
+
 // leasesLapseAt returns the time at which all leases granted to an upstream have certainly
 // lapsed, even if its clock runs as slowly as minClockRate allows.
 func (u *upstream) leasesLapseAt() time.Time {
--- a/schedule/taskruns_test.go
+++ b/schedule/taskruns_test.go
@@ -149,3 +149,24 @@
 		t.Errorf("the leases of %s are renewed although nobody wants %v", s.next.Upstream.ID, s.next.Order.Run)
 	}
 }
+
+// TestFormerLeaseOutlastsSilence guards against two runs of a task at once: a run of a former owner
+// goes on until the lease lapses that the former owner granted, also on an upstream that becomes
+// silent right after its first report.
+func TestFormerLeaseOutlastsSilence(t *testing.T) {
+	s := &lapsedTask{t: t, pool: NewPool(DefaultConfig, 2), now: startTime}
+	capacity := fleet.Resources{MilliCPU: 1000}
+	s.pool.SetUpstreams(s.now, []fleet.Upstream{
+		{ID: "u1", StartedUnixMs: 1, Service: "s", Capacity: capacity, LargestCapacity: capacity},
+		{ID: "u2", StartedUnixMs: 1, Service: "s", Capacity: capacity, LargestCapacity: capacity},
+	})
+	s.report("u1", fleet.Run{Task: fleet.TaskRef{Job: "j"}, Number: 1})
+	s.report("u2")
+	accepted := s.now
+	s.first.Upstream.ID = "u1"
+	s.offer(JobKey{Coordinator: lapsedCoordinator, ID: "j"})
+	s.runSilentUntilLapse()
+	if lapse := accepted.Add(time.Duration(float64(DefaultConfig.Lease) / minClockRate)); s.now.Before(lapse) {
+		t.Errorf("the task starts elsewhere %v after the first report, before a lease granted then has lapsed on a slow clock", s.now.Sub(accepted))
+	}
+}
