schedule: a late report proves no presence of an upstream

A start or an acknowledgement of ends goes only to an upstream that has reported within a lease, because a restart takes longer than that. The age of the report was counted from its arrival, and an answer may take a second: so the order could meet the next incarnation, whose capacity is not known, and which would forget ends that it has not reported.

Change: the age counts from when the upstream can have given the report at the earliest: not before its request, nor sooner after an earlier report than its clock shows. The second bound is for reports that the upstream delays until a run ends; without it their age would be that of the whole wait.

--- a/schedule/incarnations.go
+++ b/schedule/incarnations.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sedgehatch/sedgehatch/fleet"
+
+	"github.com/samber/lo"
 )
 
 // An upstream may restart under the same ID. The new incarnation keeps no state of the
@@ -46,7 +48,21 @@
 // the length of a lease, which is shorter. Upstreams without a start time do not restart under
 // the same ID, so that for them it always returns true.
 func (p *Pool) hasRecentReport(u *upstream) bool {
-	return u.StartedUnixMs == 0 || p.now.Sub(u.clockReadAt) <= p.cfg.Lease
+	return u.StartedUnixMs == 0 || p.now.Sub(u.aliveAt) <= p.cfg.Lease
+}
+
+// noteAlive updates when an upstream was last known to be alive, from a report requested at the
+// time sent. A report may arrive long after the upstream gave it, but it was not given before its
+// request, nor sooner after an earlier report than the clock of the upstream shows.
+func (p *Pool) noteAlive(u *upstream, sent time.Time, clockMs int64) {
+	if clockMs < u.aliveClockMs {
+		return // given before a report that was handled earlier
+	}
+	alive := sent
+	if !u.aliveAt.IsZero() {
+		alive = lo.Latest(alive, u.aliveAt.Add(time.Duration(clockMs-u.aliveClockMs)*time.Millisecond))
+	}
+	u.aliveAt, u.aliveClockMs = lo.Earliest(alive, p.now), clockMs
 }
 
 // replaceRestarted replaces an upstream by its next incarnation, the successor. The runs in
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -202,6 +202,7 @@
 	u.missedReports, u.silent = 0, false
 	p.missRate.record(false)
 	u.clockMs, u.clockReadAt = report.ClockMs, p.now
+	p.noteAlive(u, sent, report.ClockMs)
 	for _, e := range report.Ended {
 		if e.Sequence > u.lastEndSequence {
 			u.lastEndSequence = e.Sequence
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -345,6 +345,8 @@
 	formerOwnerRuns int
 	clockMs         int64       // its clock, as of the last report
 	clockReadAt     time.Time   // when the last report came
+	aliveAt         time.Time   // the upstream gave its last report then or later, see noteAlive
+	aliveClockMs    int64       // its clock, as of the report that aliveAt is about
 	maxLeaseUntilMs int64       // the latest end, on its clock, of the leases granted to it
 	lastEndSequence uint64      // sequence number of the last reported end of a run that was processed
 	recentEnds      []fleet.Run // the last runs that ended, newest last
