schedule: an end of an unacknowledged run may be that of an older one

A late one makes it respond again for the pool, which starts run 1 of a task there; the next late one reports the end of run 1 of the same task, of an earlier submission. The pool took the new run for over and started the task again, while the order to the crashed upstream was not resolved.

An incarnation that has ended a run refuses it, so that the pool is right about that one. The next incarnation would start it. So the run goes to the unresolved starts, which the next incarnation is told to stop, as a run that was given up because its lease lapsed does. Scenario started_again_old_end: without the change j.0#1 is not stopped there.

--- a/schedule/cluster_test.go
+++ b/schedule/cluster_test.go
@@ -128,7 +128,9 @@
 		})
 		return
 	}
-	w.pendingStarts[u.UpstreamModel] = append(w.pendingStarts[u.UpstreamModel], s.Order)
+	if !u.DropsRequests() {
+		w.pendingStarts[u.UpstreamModel] = append(w.pendingStarts[u.UpstreamModel], s.Order)
+	}
 	u.CallStart(s.Order, startTimeout, func(refusal fleet.Refusal, err error) {
 		w.applyIfCurrent(token, func(p *Pool, now time.Time) Effects {
 			return p.HandleStartResponse(now, s.Upstream.Incarnation(), run, refusal, err)
--- a/schedule/input.go
+++ b/schedule/input.go
@@ -294,6 +294,9 @@
 		return
 	}
 	p.untrackRun(r)
+	if r.startAckedAt.IsZero() {
+		u.addUnresolvedStart(r) // the end may be that of an equally numbered run of an earlier submission
+	}
 	if r.job == nil {
 		return
 	}
