schedule: the list of a report from before a lapse is no news

With every run of a task kept, a lapsed run that a late answer lists is stopped again, and its upstream gets no work until that is acknowledged. The run is certainly over: the lapse counts with the slowest clock, and a run that is being stopped ends with its lease as well. So the lists of reports that were requested before a lapse are left out; the ends in them count, and the upstream responds again.

Both ways hold the rule by themselves where the run has lapsed; the runs of a task are all kept because others can be listed late: the tests now do the same with a run of a former owner, and fail with the former map for it ("run 1 starts on u3 while run 2 runs on u2").

TestLapsedRunIsNotTracked fails without the change.

--- a/schedule/tick.go
+++ b/schedule/tick.go
@@ -65,6 +65,9 @@
 		p.untrackRun(r)
 		p.requeue(r, "lease lapsed on a silent upstream")
 	}
+	if len(runs) > 0 {
+		u.reportRequestedAt = p.now // reports that were requested before may still list the runs
+	}
 	p.endCrashingJobs(suspects)
 }
 
