schedule: a late report does not clear a task of a crash

When the leases of a silent upstream lapse, its tasks are suspected of having crashed it; when it answers again, it had not crashed. An answer that it gave before it crashed, and that arrives after the lapse, counted as well, so that a task that crashes its upstreams lost its count and could crash more of them.

Only a report that was requested after the lapse counts now. TestLateReportRetractsNoSuspicion fails without the change.

--- a/schedule/input.go
+++ b/schedule/input.go
@@ -196,8 +196,6 @@
 	}
 	if u.silent {
 		p.addDecision(Decision{Kind: DecidedResponding, Upstream: u.ID, Age: p.now.Sub(u.clockReadAt)})
-		p.crashHistory.retract(u.suspectedTasks)
-		u.suspectedTasks = nil
 	}
 	u.missedReports, u.silent = 0, false
 	p.missRate.record(false)
@@ -213,6 +211,8 @@
 		return // the reports came out of order, and one that was requested later has been processed
 	}
 	u.reportRequestedAt = sent
+	p.crashHistory.retract(u.suspectedTasks) // it was alive after its leases had lapsed
+	u.suspectedTasks = nil
 	p.reconcileRuns(u, sent, report.Running)
 	if !u.accepted {
 		u.accepted, u.acceptedAt = true, p.now
--- a/schedule/taskruns_test.go
+++ b/schedule/taskruns_test.go
@@ -188,6 +188,21 @@
 	})
 }
 
+// TestLateReportRetractsNoSuspicion guards against a task that crashes one upstream after the other:
+// only a report from after the lapse shows that the upstream had not crashed under the task.
+func TestLateReportRetractsNoSuspicion(t *testing.T) {
+	s := newLapsedTask(t)
+	task := s.first.Order.Run.Task
+	s.reportLapsedRun()
+	if !s.pool.isSuspectTask(task) {
+		t.Errorf("%v is no suspect any more after a report from before the lapse", task)
+	}
+	s.report(s.first.Upstream.ID)
+	if s.pool.isSuspectTask(task) {
+		t.Errorf("%v is still a suspect after a report from after the lapse", task)
+	}
+}
+
 // TestFormerLeaseOutlastsSilence guards against two runs of a task at once: a run of a former owner
 // goes on until the lease lapses that the former owner granted, also on an upstream that becomes
 // silent right after its first report.
