--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -14,7 +14,8 @@
 //   - A coordinator is the instance that accepted a job from a customer. It hands
 //     the job, or parts of it, to pools as offers. It may withdraw an offer, and
 //     a pool may return tasks that it does not start.
-//   - A run is one execution of a task. A task has at most one run at a time.
+//   - A run is one execution of a task. A pool orders at most one run of a task at a
+//     time, but may learn of others (see taskRuns).
 //   - A lease limits how long an upstream runs tasks without hearing from the
 //     owner: when the lease lapses, the upstream stops its runs by itself.
 //   - A report lists the runs that an upstream is executing and those that have
