--- a/review/cases-3/cancelafterrestart.go
+++ b/review/cases-3/cancelafterrestart.go
@@ -17,7 +17,7 @@
 	slowStoreTime  = 4500 * time.Millisecond
 	// firstProbe is when the platform first asks the restarted process whether it is ready. It asks
 	// again every probeInterval.
-	firstProbe    = 100 * time.Millisecond
+	firstProbe    = 80 * time.Millisecond
 	probeInterval = time.Second
 	// maxCancelTime is cancel_ms, and contactTime is ContactMs.
 	maxCancelTime = 3 * time.Second
@@ -32,7 +32,7 @@
 // playCancelAfterRestart restarts one instance as planned while the store is slow. As soon as the
 // instance is ready, customers cancel jobs there that run for another instance.
 func playCancelAfterRestart(r *record, trouble bool) (bool, error) {
-	in, err := newInstallation(map[string]zoneSize{"a": {2, 4}, "b": {2, 4}}, 0)
+	in, err := newInstallation(map[string]zoneSize{"a": {2, 4}, "b": {2, 4}})
 	if err != nil {
 		return false, err
 	}
--- a/review/cases-3/cancelatexit.go
+++ b/review/cases-3/cancelatexit.go
@@ -25,7 +25,7 @@
 // playCancelAtExit stops one instance as planned, the only one of its zone, while customers that
 // have open connections to it cancel jobs that have ended.
 func playCancelAtExit(r *record, trouble bool) (bool, error) {
-	in, err := newInstallation(map[string]zoneSize{"a": {2, 4}, "b": {1, 4}}, 0)
+	in, err := newInstallation(map[string]zoneSize{"a": {2, 4}, "b": {1, 4}})
 	if err != nil {
 		return false, err
 	}
--- a/review/cases-3/installation.go
+++ b/review/cases-3/installation.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -50,7 +51,6 @@
 type instance struct {
 	name, ip, zone string
 	dir            string
-	descriptors    int    // limit on open descriptors; 0 leaves the inherited one
 	store          string // address of the store
 	starts         int
 
@@ -80,9 +80,6 @@
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
 	cmd := exec.Command("target/sedgehatchd", "platform")
-	if p.descriptors > 0 {
-		cmd = exec.Command("bash", "-c", fmt.Sprintf("ulimit -n %d && exec target/sedgehatchd platform", p.descriptors))
-	}
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -149,7 +146,7 @@
 }
 
 // newInstallation starts the store and the upstreams. The processes are started by startAll.
-func newInstallation(zones map[string]zoneSize, descriptors int) (*installation, error) {
+func newInstallation(zones map[string]zoneSize) (*installation, error) {
 	dir, err := os.MkdirTemp("", "case")
 	if err != nil {
 		return nil, err
@@ -184,7 +181,7 @@
 		}
 		for i := range zones[zone].instances {
 			in.instances[zone] = append(in.instances[zone], &instance{
-				name: fmt.Sprintf("%s-%d", zone, i), zone: zone, dir: dir, store: store.Address, descriptors: descriptors,
+				name: fmt.Sprintf("%s-%d", zone, i), zone: zone, dir: dir, store: store.Address,
 				ip: fmt.Sprintf("127.%d.%d.%d", firstNetworkOctet+z, network, 10+i),
 			})
 		}
@@ -229,8 +226,10 @@
 	return list
 }
 
-// startAll starts all processes and waits until they are ready.
+// startAll starts all processes and waits until they are ready. From then on a signal ends them with
+// this program.
 func (in *installation) startAll() error {
+	go in.closeOnSignal()
 	for _, p := range in.all() {
 		if err := p.start(); err != nil {
 			return err
@@ -253,6 +252,15 @@
 	return nil
 }
 
+// closeOnSignal ends the play and its processes when this program is told to end.
+func (in *installation) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	in.close()
+	os.Exit(exitFailed)
+}
+
 // close ends all processes and stand-ins.
 func (in *installation) close() {
 	for _, p := range in.all() {
