--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -40,6 +40,7 @@
 
 var cases = map[string]play{
 	"cancel-after-restart": playCancelAfterRestart,
+	"cancel-forgotten":     playCancelForgotten,
 	"cancel-at-exit":       playCancelAtExit,
 }
 
