--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -42,6 +42,7 @@
 	"cancel-after-restart": playCancelAfterRestart,
 	"cancel-forgotten":     playCancelForgotten,
 	"cancel-at-exit":       playCancelAtExit,
+	"lower-born":           playLowerBorn,
 }
 
 func main() {
