--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -39,9 +39,9 @@
 type play func(r *record, trouble bool) (broken bool, err error)
 
 var cases = map[string]play{
-	"cancel-forgotten":     playCancelForgotten,
-	"cancel-at-exit":       playCancelAtExit,
-	"lower-born":           playLowerBorn,
+	"cancel-forgotten": playCancelForgotten,
+	"cancel-at-exit":   playCancelAtExit,
+	"lower-born":       playLowerBorn,
 }
 
 func main() {
