--- a/review/cases-3/installation.go
+++ b/review/cases-3/installation.go
@@ -289,6 +289,11 @@
 	if err != nil {
 		return 0, "", err
 	}
+	return do(customer, req)
+}
+
+// do sends a request and returns the status and body of the response.
+func do(customer *http.Client, req *http.Request) (int, string, error) {
 	res, err := customer.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -41,6 +41,7 @@
 var cases = map[string]play{
 	"cancel-forgotten": playCancelForgotten,
 	"cancel-at-exit":   playCancelAtExit,
+	"cancel-removed":   playCancelRemoved,
 	"lower-born":       playLowerBorn,
 }
 
